--- /dev/null
+++ b/app/agent/module.go
@@ -0,0 +1,98 @@
+package agent
+
+import (
+	"context"
+
+	"go.uber.org/fx"
+	"google.golang.org/grpc"
+
+	"amaranthturn/app/node"
+	"amaranthturn/app/settings"
+	"amaranthturn/app/telemetry"
+	"amaranthturn/core/keys"
+	"amaranthturn/io/engine"
+	"amaranthturn/io/operator"
+	"amaranthturn/io/origin"
+	"amaranthturn/io/peer"
+	"amaranthturn/io/platform"
+	"amaranthturn/io/service"
+)
+
+// Module builds an agent from *settings.Agent and node.Overrides.
+var Module = fx.Module("agent",
+	fx.Provide(newRing, newTelemetry, newPool, newAgent),
+	fx.Invoke(serve),
+)
+
+func newRing(s *settings.Agent) (*keys.Ring, error) { return s.Keys.Ring() }
+
+func newTelemetry(s *settings.Agent, o node.Overrides) (*telemetry.Logs, *telemetry.Metrics) {
+	return telemetry.NewLogs(o.LogTo, s.Log, s.Instance), telemetry.NewMetrics("agent")
+}
+
+func newPool(o node.Overrides) *peer.Pool { return node.NewPool(o) }
+
+func newAgent(s *settings.Agent, o node.Overrides, l *telemetry.Logs, m *telemetry.Metrics, p *peer.Pool, r *keys.Ring) *Agent {
+	opt := Options{
+		Settings: s, Clock: o.Clock, Logs: l, Metrics: m, Pool: p, Ring: r, Seed: o.Seed,
+		Platform: platform.NewClient(s.Platform.URL, o.HTTPClient()),
+		Origin:   origin.NewClient(s.Origin.URL, o.HTTPClient()),
+	}
+	if s.Engine.URL != "" {
+		// The engine is on this instance: its link is not the one that is paced.
+		opt.Engine = engine.NewClient(s.Engine.URL, node.Overrides{}.HTTPClient(), s.Engine.Token)
+	}
+	if s.Service.URL != "" {
+		opt.Service = service.NewClient(s.Service.URL)
+	}
+	return New(opt)
+}
+
+// server is the outward side of an agent.
+type server struct {
+	a         *Agent
+	loops     *node.Loops
+	peers     *node.Server
+	operators *node.Server
+}
+
+func serve(lc fx.Lifecycle, a *Agent, s *settings.Agent, o node.Overrides) {
+	srv := &server{a: a, loops: node.NewLoops()}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return srv.start(s, o) },
+		OnStop:  srv.stop,
+	})
+}
+
+func (s *server) start(set *settings.Agent, o node.Overrides) error {
+	peers, err := o.ListenOn("listen.peers", set.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	operators, err := o.ListenOn("listen.operators", set.Listen.Operators)
+	if err != nil {
+		return err
+	}
+	g := grpc.NewServer(peer.ServerOptions(node.Credentials(o.TLS))...)
+	peer.RegisterAgent(g, s.a)
+	s.peers = &node.Server{Listener: peers, GRPC: g}
+	s.operators = node.NewHTTP(operators, operator.NewHandler(s.a.opt.Metrics.Handler(), s.a, nil))
+	s.peers.Start()
+	s.operators.Start()
+	s.loops.Go(s.a.attach)
+	s.loops.Go(s.a.driver)
+	s.a.log.process.Info().Str("peers", set.Listen.Peers).Msg("agent started")
+	return nil
+}
+
+// stop lets requests and orders in progress end, then goes.
+func (s *server) stop(ctx context.Context) error {
+	s.a.Leave(ctx)
+	s.loops.Stop(ctx)
+	s.peers.GRPC.Stop()
+	_ = s.operators.HTTP.Close()
+	s.a.opt.Pool.Close()
+	_ = s.a.opt.Metrics.Close()
+	s.a.log.process.Info().Msg("agent stopped")
+	return nil
+}
--- /dev/null
+++ b/app/agent/orders.go
@@ -0,0 +1,177 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/retry"
+	"amaranthturn/core/ticket"
+	"amaranthturn/io/peer"
+	"amaranthturn/io/service"
+)
+
+// orderTimeout bounds how long the service may take for one order. The order
+// goes on when its caller has gone: nobody could say whether it ran otherwise.
+const orderTimeout = 2 * time.Minute
+
+// orders runs orders under tickets, each at most once.
+type orders struct {
+	a     *Agent
+	mu    sync.Mutex // guards table and waits
+	table *ticket.Table
+	waits map[ticket.ID]chan struct{}
+}
+
+func (o *orders) leave() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Leave()
+}
+
+func (o *orders) running() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Running()
+}
+
+// RunOrder implements peer.AgentHandler.
+func (a *Agent) RunOrder(ctx context.Context, enc string, c peer.Call) (fleet.Outcome, peer.Reply) {
+	t, err := ticket.Open(a.opt.Ring, enc)
+	if err != nil || t.Service != c.Service || a.opt.Service == nil {
+		return refused(fleet.NotRun(fleet.ReasonBadTicket, 0))
+	}
+	return a.orders.run(ctx, t, c)
+}
+
+// StopOrder implements peer.AgentHandler.
+func (a *Agent) StopOrder(_ context.Context, enc string) (fleet.Outcome, peer.Reply) {
+	t, err := ticket.Open(a.opt.Ring, enc)
+	if err != nil {
+		return refused(fleet.NotRun(fleet.ReasonBadTicket, 0))
+	}
+	o := a.orders
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return translateOrder(o.table.Stop(t, a.now()))
+}
+
+func (o *orders) run(ctx context.Context, t ticket.Ticket, c peer.Call) (fleet.Outcome, peer.Reply) {
+	o.mu.Lock()
+	d := o.table.Begin(t, c.Deadline, o.a.now())
+	done := o.waits[t.ID]
+	if d.Verdict == ticket.VerdictRun {
+		done = make(chan struct{})
+		o.waits[t.ID] = done
+		job := &orderJob{o: o, t: t, call: c, done: done}
+		go job.run()
+	}
+	o.mu.Unlock()
+	if d.Verdict == ticket.VerdictAnswer || d.Verdict == ticket.VerdictRefuse {
+		return translateOrder(d)
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return refused(fleet.Unknown(fleet.ReasonRunning))
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return translateOrder(o.table.Stop(t, o.a.now()))
+}
+
+// orderJob is the one run of an order.
+type orderJob struct {
+	o    *orders
+	t    ticket.Ticket
+	call peer.Call
+	done chan struct{}
+}
+
+func (j *orderJob) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	reply, err := j.o.a.opt.Service.Call(ctx, service.Request{
+		Method: j.call.Method, Path: j.call.Path, ContentType: j.call.ContentType,
+		RequestID: string(j.t.ID), Body: j.call.Body,
+	})
+	j.o.mu.Lock()
+	defer j.o.mu.Unlock()
+	switch {
+	case errors.Is(err, service.ErrNotSent):
+		j.o.table.FinishNotRun(j.t.ID)
+	case err != nil:
+		j.o.table.FinishUnknown(j.t.ID)
+	default:
+		j.o.table.Finish(j.t.ID, ticket.Answer{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body})
+	}
+	delete(j.o.waits, j.t.ID)
+	close(j.done)
+}
+
+// translateOrder turns the table's word into the answer for the entry.
+func translateOrder(d ticket.Decision) (fleet.Outcome, peer.Reply) {
+	switch d.Verdict {
+	case ticket.VerdictAnswer:
+		return fleet.OutcomeDone, peer.Reply{Status: d.Answer.Status, ContentType: d.Answer.ContentType, Body: d.Answer.Body}
+	case ticket.VerdictJoin:
+		return fleet.OutcomeRunning, peer.Reply{Refusal: fleet.Unknown(fleet.ReasonRunning)}
+	}
+	r := &fleet.Refusal{Outcome: d.Outcome, Reason: orderReason(d.Reason)}
+	if d.Outcome == fleet.OutcomeNotRun {
+		r.RetryAfter = retry.MaxDelay
+	}
+	return refused(r)
+}
+
+func orderReason(r ticket.Reason) fleet.Reason {
+	switch r {
+	case ticket.ReasonOtherIncarnation, ticket.ReasonOtherTarget:
+		return fleet.ReasonRestarted
+	case ticket.ReasonExpired, ticket.ReasonAnswerLost:
+		return fleet.ReasonAnswerLost
+	case ticket.ReasonDeadline:
+		return fleet.ReasonDeadline
+	case ticket.ReasonFull:
+		return fleet.ReasonQueueFull
+	case ticket.ReasonLeaving:
+		return fleet.ReasonLeaving
+	}
+	return fleet.ReasonStopped
+}
+
+func refused(r *fleet.Refusal) (fleet.Outcome, peer.Reply) {
+	return r.Outcome, peer.Reply{Refusal: r}
+}
+
+// Call implements peer.AgentHandler: a repeatable call.
+func (a *Agent) Call(ctx context.Context, c peer.Call) peer.Reply {
+	now := a.now()
+	switch {
+	case a.opt.Service == nil:
+		return peer.Reply{Refusal: fleet.NotRun(fleet.ReasonUnknownService, 0)}
+	case a.leaving.Load():
+		return peer.Reply{Refusal: fleet.NotRun(fleet.ReasonLeaving, retry.BaseDelay)}
+	case !now.Before(c.Deadline):
+		return peer.Reply{Refusal: fleet.NotRun(fleet.ReasonDeadline, 0)}
+	}
+	x, refusal := a.gate.enter(admission{})
+	if refusal != nil {
+		return peer.Reply{Refusal: refusal}
+	}
+	defer a.gate.leave(x)
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	reply, err := a.opt.Service.Call(ctx, service.Request{
+		Method: c.Method, Path: c.Path, ContentType: c.ContentType, RequestID: c.RequestID, Body: c.Body,
+	})
+	switch {
+	case errors.Is(err, service.ErrNotSent):
+		return peer.Reply{Refusal: fleet.NotRun(fleet.ReasonServiceFailed, retry.MaxDelay)}
+	case err != nil:
+		return peer.Reply{Refusal: fleet.Unknown(fleet.ReasonServiceFailed)}
+	}
+	return peer.Reply{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
+}
--- /dev/null
+++ b/app/entry/config.go
@@ -0,0 +1,346 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/spread"
+	"amaranthturn/io/peer"
+	"amaranthturn/io/platform"
+)
+
+// backoff grows the wait between failed tries and spreads them.
+type backoff struct {
+	wait time.Duration
+}
+
+func (b *backoff) next(jitter float64) time.Duration {
+	b.wait = min(max(platformRetry, 2*b.wait), platformMax)
+	return b.wait/2 + time.Duration(jitter*float64(b.wait))
+}
+
+func (b *backoff) reset() { b.wait = 0 }
+
+// sleep waits or tells that ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (e *Entry) jitter() float64 {
+	e.reqMu.Lock()
+	defer e.reqMu.Unlock()
+	return e.random.Float64()
+}
+
+// configWatcher watches the platform's configuration while it is this entry's
+// turn.
+type configWatcher struct {
+	e    *Entry
+	wait backoff
+}
+
+func (w *configWatcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !w.turn() {
+			sleep(ctx, platformRetry)
+			continue
+		}
+		if err := w.e.readConfig(ctx); err != nil {
+			w.e.opt.Metrics.Count("platform_read_failures", 1)
+			sleep(ctx, w.wait.next(w.e.jitter()))
+			continue
+		}
+		w.wait.reset()
+	}
+}
+
+func (w *configWatcher) turn() bool {
+	w.e.cfgMu.Lock()
+	defer w.e.cfgMu.Unlock()
+	return w.e.node.Watches(w.e.now())
+}
+
+// readConfig waits for a configuration newer than the last one seen. The first
+// read of a process does not wait.
+func (e *Entry) readConfig(ctx context.Context) error {
+	after, wait := e.seenRevision()
+	e.opt.Metrics.Count("platform_reads", 1)
+	got, err := e.opt.Platform.Config(ctx, after, wait)
+	now := e.now()
+	if errors.Is(err, platform.ErrUnchanged) {
+		e.cfgMu.Lock()
+		e.node.PlatformReached(now)
+		e.cfgMu.Unlock()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	e.cfgMu.Lock()
+	res := e.node.FromPlatform(got.Revision, got.Body, now)
+	e.cfgMu.Unlock()
+	e.took(res, got.Revision, "platform")
+	if res.Verdict == spread.Older || res.Verdict == spread.Conflict {
+		// A stale answer came without waiting: asking again at once would spin.
+		sleep(ctx, platformRetry)
+	}
+	return nil
+}
+
+// seenRevision returns the newest revision that was accepted or refused.
+func (e *Entry) seenRevision() (fleet.Revision, time.Duration) {
+	e.cfgMu.Lock()
+	defer e.cfgMu.Unlock()
+	_, rev := e.node.Document()
+	if r, ok := e.node.Refusal(); ok {
+		rev = max(rev, r.Revision)
+	}
+	if rev == 0 {
+		return 0, 0
+	}
+	return rev, watchWait
+}
+
+// took acts on what became of an offered document.
+func (e *Entry) took(res spread.Result, rev fleet.Revision, from string) {
+	switch res.Verdict {
+	case spread.Accepted:
+		e.inForce(from)
+	case spread.Refused:
+		e.opt.Metrics.Count("config_refused", 1)
+		e.log.config.Warn().Uint64("revision", uint64(rev)).Err(res.Problem).Msg("configuration refused")
+	case spread.Forged, spread.Conflict:
+		e.opt.Metrics.Count("config_forged", 1)
+		e.log.config.Error().Uint64("revision", uint64(rev)).Str("from", from).
+			Str("verdict", res.Verdict.String()).Msg("configuration rejected")
+	}
+}
+
+func (e *Entry) inForce(from string) {
+	e.cfgMu.Lock()
+	doc, rev := e.node.Document()
+	if old := e.force.Load(); old == nil || old.rev < rev {
+		e.force.Store(&inForce{doc: doc, rev: rev})
+	}
+	e.cfgMu.Unlock()
+	e.opt.Metrics.Gauge("config_revision", float64(rev))
+	e.log.config.Info().Uint64("revision", uint64(rev)).Str("from", from).Msg("configuration in force")
+	e.reqMu.Lock()
+	e.ledger.SetTargets(doc.Defaults.Limits.CrashTargets)
+	e.budget.SetShare(doc.Defaults.Limits.RetryShare)
+	for _, b := range e.budgets {
+		b.SetShare(doc.Defaults.Limits.RetryShare)
+	}
+	e.reqMu.Unlock()
+	e.notifySessions()
+	select {
+	case e.accepted <- struct{}{}:
+	default:
+	}
+}
+
+// listWatcher follows the platform's instance list.
+type listWatcher struct {
+	e    *Entry
+	wait backoff
+}
+
+func (w *listWatcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := w.e.readList(ctx); err != nil {
+			sleep(ctx, w.wait.next(w.e.jitter()))
+			continue
+		}
+		w.wait.reset()
+	}
+}
+
+func (e *Entry) readList(ctx context.Context) error {
+	e.cfgMu.Lock()
+	after := e.listRev
+	e.cfgMu.Unlock()
+	wait := listWait
+	if after == 0 {
+		wait = 0
+	}
+	e.opt.Metrics.Count("platform_reads", 1)
+	list, err := e.opt.Platform.Instances(ctx, after, wait)
+	if errors.Is(err, platform.ErrUnchanged) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	e.cfgMu.Lock()
+	e.listRev = list.Revision
+	e.node.SetEntries(list.Instances)
+	e.cfgMu.Unlock()
+	e.memMu.Lock()
+	e.table.SetList(list.Instances, e.now())
+	e.memMu.Unlock()
+	e.notifySessions()
+	return nil
+}
+
+// syncer exchanges revisions with other entries: at once after a change, and with a
+// random one now and then.
+type syncer struct{ e *Entry }
+
+func (s *syncer) Run(ctx context.Context) {
+	tick := time.NewTicker(syncEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.e.accepted:
+			s.announce(ctx)
+		case <-tick.C:
+			s.partner(ctx)
+		}
+	}
+}
+
+func (s *syncer) announce(ctx context.Context) {
+	s.e.cfgMu.Lock()
+	to := s.e.node.Announce()
+	s.e.cfgMu.Unlock()
+	for _, in := range to {
+		a := &announcement{e: s.e, to: in}
+		go a.run(ctx)
+	}
+}
+
+type announcement struct {
+	e  *Entry
+	to fleet.Instance
+}
+
+func (a *announcement) run(ctx context.Context) { a.e.syncWith(ctx, a.to) }
+
+func (s *syncer) partner(ctx context.Context) {
+	s.e.cfgMu.Lock()
+	in, ok := s.e.node.Partner()
+	s.e.cfgMu.Unlock()
+	if ok {
+		s.e.syncWith(ctx, in)
+	}
+}
+
+// suspectRows bounds the suspicion in one exchange.
+const suspectRows = 16
+
+func (e *Entry) syncMessage() peer.SyncMessage {
+	now := e.now()
+	e.reqMu.Lock()
+	worst := e.ledger.Worst(suspectRows, now)
+	e.reqMu.Unlock()
+	e.cfgMu.Lock()
+	defer e.cfgMu.Unlock()
+	_, rev := e.node.Document()
+	return peer.SyncMessage{
+		Instance: e.self.ID, Revision: rev, Digest: e.node.Digest(), PlatformAge: e.node.PlatformAge(now), Suspects: worst,
+	}
+}
+
+func (e *Entry) syncWith(ctx context.Context, in fleet.Instance) {
+	got, err := e.opt.Pool.Sync(ctx, in.Address, e.syncMessage())
+	if err != nil {
+		e.opt.Metrics.Count("sync_failures", 1)
+		return
+	}
+	e.heardEntry(in.ID, got)
+	if got.Update == nil {
+		return
+	}
+	if e.offer(*got.Update, in.ID) == spread.Unfitting {
+		e.fetchWhole(ctx, in)
+	}
+}
+
+func (e *Entry) offer(u spread.Update, from fleet.InstanceID) spread.Verdict {
+	e.cfgMu.Lock()
+	res := e.node.FromPeer(u, e.now())
+	e.cfgMu.Unlock()
+	e.took(res, u.Revision, string(from))
+	return res.Verdict
+}
+
+func (e *Entry) fetchWhole(ctx context.Context, in fleet.Instance) {
+	u, err := e.opt.Pool.Document(ctx, in.Address, 0, true)
+	if err == nil {
+		e.offer(u, in.ID)
+	}
+}
+
+func (e *Entry) heardEntry(from fleet.InstanceID, m peer.SyncMessage) {
+	now := e.now()
+	e.cfgMu.Lock()
+	e.node.HeardPlatformAge(from, m.PlatformAge, now)
+	e.cfgMu.Unlock()
+	e.reqMu.Lock()
+	e.ledger.Merge(m.Suspects, now)
+	e.reqMu.Unlock()
+}
+
+// Sync implements peer.EntryHandler. An asker that is ahead is asked in turn.
+func (e *Entry) Sync(m peer.SyncMessage) peer.SyncMessage {
+	e.heardEntry(m.Instance, m)
+	out := e.syncMessage()
+	e.cfgMu.Lock()
+	if u, ok := e.node.UpdateFor(m.Revision); ok {
+		out.Update = &u
+	}
+	behind := out.Revision < m.Revision && !e.pulling
+	if behind {
+		e.pulling = true
+	}
+	e.cfgMu.Unlock()
+	if behind {
+		p := &pull{e: e, from: m.Instance}
+		go p.run()
+	}
+	return out
+}
+
+// pull brings the configuration from an entry that said it is ahead.
+type pull struct {
+	e    *Entry
+	from fleet.InstanceID
+}
+
+// pullTimeout bounds one pull.
+const pullTimeout = 5 * time.Second
+
+func (p *pull) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	p.e.memMu.Lock()
+	in, ok := p.e.table.Instance(p.from)
+	p.e.memMu.Unlock()
+	if ok {
+		p.e.syncWith(ctx, in)
+	}
+	p.e.cfgMu.Lock()
+	p.e.pulling = false
+	p.e.cfgMu.Unlock()
+}
+
+// Document implements peer.EntryHandler.
+func (e *Entry) Document(have fleet.Revision, whole bool) (spread.Update, bool) {
+	e.cfgMu.Lock()
+	defer e.cfgMu.Unlock()
+	if whole {
+		return e.node.Whole()
+	}
+	return e.node.UpdateFor(have)
+}
--- /dev/null
+++ b/app/entry/entry.go
@@ -0,0 +1,253 @@
+// Package entry is the daemon on an entry instance: callers ask it which entry to
+// use and send it requests and orders; it routes them to targets. It also tells
+// agents their configuration and what their group does.
+//
+// # Usage
+//
+//	app := fx.New(fx.Supply(settings), entry.Module)
+//
+// # Tables and locks
+//
+// Workers share three tables, each with its lock: the configuration (cfgMu), the
+// members (memMu) and the requests (reqMu). A worker that needs two takes them
+// in that order. No lock is held while anything is sent.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"amaranthturn/app/settings"
+	"amaranthturn/app/telemetry"
+	"amaranthturn/core/admit"
+	"amaranthturn/core/clock"
+	"amaranthturn/core/config"
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/keys"
+	"amaranthturn/core/member"
+	"amaranthturn/core/retry"
+	"amaranthturn/core/route"
+	"amaranthturn/core/spread"
+	"amaranthturn/core/suspect"
+	"amaranthturn/core/ticket"
+	"amaranthturn/io/peer"
+	"amaranthturn/io/platform"
+)
+
+// Timing of the daemon's loops.
+const (
+	tickEvery     = 100 * time.Millisecond
+	syncEvery     = time.Second
+	watchWait     = 20 * time.Second
+	listWait      = 20 * time.Second
+	pauseLimit    = 2 * time.Second // a gap between ticks that means a pause
+	platformRetry = 250 * time.Millisecond
+	platformMax   = 10 * time.Second
+)
+
+// retryBurst is how many retries a budget saves up.
+const retryBurst = 20
+
+// Options are what an Entry is made of.
+type Options struct {
+	Settings *settings.Entry
+	Clock    clock.Clock
+	Logs     *telemetry.Logs
+	Metrics  *telemetry.Metrics
+	Platform *platform.Client
+	Pool     *peer.Pool
+	Ring     *keys.Ring
+	Seed     uint64
+}
+
+// inForce is the configuration in force; it is replaced as a whole.
+type inForce struct {
+	doc *config.Document
+	rev fleet.Revision
+}
+
+// Entry is one entry daemon.
+type Entry struct {
+	opt    Options
+	self   fleet.Instance
+	issuer *ticket.Issuer
+	force  atomic.Pointer[inForce]
+
+	cfgMu    sync.Mutex // guards node and listRev
+	node     *spread.Node
+	listRev  fleet.Revision
+	pulling  bool
+	accepted chan struct{} // signals the announcer
+
+	memMu    sync.Mutex // guards table and sessions
+	table    *member.Table
+	sessions map[*session]struct{}
+
+	reqMu    sync.Mutex // guards all below
+	queue    *admit.Queue
+	picker   *route.Picker
+	ledger   *suspect.Ledger
+	budgets  map[fleet.Workspace]*retry.Budget
+	budget   *retry.Budget
+	random   *rand.Rand
+	nextID   admit.RequestID
+	waiters  map[admit.RequestID]chan admit.Verdict
+	running  map[fleet.InstanceID]map[admit.RequestID]fleet.Fingerprint
+	offers   map[fleet.Model]offerCache
+	boots    map[fleet.InstanceID]uint64
+	orders   int
+	inFlight sync.WaitGroup
+
+	leaving atomic.Bool
+	jump    *clock.Watch
+	log     logs
+}
+
+type logs struct {
+	config, members, requests, orders, process zerolog.Logger
+}
+
+// New returns an entry that does nothing until its loops run.
+func New(o Options) *Entry {
+	s := o.Settings
+	self := s.Identity(fleet.RoleEntry, "", s.Listen.Peers)
+	self.Caller = s.Listen.Callers
+	random := rand.New(rand.NewPCG(o.Seed, 1))
+	now := o.Clock.Now()
+	e := &Entry{
+		opt: o, self: self, issuer: ticket.NewIssuer(o.Ring),
+		node:     spread.NewNode(spread.DefaultSettings(self.ID, self.Zone), o.Ring, rand.New(rand.NewPCG(o.Seed, 2)), now),
+		accepted: make(chan struct{}, 1),
+		table:    member.NewTable(member.DefaultSettings),
+		sessions: map[*session]struct{}{},
+		picker:   route.NewPicker(route.DefaultSettings, rand.New(rand.NewPCG(o.Seed, 3))),
+		ledger:   suspect.NewLedger(suspect.DefaultSettings),
+		budgets:  map[fleet.Workspace]*retry.Budget{},
+		budget:   retry.NewBudget(config.DefaultRetryShare, retryBurst),
+		random:   random,
+		waiters:  map[admit.RequestID]chan admit.Verdict{},
+		running:  map[fleet.InstanceID]map[admit.RequestID]fleet.Fingerprint{},
+		offers:   map[fleet.Model]offerCache{},
+		boots:    map[fleet.InstanceID]uint64{},
+		jump:     clock.NewWatch(pauseLimit),
+		log: logs{
+			config: o.Logs.Of(telemetry.SubsystemConfig), members: o.Logs.Of(telemetry.SubsystemMembers),
+			requests: o.Logs.Of(telemetry.SubsystemRequests), orders: o.Logs.Of(telemetry.SubsystemOrders),
+			process: o.Logs.Of(telemetry.SubsystemProcess),
+		},
+	}
+	limit := admit.NewLimit(admit.DefaultLimitSettings, s.Concurrency)
+	e.queue = admit.NewQueue(limit, e.limitsFor)
+	return e
+}
+
+func (e *Entry) now() time.Time { return e.opt.Clock.Now() }
+
+// document returns the configuration in force, nil before the first.
+func (e *Entry) document() (*config.Document, fleet.Revision) {
+	f := e.force.Load()
+	if f == nil {
+		return nil, 0
+	}
+	return f.doc, f.rev
+}
+
+func (e *Entry) limitsFor(w fleet.Workspace) admit.Limits {
+	doc, _ := e.document()
+	if doc == nil {
+		return admit.Limits{Weight: 1, Queue: config.DefaultQueue}
+	}
+	l := doc.LimitsFor(w)
+	return admit.Limits{Weight: l.Weight, Queue: l.Queue}
+}
+
+// Ready tells whether the entry can serve: it has a configuration and stays.
+func (e *Entry) Ready() (bool, string) {
+	if e.leaving.Load() {
+		return false, "leaving"
+	}
+	if doc, _ := e.document(); doc == nil {
+		return false, "no configuration accepted yet"
+	}
+	return true, ""
+}
+
+// Revision returns the revision in force.
+func (e *Entry) Revision() fleet.Revision {
+	_, rev := e.document()
+	return rev
+}
+
+// Leave makes the entry refuse new work and waits until the work in progress has
+// ended or ctx ends.
+func (e *Entry) Leave(ctx context.Context) {
+	e.leaving.Store(true)
+	e.log.process.Info().Msg("leaving")
+	w := &drainWait{entry: e, done: make(chan struct{})}
+	go w.run()
+	select {
+	case <-w.done:
+	case <-ctx.Done():
+		e.log.process.Warn().Msg("stop grace passed with requests in progress")
+	}
+}
+
+type drainWait struct {
+	entry *Entry
+	done  chan struct{}
+}
+
+func (w *drainWait) run() {
+	w.entry.inFlight.Wait()
+	close(w.done)
+}
+
+// ticker expires queued requests, finds pauses and updates gauges.
+type ticker struct{ e *Entry }
+
+func (t *ticker) Run(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			t.e.tick()
+		}
+	}
+}
+
+func (e *Entry) tick() {
+	now := e.now()
+	if e.jump.Jumped(now) {
+		e.woke(now)
+	}
+	e.reqMu.Lock()
+	admitted, expired := e.queue.Tick(now)
+	e.wake(admitted, expired)
+	queued, flying := e.queue.Queued(), e.queue.InFlight()
+	e.reqMu.Unlock()
+	e.opt.Metrics.Gauge("queued", float64(queued))
+	e.opt.Metrics.Gauge("in_flight", float64(flying))
+}
+
+// woke voids what was believed before a pause of this process.
+func (e *Entry) woke(now time.Time) {
+	e.log.process.Warn().Msg("process was paused: view is stale")
+	e.opt.Metrics.Count("pauses", 1)
+	e.cfgMu.Lock()
+	e.node.Woke(now)
+	e.cfgMu.Unlock()
+	e.memMu.Lock()
+	e.table.Woke(now)
+	e.memMu.Unlock()
+	e.reqMu.Lock()
+	e.offers = map[fleet.Model]offerCache{}
+	e.reqMu.Unlock()
+}
--- /dev/null
+++ b/app/entry/module.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/fx"
+	"google.golang.org/grpc"
+
+	"amaranthturn/app/node"
+	"amaranthturn/app/settings"
+	"amaranthturn/app/telemetry"
+	"amaranthturn/core/keys"
+	"amaranthturn/io/caller"
+	"amaranthturn/io/operator"
+	"amaranthturn/io/peer"
+	"amaranthturn/io/platform"
+)
+
+// Module builds an entry daemon from *settings.Entry and node.Overrides.
+var Module = fx.Module("entry",
+	fx.Provide(newRing, newTelemetry, newPool, newEntry),
+	fx.Invoke(serve),
+)
+
+func newRing(s *settings.Entry) (*keys.Ring, error) { return s.Keys.Ring() }
+
+func newTelemetry(s *settings.Entry, o node.Overrides) (*telemetry.Logs, *telemetry.Metrics) {
+	return telemetry.NewLogs(o.LogTo, s.Log, s.Instance), telemetry.NewMetrics("entry")
+}
+
+func newPool(o node.Overrides) *peer.Pool { return node.NewPool(o) }
+
+func newEntry(s *settings.Entry, o node.Overrides, l *telemetry.Logs, m *telemetry.Metrics, p *peer.Pool, r *keys.Ring) *Entry {
+	return New(Options{
+		Settings: s, Clock: o.Clock, Logs: l, Metrics: m, Pool: p, Ring: r, Seed: o.Seed,
+		Platform: platform.NewClient(s.Platform.URL, o.HTTPClient()),
+	})
+}
+
+// lameDuck is how long a leaving entry still accepts connections and asks
+// callers to close theirs, before its listener goes.
+const lameDuck = time.Second
+
+// server is the outward side of an entry.
+type server struct {
+	e         *Entry
+	loops     *node.Loops
+	callers   *node.Server
+	operators *node.Server
+	peers     *node.Server
+}
+
+func serve(lc fx.Lifecycle, e *Entry, s *settings.Entry, o node.Overrides) error {
+	srv := &server{e: e, loops: node.NewLoops()}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return srv.start(s, o) },
+		OnStop:  srv.stop,
+	})
+	return nil
+}
+
+func (s *server) start(set *settings.Entry, o node.Overrides) error {
+	peers, err := o.ListenOn("listen.peers", set.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	callers, err := o.ListenOn("listen.callers", set.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	operators, err := o.ListenOn("listen.operators", set.Listen.Operators)
+	if err != nil {
+		return err
+	}
+	g := grpc.NewServer(peer.ServerOptions(node.Credentials(o.TLS))...)
+	peer.RegisterEntry(g, s.e)
+	s.peers = &node.Server{Listener: peers, GRPC: g}
+	s.callers = node.NewHTTP(callers, caller.NewHandler(s.e, s.e.now))
+	s.operators = node.NewHTTP(operators, operator.NewHandler(s.e.opt.Metrics.Handler(), s.e, s.e))
+	for _, x := range []*node.Server{s.peers, s.callers, s.operators} {
+		x.Start()
+	}
+	for _, r := range []node.Runner{&ticker{s.e}, &configWatcher{e: s.e}, &listWatcher{e: s.e}, &syncer{s.e}} {
+		s.loops.Go(r)
+	}
+	s.e.log.process.Info().Str("callers", set.Listen.Callers).Msg("entry started")
+	return nil
+}
+
+// stop lets requests in progress end: callers are asked to close their connections
+// first, then the listener goes, then the requests are waited for.
+func (s *server) stop(ctx context.Context) error {
+	s.e.leaving.Store(true)
+	s.callers.HTTP.SetKeepAlivesEnabled(false)
+	sleep(ctx, lameDuck)
+	err := s.callers.HTTP.Shutdown(ctx)
+	s.e.Leave(ctx)
+	s.loops.Stop(ctx)
+	s.e.closeSessions()
+	s.peers.GRPC.Stop()
+	_ = s.operators.HTTP.Close()
+	s.e.opt.Pool.Close()
+	_ = s.e.opt.Metrics.Close()
+	s.e.log.process.Info().Msg("entry stopped")
+	return err
+}
--- /dev/null
+++ b/app/entry/requests.go
@@ -0,0 +1,552 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthturn/core/admit"
+	"amaranthturn/core/config"
+	"amaranthturn/core/dispatch"
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/member"
+	"amaranthturn/core/retry"
+	"amaranthturn/core/route"
+	"amaranthturn/core/suspect"
+	"amaranthturn/io/caller"
+	"amaranthturn/io/peer"
+)
+
+// Constants of the request path.
+const (
+	// offerLife is how long a selection of targets is kept; leases run out
+	// without a change of the table.
+	offerLife = 200 * time.Millisecond
+	// prefixBytes is how much of a body names its prefix.
+	prefixBytes = 512
+	// defaultCost is the work of a request that names no bound, in tokens.
+	defaultCost = 64
+	// firstEventTimeout bounds the silence before an answer's first token when the
+	// deadline is far.
+	firstEventTimeout = 30 * time.Second
+)
+
+// offerCache is a selection of the targets of one model.
+type offerCache struct {
+	version uint64
+	at      time.Time
+	offers  []route.Offer
+}
+
+// flight is one request under way.
+type flight struct {
+	e       *Entry
+	gen     peer.GenerateRequest
+	admit   admit.Request
+	want    route.Want
+	prefix  uint64
+	state   *dispatch.Request
+	metrics metricsOf
+	begun   time.Time
+	last    time.Time
+	send    func(caller.Token) error
+	relayed bool
+}
+
+type metricsOf interface {
+	Latency(name string, d time.Duration)
+	Outcome(o fleet.Outcome)
+}
+
+// Generate implements caller.Service.
+func (e *Entry) Generate(ctx context.Context, g caller.Generation, send func(caller.Token) error) *fleet.Refusal {
+	e.inFlight.Add(1)
+	defer e.inFlight.Done()
+	f, refusal := e.newFlight(g, send)
+	if refusal == nil {
+		refusal = f.admitAndRun(ctx)
+	}
+	m := e.opt.Metrics.Requests(g.Workspace, g.Class)
+	if refusal != nil {
+		m.Outcome(refusal.Outcome)
+		return refusal
+	}
+	m.Outcome(fleet.OutcomeDone)
+	return nil
+}
+
+func (e *Entry) newFlight(g caller.Generation, send func(caller.Token) error) (*flight, *fleet.Refusal) {
+	doc, _ := e.document()
+	if doc == nil {
+		return nil, fleet.NotRun(fleet.ReasonNoConfiguration, time.Second)
+	}
+	fp := fingerprint(g)
+	asked, ok := doc.VersionFor(g.Workspace, g.Model, fp)
+	if !ok {
+		return nil, fleet.NotRun(fleet.ReasonUnknownModel, 0)
+	}
+	limits := doc.LimitsFor(g.Workspace)
+	if limits.HasClass && g.Class < limits.MaxClass {
+		return nil, fleet.NotRun(fleet.ReasonClass, 0)
+	}
+	wait := e.now().Add(limits.QueueWait)
+	if g.Deadline.Before(wait) {
+		wait = g.Deadline
+	}
+	cost := float64(g.MaxTokens)
+	if cost <= 0 {
+		cost = defaultCost
+	}
+	return &flight{
+		e: e,
+		gen: peer.GenerateRequest{
+			RequestID: g.RequestID, Workspace: g.Workspace, Model: g.Model, Class: g.Class,
+			Body: g.Body, Deadline: g.Deadline, Fingerprint: fp,
+		},
+		admit: admit.Request{Workspace: g.Workspace, Class: g.Class, Deadline: wait, Cost: cost},
+		want: route.Want{
+			Asked: asked, Default: doc.DefaultVersion(g.Model), Isolated: doc.Isolated(g.Model),
+		},
+		prefix:  xxhash.Sum64(g.Body[:min(len(g.Body), prefixBytes)]),
+		state:   dispatch.NewRequest(dispatch.DefaultSettings, g.Deadline),
+		metrics: e.opt.Metrics.Requests(g.Workspace, g.Class),
+		begun:   e.now(),
+		send:    send,
+	}, nil
+}
+
+// fingerprint names a request by what it asks, so that it is known again when its
+// caller sends it again.
+func fingerprint(g caller.Generation) fleet.Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(g.Workspace))
+	_, _ = d.WriteString("\x00" + string(g.Model) + "\x00")
+	_, _ = d.Write(g.Body)
+	return fleet.Fingerprint(d.Sum64())
+}
+
+// admitAndRun waits for a slot and runs the request in it.
+func (f *flight) admitAndRun(ctx context.Context) *fleet.Refusal {
+	if f.judge() == suspect.Stop {
+		return fleet.NotRun(fleet.ReasonCrashing, 0)
+	}
+	if refusal := f.enter(ctx); refusal != nil {
+		return refusal
+	}
+	defer f.leave()
+	f.metrics.Latency("queue_time", f.e.now().Sub(f.begun))
+	return f.run(ctx)
+}
+
+func (f *flight) judge() suspect.Judgement {
+	f.e.reqMu.Lock()
+	defer f.e.reqMu.Unlock()
+	return f.e.ledger.Judge(f.gen.Fingerprint, f.e.now())
+}
+
+// enter takes a slot, waiting for one in the queue.
+func (f *flight) enter(ctx context.Context) *fleet.Refusal {
+	e := f.e
+	e.reqMu.Lock()
+	e.nextID++
+	f.admit.ID = e.nextID
+	e.budget.Request()
+	e.workspaceBudget(f.gen.Workspace).Request()
+	d := e.queue.Offer(f.admit, e.now())
+	var turn chan admit.Verdict
+	if d.Verdict == admit.Queued {
+		turn = make(chan admit.Verdict, 1)
+		e.waiters[f.admit.ID] = turn
+	}
+	e.reqMu.Unlock()
+	switch d.Verdict {
+	case admit.Admitted:
+		return nil
+	case admit.Refused:
+		return fleet.NotRun(refusalReason(d.Cause), max(d.RetryAfter, retry.MaxDelay/2))
+	}
+	return f.await(ctx, turn)
+}
+
+func refusalReason(c admit.Cause) fleet.Reason {
+	if c == admit.CauseQueueFull {
+		return fleet.ReasonQueueFull
+	}
+	return fleet.ReasonTooLate
+}
+
+func (f *flight) await(ctx context.Context, turn chan admit.Verdict) *fleet.Refusal {
+	select {
+	case v := <-turn:
+		if v == admit.Admitted {
+			return nil
+		}
+		return fleet.NotRun(fleet.ReasonTooLate, retry.MaxDelay)
+	case <-ctx.Done():
+	}
+	e := f.e
+	e.reqMu.Lock()
+	waiting := e.queue.Cancel(f.admit)
+	delete(e.waiters, f.admit.ID)
+	e.reqMu.Unlock()
+	if !waiting && <-turn == admit.Admitted {
+		f.leave()
+	}
+	return fleet.NotRun(fleet.ReasonDeadline, 0)
+}
+
+// leave gives the slot back and wakes those that it admits.
+func (f *flight) leave() {
+	e := f.e
+	e.reqMu.Lock()
+	defer e.reqMu.Unlock()
+	admitted, expired := e.queue.Release(f.admit, float64(f.state.Sent()), e.now())
+	e.wake(admitted, expired)
+}
+
+// wake tells waiting requests their turn. reqMu is held.
+func (e *Entry) wake(admitted, expired []admit.Request) {
+	e.wakeAll(admitted, admit.Admitted)
+	e.wakeAll(expired, admit.Refused)
+}
+
+func (e *Entry) wakeAll(list []admit.Request, v admit.Verdict) {
+	for _, r := range list {
+		if turn, ok := e.waiters[r.ID]; ok {
+			turn <- v
+			delete(e.waiters, r.ID)
+		}
+	}
+}
+
+// workspaceBudget returns the retry budget of a workspace. reqMu is held.
+func (e *Entry) workspaceBudget(w fleet.Workspace) *retry.Budget {
+	b, ok := e.budgets[w]
+	if !ok {
+		if len(e.budgets) >= maxBudgets {
+			return e.budget
+		}
+		b = retry.NewBudget(config.DefaultRetryShare, retryBurst/2)
+		if doc, _ := e.document(); doc != nil {
+			b.SetShare(doc.Defaults.Limits.RetryShare)
+		}
+		e.budgets[w] = b
+	}
+	return b
+}
+
+// maxBudgets bounds the workspaces with a retry budget of their own; callers
+// choose the name.
+const maxBudgets = 1024
+
+func (f *flight) allowRetry() bool {
+	f.e.reqMu.Lock()
+	defer f.e.reqMu.Unlock()
+	return f.e.workspaceBudget(f.gen.Workspace).Allow() && f.e.budget.Allow()
+}
+
+// run tries targets until the answer is whole or the request has to end.
+func (f *flight) run(ctx context.Context) *fleet.Refusal {
+	for {
+		failure, done := f.attempt(ctx)
+		if done {
+			return nil
+		}
+		step := f.state.Failed(failure, f.allowRetry, f.e.jitter(), f.e.now())
+		if !step.Retry {
+			return step.Refusal
+		}
+		f.e.opt.Metrics.Count("retries", 1)
+		if !sleep(ctx, step.Wait) {
+			return f.state.Failed(dispatch.Failure{Kind: f.ended(ctx)}, f.allowRetry, 0, f.e.now()).Refusal
+		}
+		if f.judge() == suspect.Stop {
+			return f.state.Failed(dispatch.Failure{
+				Kind: dispatch.KindRefused, Refusal: fleet.NotRun(fleet.ReasonCrashing, 0),
+			}, f.allowRetry, 0, f.e.now()).Refusal
+		}
+	}
+}
+
+func (f *flight) ended(ctx context.Context) dispatch.Kind {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return dispatch.KindDeadline
+	}
+	return dispatch.KindCallerGone
+}
+
+// attempt runs the request on one target and tells whether the answer is whole.
+func (f *flight) attempt(ctx context.Context) (dispatch.Failure, bool) {
+	o, alone, ok := f.choose()
+	if !ok {
+		if f.relayed || f.state.Sent() > 0 {
+			return dispatch.Failure{Kind: dispatch.KindNoTarget}, false
+		}
+		return f.relay(ctx)
+	}
+	defer f.finished(o)
+	f.state.Began(o.ID)
+	req := f.gen
+	req.Version, req.ResumeFrom, req.Incarnation, req.Alone = f.state.Pinned(), f.state.Sent(), o.Incarnation, alone
+	if req.Version == "" {
+		req.Version = o.Serving
+	}
+	return f.call(ctx, o.ID, func(ctx context.Context, each func(peer.Event) error) error {
+		return f.e.opt.Pool.Generate(ctx, o.Address, req, each)
+	})
+}
+
+var (
+	errAnswerEnded = errors.New("answer is whole")
+	errRefused     = errors.New("target refused")
+	errCallerGone  = errors.New("caller is gone")
+	errMixed       = errors.New("token cannot be given on")
+)
+
+// call passes the events of one attempt on and translates its end.
+func (f *flight) call(parent context.Context, on fleet.InstanceID, run func(context.Context, func(peer.Event) error) error) (dispatch.Failure, bool) {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	silence := time.AfterFunc(firstEventTimeout, cancel)
+	defer silence.Stop()
+	var refusal *fleet.Refusal
+	err := run(ctx, func(ev peer.Event) error {
+		silence.Reset(firstEventTimeout)
+		if ev.Refusal != nil {
+			refusal = ev.Refusal
+			return errRefused
+		}
+		return f.token(ev)
+	})
+	switch {
+	case errors.Is(err, errAnswerEnded):
+		f.whole(on)
+		return dispatch.Failure{}, true
+	case errors.Is(err, errRefused):
+		return refusalFailure(refusal), false
+	case errors.Is(err, errCallerGone):
+		return dispatch.Failure{Kind: dispatch.KindCallerGone}, false
+	case errors.Is(err, errMixed):
+		f.e.opt.Metrics.Count("mixed_tokens_stopped", 1)
+		return dispatch.Failure{Kind: dispatch.KindBroken}, false
+	}
+	return f.lost(parent, ctx, on, err), false
+}
+
+func refusalFailure(r *fleet.Refusal) dispatch.Failure {
+	if r.Reason == fleet.ReasonEngineDied {
+		return dispatch.Failure{Kind: dispatch.KindEngineDied}
+	}
+	return dispatch.Failure{Kind: dispatch.KindRefused, Refusal: r}
+}
+
+// token gives one token on to the caller.
+func (f *flight) token(ev peer.Event) error {
+	if err := f.state.Token(dispatch.Event{Version: ev.Version, Index: ev.Index, CanResume: ev.CanResume}); err != nil {
+		return errMixed
+	}
+	f.measure()
+	t := caller.Token{Version: ev.Version, Index: ev.Index, Text: ev.Token, Done: ev.Done, Finish: ev.Finish}
+	if err := f.send(t); err != nil {
+		return errCallerGone
+	}
+	if ev.Done {
+		return errAnswerEnded
+	}
+	return nil
+}
+
+func (f *flight) measure() {
+	now := f.e.now()
+	if f.state.Sent() > 1 {
+		f.metrics.Latency("token_gap", now.Sub(f.last))
+		f.last = now
+		return
+	}
+	delay := now.Sub(f.begun)
+	f.last = now
+	f.metrics.Latency("first_token", delay)
+	f.e.reqMu.Lock()
+	f.e.queue.Observe(delay, now)
+	f.e.reqMu.Unlock()
+}
+
+// whole clears the request of suspicion.
+func (f *flight) whole(fleet.InstanceID) {
+	f.e.reqMu.Lock()
+	defer f.e.reqMu.Unlock()
+	f.e.ledger.Finished(f.gen.Fingerprint, false, f.e.now())
+}
+
+// lost translates a broken call. A target that broke off by itself is blamed on
+// what this entry ran there.
+func (f *flight) lost(parent, ctx context.Context, on fleet.InstanceID, err error) dispatch.Failure {
+	var l *peer.LostError
+	switch {
+	case parent.Err() != nil:
+		return dispatch.Failure{Kind: f.ended(parent)}
+	case errors.As(err, &l) && l.NotSent:
+		return dispatch.Failure{Kind: dispatch.KindNotSent}
+	}
+	if ctx.Err() == nil {
+		f.e.blame(on)
+	}
+	return dispatch.Failure{Kind: dispatch.KindLost}
+}
+
+// blame records the crash of a target once for all requests that ran there.
+func (e *Entry) blame(on fleet.InstanceID) {
+	e.reqMu.Lock()
+	defer e.reqMu.Unlock()
+	var list []fleet.Fingerprint
+	for _, fp := range e.running[on] {
+		list = append(list, fp)
+	}
+	delete(e.running, on)
+	if len(list) > 0 {
+		e.ledger.Crashed(list, e.now())
+	}
+}
+
+// choose picks a target and counts the request there.
+func (f *flight) choose() (route.Offer, bool, bool) {
+	e := f.e
+	now := e.now()
+	offers := e.offersFor(f.gen.Model, now)
+	e.reqMu.Lock()
+	defer e.reqMu.Unlock()
+	want := f.want
+	want.Pinned = f.state.Pinned()
+	alone := e.ledger.Judge(f.gen.Fingerprint, now) != suspect.Clear
+	q := route.Query{Prefix: f.prefix, Alone: alone, Avoid: f.state.Avoid()}
+	t, ok := e.picker.Choose(route.Eligible(offers, want), q, now)
+	if !ok {
+		return route.Offer{}, false, false
+	}
+	e.picker.Started(t.ID)
+	if e.running[t.ID] == nil {
+		e.running[t.ID] = map[admit.RequestID]fleet.Fingerprint{}
+	}
+	e.running[t.ID][f.admit.ID] = f.gen.Fingerprint
+	for _, o := range offers {
+		if o.ID == t.ID {
+			return o, alone, true
+		}
+	}
+	return route.Offer{}, false, false
+}
+
+func (f *flight) finished(o route.Offer) {
+	f.e.reqMu.Lock()
+	defer f.e.reqMu.Unlock()
+	f.e.picker.Finished(o.ID)
+	delete(f.e.running[o.ID], f.admit.ID)
+}
+
+// offersFor returns the targets of a model that may be sent work, in the order
+// that the picker wants.
+func (e *Entry) offersFor(m fleet.Model, now time.Time) []route.Offer {
+	e.memMu.Lock()
+	version := e.table.Version()
+	e.memMu.Unlock()
+	e.reqMu.Lock()
+	c, ok := e.offers[m]
+	e.reqMu.Unlock()
+	if ok && c.version == version && now.Sub(c.at) < offerLife {
+		return c.offers
+	}
+	e.memMu.Lock()
+	offers := makeOffers(e.table.Serving(m, now), m)
+	e.memMu.Unlock()
+	e.reqMu.Lock()
+	e.offers[m] = offerCache{version: version, at: now, offers: offers}
+	e.reqMu.Unlock()
+	return offers
+}
+
+func makeOffers(agents []*member.Agent, m fleet.Model) []route.Offer {
+	targets := make([]route.Target, 0, len(agents))
+	byID := make(map[fleet.InstanceID]route.Offer, len(agents))
+	for _, a := range agents {
+		st, _ := a.Model(m)
+		t := route.NewTarget(a.Instance, a.Load.Capacity)
+		targets = append(targets, t)
+		byID[a.Instance] = route.Offer{
+			Target: t, Address: a.Address, Incarnation: a.Incarnation, Serving: st.Serving, Loaded: st.Loaded,
+		}
+	}
+	route.Sort(targets)
+	out := make([]route.Offer, 0, len(targets))
+	for _, t := range targets {
+		out = append(out, byID[t.ID])
+	}
+	return out
+}
+
+// relay passes a request to an entry that knows targets of the model.
+func (f *flight) relay(ctx context.Context) (dispatch.Failure, bool) {
+	doc, _ := f.e.document()
+	f.e.memMu.Lock()
+	homes := member.Offered(f.e.table.List(), f.e.self.Zone, doc.PoolOf(f.gen.Model), f.gen.RequestID)
+	f.e.memMu.Unlock()
+	known := f.e.knowsPool(homes)
+	for _, in := range homes {
+		if in.ID == f.e.self.ID || known {
+			continue
+		}
+		f.state.Began(in.ID)
+		f.e.opt.Metrics.Count("relays", 1)
+		return f.call(ctx, in.ID, func(ctx context.Context, each func(peer.Event) error) error {
+			return f.e.opt.Pool.Relay(ctx, in.Address, f.gen, each)
+		})
+	}
+	return dispatch.Failure{Kind: dispatch.KindNoTarget}, false
+}
+
+// knowsPool tells whether this entry is attached to every target of the pool, so
+// that no other entry could know one more.
+func (e *Entry) knowsPool(homes []fleet.Instance) bool {
+	e.memMu.Lock()
+	defer e.memMu.Unlock()
+	n := 0
+	for _, in := range e.table.List() {
+		if in.Role == fleet.RoleEntry && !in.Leaving {
+			n++
+		}
+	}
+	if n > member.AttachAll {
+		return false
+	}
+	for _, in := range homes {
+		if in.ID == e.self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// Relay implements peer.EntryHandler: it runs a request for another entry and
+// passes it no further.
+func (e *Entry) Relay(ctx context.Context, r peer.GenerateRequest, send func(peer.Event) error) error {
+	e.inFlight.Add(1)
+	defer e.inFlight.Done()
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	g := caller.Generation{
+		RequestID: r.RequestID, Workspace: r.Workspace, Model: r.Model, Class: r.Class, Body: r.Body, Deadline: r.Deadline,
+	}
+	f, refusal := e.newFlight(g, func(t caller.Token) error {
+		return send(peer.Event{Version: t.Version, Index: t.Index, Token: t.Text, Done: t.Done, Finish: t.Finish})
+	})
+	if refusal == nil {
+		f.relayed = true
+		refusal = f.admitAndRun(ctx)
+	}
+	if refusal != nil {
+		return send(peer.Event{Refusal: refusal})
+	}
+	return nil
+}
--- /dev/null
+++ b/app/node/node.go
@@ -0,0 +1,258 @@
+// Package node holds what entry daemons and agents are built from alike: listeners,
+// TLS, the connection pool, the stop order.
+//
+// # Usage
+//
+//	app := fx.New(fx.Supply(set, overrides), entry.Module, fx.NopLogger)
+//	err := node.Run(ctx, app)
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"go.uber.org/fx"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"amaranthturn/app/settings"
+	"amaranthturn/core/clock"
+	"amaranthturn/io/peer"
+)
+
+// Overrides replace parts of a daemon where it does not run by itself, as in the
+// local mode, where links are rate-limited and faults are caused.
+type Overrides struct {
+	Clock clock.Clock
+	LogTo io.Writer
+	// Dial makes connections to other daemons; nil means plain TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// HTTP makes connections to the platform and the origin; nil means plain TCP.
+	HTTP func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Listen makes listeners; nil means plain TCP.
+	Listen func(addr string) (net.Listener, error)
+	TLS    *tls.Config
+	Seed   uint64
+}
+
+// WithDefaults fills what is not overridden.
+func (o Overrides) WithDefaults() Overrides {
+	if o.Clock == nil {
+		o.Clock = clock.System{}
+	}
+	if o.LogTo == nil {
+		o.LogTo = os.Stderr
+	}
+	if o.Listen == nil {
+		o.Listen = listenTCP
+	}
+	if o.Seed == 0 {
+		o.Seed = uint64(time.Now().UnixNano())
+	}
+	return o
+}
+
+func listenTCP(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+// ListenError reports an address that cannot be listened on.
+type ListenError struct {
+	Key     string
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("%s: cannot listen on %s: %v", e.Key, e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// ListenOn opens the listener of a settings key.
+func (o Overrides) ListenOn(key, addr string) (net.Listener, error) {
+	l, err := o.Listen(addr)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) {
+			err = op.Err
+		}
+		return nil, &ListenError{Key: key, Address: addr, Cause: err}
+	}
+	return l, nil
+}
+
+// LoadTLS returns the configuration for mutual TLS, nil when the settings name none.
+func LoadTLS(s settings.TLS) (*tls.Config, error) {
+	if !s.Enabled() {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("tls: %w", err)
+	}
+	ca, err := os.ReadFile(s.CAFile)
+	if err != nil {
+		return nil, fmt.Errorf("tls: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		return nil, fmt.Errorf("tls: %s holds no certificate", s.CAFile)
+	}
+	return MutualTLS(cert, pool), nil
+}
+
+// MutualTLS returns a configuration in which both sides show a certificate of the
+// fleet's authority. Addresses are IP numbers that change with every replacement, so
+// the authority vouches for the fleet, not for an address.
+func MutualTLS(cert tls.Certificate, authority *x509.CertPool) *tls.Config {
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{cert},
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientCAs:    authority,
+		RootCAs:      authority,
+		ServerName:   ServerName,
+	}
+}
+
+// ServerName is the name that every certificate of the fleet carries.
+const ServerName = "amaranthturn"
+
+// Credentials returns the credentials for connections between daemons.
+func Credentials(c *tls.Config) credentials.TransportCredentials {
+	if c == nil {
+		return nil
+	}
+	return credentials.NewTLS(c)
+}
+
+// NewPool returns the connections to other daemons.
+func NewPool(o Overrides) *peer.Pool {
+	return peer.NewPool(peer.DialOptions{Dial: o.Dial, Credentials: Credentials(o.TLS)})
+}
+
+// HTTPClient returns a client for the platform and the origin.
+func (o Overrides) HTTPClient() *http.Client {
+	dial := o.HTTP
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
+	}
+	return &http.Client{Transport: &http.Transport{
+		Proxy: nil, DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute,
+	}}
+}
+
+// Server is an HTTP or gRPC server with its listener.
+type Server struct {
+	Listener net.Listener
+	HTTP     *http.Server
+	GRPC     *grpc.Server
+}
+
+// run serves until the server is stopped.
+func (s *Server) run() {
+	if s.HTTP != nil {
+		_ = s.HTTP.Serve(s.Listener)
+		return
+	}
+	_ = s.GRPC.Serve(s.Listener)
+}
+
+// Start serves in the background.
+func (s *Server) Start() { go s.run() }
+
+// NewHTTP returns a server for h.
+func NewHTTP(l net.Listener, h http.Handler) *Server {
+	return &Server{Listener: l, HTTP: &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}}
+}
+
+// startTimeout bounds the start of a daemon.
+const startTimeout = 15 * time.Second
+
+// Run starts an application, waits for ctx and stops it within grace.
+func Run(ctx context.Context, app *fx.App, grace time.Duration) error {
+	if err := app.Err(); err != nil {
+		return Plain(err)
+	}
+	start, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := app.Start(start); err != nil {
+		return Plain(err)
+	}
+	<-ctx.Done()
+	stop, cancelStop := context.WithTimeout(context.Background(), grace)
+	defer cancelStop()
+	return app.Stop(stop)
+}
+
+// Plain unwraps what the library adds to the error of a constructor.
+func Plain(err error) error {
+	for {
+		var l *ListenError
+		if errors.As(err, &l) {
+			return l
+		}
+		inner := errors.Unwrap(err)
+		if inner == nil {
+			return err
+		}
+		err = inner
+	}
+}
+
+// Loops runs the loops of a daemon and waits for their end.
+type Loops struct {
+	cancel context.CancelFunc
+	ctx    context.Context
+	n      int
+	done   chan struct{}
+}
+
+// NewLoops returns an empty set.
+func NewLoops() *Loops {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Loops{ctx: ctx, cancel: cancel, done: make(chan struct{})}
+}
+
+// Runner is a loop that ends with its context.
+type Runner interface {
+	Run(ctx context.Context)
+}
+
+// Go starts a loop. It must not be called after Stop.
+func (l *Loops) Go(r Runner) {
+	l.n++
+	t := &loopTask{loops: l, runner: r}
+	go t.run()
+}
+
+type loopTask struct {
+	loops  *Loops
+	runner Runner
+}
+
+func (t *loopTask) run() {
+	t.runner.Run(t.loops.ctx)
+	t.loops.done <- struct{}{}
+}
+
+// Stop ends the loops and waits for them, or for ctx.
+func (l *Loops) Stop(ctx context.Context) {
+	l.cancel()
+	for range l.n {
+		select {
+		case <-l.done:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/app/settings/settings.go
@@ -0,0 +1,328 @@
+// Package settings reads the settings of a daemon: what is true of one process
+// on one instance. What holds for the fleet is in the configuration.
+//
+// # Usage
+//
+//	s, err := settings.LoadEntry("entry.toml")
+//	if err != nil {
+//		// err is *settings.Error and lists every problem with file, line and key.
+//	}
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/keys"
+	"amaranthturn/core/tomlcheck"
+)
+
+// Common is what every daemon is told.
+type Common struct {
+	Instance string   `toml:"instance"`
+	Region   string   `toml:"region"`
+	Zone     string   `toml:"availability_zone"`
+	Platform Platform `toml:"platform"`
+	Keys     Keys     `toml:"keys"`
+	TLS      TLS      `toml:"tls"`
+	Log      Log      `toml:"log"`
+	// StopGraceSeconds bounds how long a stop waits for requests in progress.
+	StopGraceSeconds int `toml:"stop_grace_seconds"`
+}
+
+// Platform is where the configuration and the instance list are read.
+type Platform struct {
+	URL string `toml:"url"`
+}
+
+// Keys are the shared secrets that sign tickets and configuration.
+type Keys struct {
+	Active  string            `toml:"active"`
+	Secrets map[string]string `toml:"secrets"`
+}
+
+// TLS names the files for mutual TLS between the daemons; empty means none.
+type TLS struct {
+	CertFile string `toml:"cert_file"`
+	KeyFile  string `toml:"key_file"`
+	CAFile   string `toml:"ca_file"`
+}
+
+// Enabled tells whether mutual TLS is used.
+func (t TLS) Enabled() bool { return t.CertFile != "" }
+
+// Log sets the level, for all or by subsystem.
+type Log struct {
+	Level      string            `toml:"level"`
+	Subsystems map[string]string `toml:"subsystems"`
+}
+
+// Entry is the settings of an entry daemon.
+type Entry struct {
+	Common
+	Listen EntryListen `toml:"listen"`
+	// Concurrency is where the adaptive limit of requests in flight starts.
+	Concurrency int `toml:"concurrency"`
+}
+
+// EntryListen are the addresses of an entry, each host:port.
+type EntryListen struct {
+	Callers   string `toml:"callers"`
+	Peers     string `toml:"peers"`
+	Operators string `toml:"operators"`
+}
+
+// Agent is the settings of an agent.
+type Agent struct {
+	Common
+	Pool    string      `toml:"pool"`
+	Listen  AgentListen `toml:"listen"`
+	Origin  Origin      `toml:"origin"`
+	Engine  Engine      `toml:"engine"`
+	Service Service     `toml:"service"`
+	Weights Weights     `toml:"weights"`
+}
+
+// AgentListen are the addresses of an agent, each host:port.
+type AgentListen struct {
+	Peers     string `toml:"peers"`
+	Operators string `toml:"operators"`
+}
+
+// Origin is where weights are pulled from.
+type Origin struct {
+	URL string `toml:"url"`
+}
+
+// Engine is the model engine of the instance; an empty URL means none.
+type Engine struct {
+	URL string `toml:"url"`
+	// RefusesOldOrders tells that the engine checks fencing numbers.
+	RefusesOldOrders bool `toml:"refuses_old_orders"`
+	// ChecksSender tells that the engine checks who gives it orders.
+	ChecksSender bool `toml:"checks_sender"`
+	// Token is sent to an engine that checks who gives it orders.
+	Token string `toml:"token"`
+	// OrderSeconds is the life of an order to the engine.
+	OrderSeconds int `toml:"order_seconds"`
+}
+
+// Service is the plain service of the instance; an empty URL means none.
+type Service struct {
+	URL string `toml:"url"`
+}
+
+// Weights bound the memory and links that distribution uses.
+type Weights struct {
+	MemoryBytes   int64 `toml:"memory_bytes"`
+	LinkBytes     int64 `toml:"link_bytes_per_second"`
+	UploadSlots   int   `toml:"upload_slots"`
+	RegionalBytes int64 `toml:"regional_bytes_per_second"`
+}
+
+// Defaults of settings that a file leaves out.
+const (
+	DefaultStopGrace   = 120
+	DefaultConcurrency = 64
+	DefaultMemoryBytes = 4 << 30
+	DefaultLinkBytes   = 1 << 30
+	DefaultUploadSlots = 16
+	DefaultOrderLife   = 5
+)
+
+// Error lists every problem of a settings file.
+type Error struct {
+	File     string
+	Problems []tomlcheck.Problem
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = fmt.Sprintf("%s:%d: %s: %s", e.File, p.Line, p.Key, p.Text)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// LoadEntry reads the settings of an entry.
+func LoadEntry(file string) (*Entry, error) {
+	s := &Entry{}
+	c, err := load(file, s)
+	if err != nil {
+		return nil, err
+	}
+	s.Concurrency = cmp.Or(s.Concurrency, DefaultConcurrency)
+	c.common(&s.Common)
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.peers", s.Listen.Peers)
+	c.address("listen.operators", s.Listen.Operators)
+	c.atLeast("concurrency", int64(s.Concurrency), 1)
+	return s, c.err()
+}
+
+// LoadAgent reads the settings of an agent.
+func LoadAgent(file string) (*Agent, error) {
+	s := &Agent{}
+	c, err := load(file, s)
+	if err != nil {
+		return nil, err
+	}
+	s.FillDefaults()
+	c.common(&s.Common)
+	c.address("listen.peers", s.Listen.Peers)
+	c.address("listen.operators", s.Listen.Operators)
+	c.required("pool", s.Pool)
+	c.agent(s)
+	return s, c.err()
+}
+
+// FillDefaults sets what a file leaves out.
+func (s *Agent) FillDefaults() {
+	s.Engine.OrderSeconds = cmp.Or(s.Engine.OrderSeconds, DefaultOrderLife)
+	w := &s.Weights
+	w.MemoryBytes = cmp.Or(w.MemoryBytes, DefaultMemoryBytes)
+	w.LinkBytes = cmp.Or(w.LinkBytes, DefaultLinkBytes)
+	w.RegionalBytes = cmp.Or(w.RegionalBytes, w.LinkBytes)
+	w.UploadSlots = cmp.Or(w.UploadSlots, DefaultUploadSlots)
+	s.StopGraceSeconds = cmp.Or(s.StopGraceSeconds, DefaultStopGrace)
+}
+
+// StopGrace returns how long a stop waits for requests in progress.
+func (c *Common) StopGrace() time.Duration {
+	return time.Duration(cmp.Or(c.StopGraceSeconds, DefaultStopGrace)) * time.Second
+}
+
+// OrderLife returns the life of an order to the engine.
+func (e Engine) OrderLife() time.Duration { return time.Duration(e.OrderSeconds) * time.Second }
+
+// Ring returns the key ring of the secrets.
+func (k Keys) Ring() (*keys.Ring, error) {
+	secrets := make(map[keys.ID][]byte, len(k.Secrets))
+	for id, s := range k.Secrets {
+		secrets[keys.ID(id)] = []byte(s)
+	}
+	return keys.NewRing(keys.ID(k.Active), secrets)
+}
+
+type checker struct {
+	file     string
+	lines    tomlcheck.Lines
+	problems []tomlcheck.Problem
+}
+
+func load(file string, v any) (*checker, error) {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &Error{File: file, Problems: []tomlcheck.Problem{{Key: "file", Text: err.Error()}}}
+	}
+	c := &checker{file: file, lines: tomlcheck.Index(body)}
+	if c.problems = tomlcheck.Decode(body, v); len(c.problems) > 0 {
+		return nil, c.err()
+	}
+	return c, nil
+}
+
+func (c *checker) err() error {
+	if len(c.problems) == 0 {
+		return nil
+	}
+	tomlcheck.Sort(c.problems)
+	return &Error{File: c.file, Problems: c.problems}
+}
+
+func (c *checker) add(key, format string, args ...any) {
+	c.problems = append(c.problems, c.lines.Problem(key, format, args...))
+}
+
+func (c *checker) common(s *Common) {
+	s.StopGraceSeconds = cmp.Or(s.StopGraceSeconds, DefaultStopGrace)
+	c.required("instance", s.Instance)
+	c.required("region", s.Region)
+	c.required("availability_zone", s.Zone)
+	c.url("platform.url", s.Platform.URL)
+	c.atLeast("stop_grace_seconds", int64(s.StopGraceSeconds), 1)
+	if _, err := s.Keys.Ring(); err != nil {
+		c.add("keys", "%v", err)
+	}
+	c.level("log.level", s.Log.Level)
+	for name, level := range s.Log.Subsystems {
+		c.level("log.subsystems."+name, level)
+	}
+	if t := s.TLS; t.Enabled() != (t.KeyFile != "") || t.Enabled() != (t.CAFile != "") {
+		c.add("tls", "cert_file, key_file and ca_file go together")
+	}
+}
+
+func (c *checker) agent(s *Agent) {
+	if s.Engine.URL == "" && s.Service.URL == "" {
+		c.add("engine.url", "neither an engine nor a service is named")
+	}
+	if s.Engine.URL != "" {
+		c.url("engine.url", s.Engine.URL)
+		c.url("origin.url", s.Origin.URL)
+	}
+	if s.Service.URL != "" {
+		c.url("service.url", s.Service.URL)
+	}
+	if s.Engine.ChecksSender && s.Engine.Token == "" {
+		c.add("engine.token", "an engine that checks its sender needs a token")
+	}
+	c.atLeast("engine.order_seconds", int64(s.Engine.OrderSeconds), 1)
+	c.atLeast("weights.memory_bytes", s.Weights.MemoryBytes, 1<<20)
+	c.atLeast("weights.link_bytes_per_second", s.Weights.LinkBytes, 1<<10)
+	c.atLeast("weights.regional_bytes_per_second", s.Weights.RegionalBytes, 1<<10)
+	c.atLeast("weights.upload_slots", int64(s.Weights.UploadSlots), 1)
+}
+
+func (c *checker) required(key, v string) {
+	if strings.TrimSpace(v) == "" {
+		c.add(key, "is missing")
+	}
+}
+
+func (c *checker) address(key, v string) {
+	host, _, err := net.SplitHostPort(v)
+	if err != nil {
+		c.add(key, "%q is not host:port", v)
+		return
+	}
+	if net.ParseIP(host) == nil {
+		c.add(key, "%q does not name an IP number", v)
+	}
+}
+
+func (c *checker) url(key, v string) {
+	u, err := url.Parse(v)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.add(key, "%q is not an http URL", v)
+	}
+}
+
+func (c *checker) atLeast(key string, v, low int64) {
+	if v < low {
+		c.add(key, "%d is less than %d", v, low)
+	}
+}
+
+func (c *checker) level(key, v string) {
+	switch v {
+	case "", "debug", "info", "warn", "error":
+	default:
+		c.add(key, "%q is not a level (debug, info, warn, error)", v)
+	}
+}
+
+// Identity returns the instance that the common settings describe.
+func (c *Common) Identity(role fleet.Role, pool fleet.Pool, peers string) fleet.Instance {
+	return fleet.Instance{
+		ID: fleet.InstanceID(c.Instance), Role: role, Region: fleet.Region(c.Region),
+		Zone: fleet.Zone(c.Zone), Pool: pool, Address: peers,
+	}
+}
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,183 @@
+// Package fleet holds the ids and units that every other package shares.
+//
+// # Usage
+//
+//	var m fleet.Model = "assistant"
+//	v := fleet.VersionOf(manifestBytes)
+//	if !v.Valid() {
+//		return fleet.ErrBadVersion
+//	}
+//
+// Ids are named string types, so that the compiler keeps an instance from being
+// passed where a workspace is wanted.
+package fleet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"strings"
+)
+
+//go:generate stringer -type=Class,Outcome,Role,Objective -output=fleet_string.go -linecomment
+
+// ErrBadVersion reports a version that is not a sha256 manifest digest.
+var ErrBadVersion = errors.New("version is not sha256:<64 hex digits>")
+
+// InstanceID names one instance of the platform's list.
+type InstanceID string
+
+// Region names a region.
+type Region string
+
+// Zone names an availability zone.
+type Zone string
+
+// Workspace names a customer's workspace.
+type Workspace string
+
+// Model names a model, independent of its version.
+type Model string
+
+// Service names a plain service.
+type Service string
+
+// Pool names the group of target instances that serve the same models or services.
+type Pool string
+
+// Version is the digest of a manifest: "sha256:" and 64 hex digits.
+type Version string
+
+// Digest is the sha256 of a chunk in the form of Version.
+type Digest string
+
+// Incarnation tells two runs of an agent on one instance apart; it rises.
+type Incarnation uint64
+
+// Revision orders the configurations that the platform publishes.
+type Revision uint64
+
+// Fingerprint is the hash of a request's workspace, model and body.
+type Fingerprint uint64
+
+// Bytes is a size in bytes.
+type Bytes int64
+
+const digestPrefix = "sha256:"
+
+// VersionOf returns the version named by the manifest body.
+func VersionOf(manifest []byte) Version {
+	return Version(DigestOf(manifest))
+}
+
+// DigestOf returns the digest of data.
+func DigestOf(data []byte) Digest {
+	sum := sha256.Sum256(data)
+	return Digest(digestPrefix + hex.EncodeToString(sum[:]))
+}
+
+// Valid tells whether v has the form of a manifest digest.
+func (v Version) Valid() bool {
+	rest, ok := strings.CutPrefix(string(v), digestPrefix)
+	if !ok || len(rest) != 2*sha256.Size {
+		return false
+	}
+	_, err := hex.DecodeString(rest)
+	return err == nil
+}
+
+// Short returns the first 12 hex digits, for tables and log lines.
+func (v Version) Short() string {
+	rest := strings.TrimPrefix(string(v), digestPrefix)
+	if len(rest) > 12 {
+		return rest[:12]
+	}
+	return rest
+}
+
+// Class is the priority class of a request; a lower value is served first.
+type Class int
+
+// The classes, most urgent first.
+const (
+	ClassInteractive Class = iota // interactive
+	ClassStandard                 // standard
+	ClassBatch                    // batch
+)
+
+// Classes lists every class, most urgent first.
+var Classes = []Class{ClassInteractive, ClassStandard, ClassBatch}
+
+// ParseClass returns the class called name; the empty name is ClassStandard.
+func ParseClass(name string) (Class, bool) {
+	if name == "" {
+		return ClassStandard, true
+	}
+	for _, c := range Classes {
+		if c.String() == name {
+			return c, true
+		}
+	}
+	return 0, false
+}
+
+// Outcome is what is known about a request that was not answered normally.
+type Outcome int
+
+// The outcomes. OutcomeNotRun is only said by a place that makes it stay true.
+const (
+	OutcomeDone    Outcome = iota // done
+	OutcomeNotRun                 // not_run
+	OutcomeUnknown                // unknown
+	OutcomeRunning                // running
+)
+
+// Role is the daemon's role on an instance.
+type Role int
+
+// The roles of instances.
+const (
+	RoleEntry  Role = iota // entry
+	RoleTarget             // target
+)
+
+// ParseRole returns the role called name.
+func ParseRole(name string) (Role, bool) {
+	for _, r := range []Role{RoleEntry, RoleTarget} {
+		if r.String() == name {
+			return r, true
+		}
+	}
+	return 0, false
+}
+
+// Objective is what a distribution is to save: time or bytes from the origin.
+type Objective int
+
+// The objectives.
+const (
+	ObjectiveTime        Objective = iota // time
+	ObjectiveOriginBytes                  // origin_bytes
+)
+
+// ParseObjective returns the objective called name.
+func ParseObjective(name string) (Objective, bool) {
+	for _, o := range []Objective{ObjectiveTime, ObjectiveOriginBytes} {
+		if o.String() == name {
+			return o, true
+		}
+	}
+	return 0, false
+}
+
+// Instance is one row of the platform's list.
+type Instance struct {
+	ID      InstanceID
+	Role    Role
+	Region  Region
+	Zone    Zone
+	Pool    Pool
+	Address string // host:port of the peer listener
+	Caller  string // host:port of the caller listener, entries only
+	Leaving bool
+}
--- /dev/null
+++ b/core/rank/rank.go
@@ -0,0 +1,76 @@
+// Package rank orders the members of a set for a key by rendezvous hashing.
+//
+// Every process that knows the same members computes the same order without a
+// message, and the loss of a member only moves the keys that it ranked first on.
+//
+// # Usage
+//
+//	first := rank.Top("chunk/17", members, 1)[0]
+package rank
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score returns the weight of member for key; the highest score ranks first.
+func Score(key, member string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(member)
+	return mix(d.Sum64())
+}
+
+// ScoreNumber returns the weight of a pre-hashed member for a numbered key.
+// It is the cheap form for loops over many chunks.
+func ScoreNumber(key, member uint64) uint64 {
+	return mix(key*0x9e3779b97f4a7c15 ^ member)
+}
+
+// Hash returns the hash of a member's name for ScoreNumber.
+func Hash(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
+
+// Top returns the n members that rank first for key, best first. It does not
+// change members.
+func Top[T ~string](key string, members []T, n int) []T {
+	type scored struct {
+		member T
+		score  uint64
+	}
+	all := make([]scored, len(members))
+	for i, m := range members {
+		all[i] = scored{m, Score(key, string(m))}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.member, b.member)
+	})
+	out := make([]T, 0, min(n, len(all)))
+	for _, s := range all[:min(n, len(all))] {
+		out = append(out, s.member)
+	}
+	return out
+}
+
+// Position returns the index of self in the order for key, or -1 when self is
+// not a member.
+func Position[T ~string](key string, members []T, self T) int {
+	return slices.Index(Top(key, members, len(members)), self)
+}
+
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/core/swarm/bitmap.go
@@ -0,0 +1,35 @@
+package swarm
+
+import "math/bits"
+
+// Bitmap is a set of chunk indexes. The wire form is the same bytes.
+type Bitmap []byte
+
+// NewBitmap returns an empty set for n chunks.
+func NewBitmap(n int) Bitmap { return make(Bitmap, (n+7)/8) }
+
+// Has tells whether chunk i is in the set. An index outside the set is not.
+func (b Bitmap) Has(i int) bool { return i >= 0 && i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
+
+// Set adds chunk i; an index outside the set is ignored.
+func (b Bitmap) Set(i int) {
+	if i >= 0 && i/8 < len(b) {
+		b[i/8] |= 1 << (i % 8)
+	}
+}
+
+// Clear removes chunk i.
+func (b Bitmap) Clear(i int) {
+	if i >= 0 && i/8 < len(b) {
+		b[i/8] &^= 1 << (i % 8)
+	}
+}
+
+// Count returns the size of the set.
+func (b Bitmap) Count() int {
+	n := 0
+	for _, x := range b {
+		n += bits.OnesCount8(x)
+	}
+	return n
+}
--- /dev/null
+++ b/core/swarm/planner.go
@@ -0,0 +1,781 @@
+// Package swarm plans how one instance gets the chunks of one version: which
+// chunk next, from whom, and who pulls what from the origin, without a
+// coordinator.
+//
+// # Usage
+//
+//	p := swarm.NewPlanner(settings, manifest, random, now)
+//	p.SetMembers(members, now)
+//	p.PeerHas(peer, bitmap, now)
+//	for _, f := range p.Next(now) {
+//		// fetch f.Chunk from f.Source, then p.Done or p.Failed
+//	}
+//	for _, f := range p.Overdue(now) {
+//		// cancel the fetch, then p.Failed(f, swarm.CauseStalled, 0, now)
+//	}
+//
+// # Who pulls what
+//
+// Every chunk has an order of regions and, in each region, an order of members,
+// both by rendezvous hashing over the member list. The first member of the first
+// region pulls the chunk from the origin. The first member of the next region
+// pulls it from the region before, so that each region carries each chunk at
+// most once in and once out. All others get it inside their region. When no
+// new chunk shows up in the region for a while, the next in order takes over; the wait
+// follows the observed rate. Two sides of a partition each elect a first member:
+// the cost is at most one copy from the origin a side, and it ends on healing
+// because a chunk that any peer holds is never asked of the origin.
+//
+// # Which chunk, from whom
+//
+// The peer with the shortest expected wait is asked first, for the rarest chunk
+// that it holds and this instance lacks. Near the end a chunk that is late is
+// asked of a second peer.
+package swarm
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/rank"
+)
+
+//go:generate stringer -type=Cause,SourceKind -output=swarm_string.go -linecomment
+
+// Cause says why a fetch failed.
+type Cause int
+
+// The causes.
+const (
+	CauseStalled   Cause = iota // stalled
+	CauseCorrupt                // corrupt
+	CauseBusy                   // busy
+	CauseGone                   // gone
+	CauseThrottled              // throttled
+	CauseCanceled               // canceled
+	CauseMissing                // missing
+)
+
+// SourceKind tells where a chunk comes from.
+type SourceKind int
+
+// The kinds of sources.
+const (
+	SourcePeer   SourceKind = iota // peer
+	SourceRemote                   // remote
+	SourceOrigin                   // origin
+)
+
+// Settings are the constants of a Planner.
+type Settings struct {
+	Self   fleet.InstanceID
+	Region fleet.Region
+	// OriginRegion is the region whose members may reach the origin without
+	// crossing between regions.
+	OriginRegion fleet.Region
+	Objective    fleet.Objective
+	// MaxOriginCopies bounds the copies that the fleet plans to pull.
+	MaxOriginCopies float64
+	PeerFetches     int // chunks in flight from peers of the region
+	RemoteFetches   int // chunks in flight from other regions
+	OriginFetches   int // chunks in flight from the origin
+	PerPeer         int // chunks in flight from one peer
+	Neighbours      int // peers watched in the region
+	RemotePerRegion int // peers watched in each other region
+	// FirstTimeout is the progress deadline before any rate is known.
+	FirstTimeout time.Duration
+	// MinStall is the shortest wait before the next in order takes over.
+	MinStall time.Duration
+}
+
+// DefaultSettings returns the settings of an instance in a region.
+func DefaultSettings(self fleet.InstanceID, region fleet.Region) Settings {
+	return Settings{
+		Self: self, Region: region, OriginRegion: region, MaxOriginCopies: 1,
+		PeerFetches: 8, RemoteFetches: 4, OriginFetches: 3, PerPeer: 2,
+		Neighbours: 24, RemotePerRegion: 4,
+		FirstTimeout: 10 * time.Second, MinStall: 2 * time.Second,
+	}
+}
+
+// Limits of the reaction to failures.
+const (
+	lateFactor     = 8                // a fetch is late after this many usual times
+	stallFactor    = 10               // gaps between new chunks until a takeover
+	peerPenalty    = 2 * time.Second  // first pause of a failing peer
+	maxPenalty     = 30 * time.Second // longest pause of a failing peer
+	corruptLimit   = 2                // corrupt chunks until a peer is banned
+	endgameChunks  = 16               // missing chunks from which a second peer is asked
+	endgameFactor  = 2                // usual times until a second peer is asked
+	originBackoff  = 500 * time.Millisecond
+	originAttempts = 3 // corrupt answers of the origin until it is reported
+)
+
+// Member is an instance that should get the version.
+type Member struct {
+	ID     fleet.InstanceID
+	Region fleet.Region
+}
+
+// Source is where a chunk is fetched from.
+type Source struct {
+	Kind SourceKind
+	Peer fleet.InstanceID // empty for the origin
+}
+
+// Fetch is one order to get a chunk.
+type Fetch struct {
+	Chunk  int
+	Source Source
+}
+
+type flight struct {
+	Fetch
+	started  time.Time
+	deadline time.Time
+}
+
+type peer struct {
+	id       fleet.InstanceID
+	region   fleet.Region
+	local    bool
+	has      Bitmap
+	inFlight int
+	usual    time.Duration // time of a chunk, averaged
+	notUntil time.Time
+	failures int
+	corrupt  int
+	banned   bool
+}
+
+// Planner plans one version on one instance. It is not safe for concurrent use.
+type Planner struct {
+	set      Settings
+	manifest *Manifest
+	random   *rand.Rand
+	held     Bitmap
+	missing  int
+	seen     Bitmap // chunks held here or by a peer of the region
+	avail    []uint16
+	members  []Member
+	place    []placement
+	peers    map[fleet.InstanceID]*peer
+	sorted   []*peer // by id, so that the plan does not depend on map order
+	failed   map[fleet.InstanceID]time.Time
+	flights  []flight
+	counts   [3]int
+	progress time.Time     // when a chunk was last new in the region
+	gap      time.Duration // usual time between new chunks
+	started  time.Time
+	usual    time.Duration
+	originAt time.Time // not before
+	originNo int       // failures in a row
+	corrupt  map[int]int
+}
+
+// placement is where a chunk comes from for this region.
+type placement struct {
+	rank       int16 // of this instance among the region's members
+	fromOrigin bool
+	previous   fleet.Region
+}
+
+// NewPlanner returns a planner that holds no chunk.
+func NewPlanner(set Settings, m *Manifest, random *rand.Rand, now time.Time) *Planner {
+	n := len(m.Chunks)
+	p := &Planner{
+		set: set, manifest: m, random: random,
+		held: NewBitmap(n), seen: NewBitmap(n), missing: n,
+		avail: make([]uint16, n), place: make([]placement, n),
+		peers:   map[fleet.InstanceID]*peer{},
+		failed:  map[fleet.InstanceID]time.Time{},
+		corrupt: map[int]int{},
+		started: now, progress: now,
+	}
+	p.SetMembers(nil, now)
+	return p
+}
+
+// SetMembers replaces the instances that should get the version, this one
+// included or not.
+func (p *Planner) SetMembers(members []Member, now time.Time) {
+	p.members = slices.Clone(members)
+	if !slices.ContainsFunc(p.members, func(m Member) bool { return m.ID == p.set.Self }) {
+		p.members = append(p.members, Member{p.set.Self, p.set.Region})
+	}
+	for _, q := range slices.Clone(p.sorted) {
+		if !slices.ContainsFunc(p.members, func(m Member) bool { return m.ID == q.id }) {
+			p.dropPeer(q)
+		}
+	}
+	p.rankChunks()
+}
+
+// rankChunks computes the placement of every chunk from the member list.
+func (p *Planner) rankChunks() {
+	regions := p.regionOrder()
+	hashes := make([]uint64, 0, len(p.members))
+	for _, m := range p.members {
+		if m.Region == p.set.Region && m.ID != p.set.Self {
+			hashes = append(hashes, rank.Hash(string(m.ID)))
+		}
+	}
+	self := rank.Hash(string(p.set.Self))
+	direct := p.directRegions(len(regions))
+	for c := range p.place {
+		key := rank.Hash(string(p.manifest.Chunks[c].Digest))
+		p.place[c] = p.placeChunk(key, self, hashes, regions, direct)
+	}
+}
+
+func (p *Planner) placeChunk(key, self uint64, others []uint64, regions []fleet.Region, direct int) placement {
+	mine := rank.ScoreNumber(key, self)
+	out := placement{}
+	for _, h := range others {
+		if rank.ScoreNumber(key, h) > mine {
+			out.rank++
+		}
+	}
+	order := chunkRegions(key, regions, direct)
+	i := slices.Index(order, p.set.Region)
+	out.fromOrigin = i < direct
+	if !out.fromOrigin {
+		out.previous = order[i-1]
+	}
+	return out
+}
+
+// regionOrder returns the regions of the members, the origin's first.
+func (p *Planner) regionOrder() []fleet.Region {
+	var out []fleet.Region
+	for _, m := range p.members {
+		if !slices.Contains(out, m.Region) {
+			out = append(out, m.Region)
+		}
+	}
+	slices.SortFunc(out, func(a, b fleet.Region) int {
+		switch {
+		case a == b:
+			return 0
+		case a == p.set.OriginRegion:
+			return -1
+		case b == p.set.OriginRegion:
+			return 1
+		case a < b:
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// directRegions returns how many regions pull their own copy from the origin.
+func (p *Planner) directRegions(regions int) int {
+	if p.set.Objective == fleet.ObjectiveOriginBytes {
+		return 1
+	}
+	return max(1, min(regions, int(p.set.MaxOriginCopies)))
+}
+
+// chunkRegions orders the regions for one chunk: those that pull from the origin
+// first, then the others by rendezvous, which spreads the relaying.
+func chunkRegions(key uint64, regions []fleet.Region, direct int) []fleet.Region {
+	order := slices.Clone(regions)
+	rest := order[min(direct, len(order)):]
+	slices.SortFunc(rest, func(a, b fleet.Region) int {
+		x := rank.ScoreNumber(key, rank.Hash(string(a)))
+		y := rank.ScoreNumber(key, rank.Hash(string(b)))
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	return order
+}
+
+// Wanted returns the peers that this instance should watch. It is stable while
+// the members do not change and no peer fails.
+func (p *Planner) Wanted(now time.Time) []fleet.InstanceID {
+	byRegion := map[fleet.Region][]fleet.InstanceID{}
+	for _, m := range p.members {
+		if m.ID == p.set.Self || now.Before(p.failed[m.ID]) {
+			continue
+		}
+		byRegion[m.Region] = append(byRegion[m.Region], m.ID)
+	}
+	var out []fleet.InstanceID
+	for _, r := range p.regionOrder() {
+		n := p.set.RemotePerRegion
+		if r == p.set.Region {
+			n = p.set.Neighbours
+		}
+		out = append(out, rank.Top(string(p.set.Self), byRegion[r], n)...)
+	}
+	return out
+}
+
+// PeerHas replaces what a peer holds.
+func (p *Planner) PeerHas(id fleet.InstanceID, has Bitmap, now time.Time) {
+	q := p.addPeer(id)
+	if q == nil {
+		return
+	}
+	for c := range p.place {
+		p.mark(q, c, has.Has(c), now)
+	}
+}
+
+// PeerAdded records a chunk that a watched peer now holds.
+func (p *Planner) PeerAdded(id fleet.InstanceID, chunk int, now time.Time) {
+	if q, ok := p.peers[id]; ok && chunk >= 0 && chunk < len(p.place) {
+		p.mark(q, chunk, true, now)
+	}
+}
+
+// PeerGone drops a peer whose connection failed. It is wanted again after a
+// pause.
+func (p *Planner) PeerGone(id fleet.InstanceID, now time.Time) {
+	p.failed[id] = now.Add(peerPenalty)
+	if q, ok := p.peers[id]; ok {
+		p.dropPeer(q)
+	}
+}
+
+func (p *Planner) addPeer(id fleet.InstanceID) *peer {
+	if q, ok := p.peers[id]; ok {
+		return q
+	}
+	i := slices.IndexFunc(p.members, func(m Member) bool { return m.ID == id })
+	if i < 0 || id == p.set.Self {
+		return nil
+	}
+	r := p.members[i].Region
+	q := &peer{id: id, region: r, local: r == p.set.Region, has: NewBitmap(len(p.place))}
+	p.peers[id] = q
+	at, _ := slices.BinarySearchFunc(p.sorted, q, comparePeers)
+	p.sorted = slices.Insert(p.sorted, at, q)
+	return q
+}
+
+func (p *Planner) dropPeer(q *peer) {
+	for c := range p.place {
+		if q.has.Has(c) && q.local {
+			p.avail[c]--
+		}
+	}
+	delete(p.peers, q.id)
+	p.sorted = slices.DeleteFunc(p.sorted, func(o *peer) bool { return o == q })
+}
+
+func comparePeers(a, b *peer) int {
+	switch {
+	case a.id < b.id:
+		return -1
+	case a.id > b.id:
+		return 1
+	}
+	return 0
+}
+
+func (p *Planner) mark(q *peer, c int, has bool, now time.Time) {
+	if has == q.has.Has(c) {
+		return
+	}
+	if !has {
+		q.has.Clear(c)
+		if q.local {
+			p.avail[c]--
+		}
+		return
+	}
+	q.has.Set(c)
+	if q.local {
+		p.avail[c]++
+		p.see(c, now)
+	}
+}
+
+// see records that a chunk is in the region, and how fast new ones show up.
+func (p *Planner) see(c int, now time.Time) {
+	if p.seen.Has(c) {
+		return
+	}
+	p.seen.Set(c)
+	gap := now.Sub(p.progress)
+	p.progress = now
+	if p.gap == 0 {
+		p.gap = gap
+		return
+	}
+	p.gap += (gap - p.gap) / 8
+}
+
+// Hold records a chunk that is held already, for example one that an older
+// version shares. It must have been verified.
+func (p *Planner) Hold(c int, now time.Time) {
+	if c < 0 || c >= len(p.place) || p.held.Has(c) {
+		return
+	}
+	p.held.Set(c)
+	p.missing--
+	p.see(c, now)
+}
+
+// Done records that a fetch brought a verified chunk. It returns the other
+// fetches of the same chunk, which are to be canceled.
+func (p *Planner) Done(f Fetch, now time.Time) []Fetch {
+	if i := p.flightIndex(f); i >= 0 {
+		took := now.Sub(p.flights[i].started)
+		p.removeFlight(i)
+		p.learn(f.Source, took)
+	}
+	p.Hold(f.Chunk, now)
+	var extra []Fetch
+	for _, o := range p.flights {
+		if o.Chunk == f.Chunk {
+			extra = append(extra, o.Fetch)
+		}
+	}
+	return extra
+}
+
+func (p *Planner) learn(s Source, took time.Duration) {
+	p.usual = average(p.usual, took)
+	if s.Kind == SourceOrigin {
+		p.originNo = 0
+		return
+	}
+	if q, ok := p.peers[s.Peer]; ok {
+		q.usual = average(q.usual, took)
+		q.failures = 0
+	}
+}
+
+func average(old, sample time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + (sample-old)/8
+}
+
+// Failed records that a fetch failed. retryAfter is the wait that the source
+// asked for, zero when it named none.
+func (p *Planner) Failed(f Fetch, why Cause, retryAfter time.Duration, now time.Time) {
+	if i := p.flightIndex(f); i >= 0 {
+		p.removeFlight(i)
+	}
+	if why == CauseCanceled {
+		return
+	}
+	if f.Source.Kind == SourceOrigin {
+		p.originFailed(f, why, retryAfter, now)
+		return
+	}
+	if q, ok := p.peers[f.Source.Peer]; ok {
+		p.peerFailed(q, f.Chunk, why, now)
+	}
+}
+
+func (p *Planner) originFailed(f Fetch, why Cause, retryAfter time.Duration, now time.Time) {
+	p.originNo++
+	if why == CauseCorrupt {
+		p.corrupt[f.Chunk]++
+	}
+	wait := originBackoff << min(p.originNo-1, 5)
+	wait += time.Duration(p.random.Int64N(int64(wait)))
+	p.originAt = now.Add(max(wait, retryAfter))
+}
+
+func (p *Planner) peerFailed(q *peer, chunk int, why Cause, now time.Time) {
+	switch why {
+	case CauseMissing:
+		p.mark(q, chunk, false, now)
+		return
+	case CauseBusy:
+		q.notUntil = now.Add(p.usual / 2)
+		return
+	case CauseCorrupt:
+		q.corrupt++
+		p.mark(q, chunk, false, now)
+		q.banned = q.corrupt >= corruptLimit
+	}
+	q.failures++
+	pause := min(peerPenalty<<min(q.failures-1, 8), maxPenalty)
+	q.notUntil = now.Add(pause)
+}
+
+// Corrupt returns a chunk that the origin keeps answering corrupt, or false.
+func (p *Planner) Corrupt() (int, bool) {
+	for c, n := range p.corrupt {
+		if n >= originAttempts && !p.held.Has(c) {
+			return c, true
+		}
+	}
+	return 0, false
+}
+
+// Next returns the fetches to begin now.
+func (p *Planner) Next(now time.Time) []Fetch {
+	if p.missing == 0 {
+		return nil
+	}
+	var out []Fetch
+	out = p.nextFromOutside(out, now)
+	out = p.nextFromPeers(out, now)
+	return p.nextEndgame(out, now)
+}
+
+// nextFromOutside fetches the chunks that this instance brings into its region.
+func (p *Planner) nextFromOutside(out []Fetch, now time.Time) []Fetch {
+	level := p.takeover(now)
+	start := p.random.IntN(len(p.place))
+	for i := range p.place {
+		if p.counts[SourceOrigin] >= p.set.OriginFetches && p.counts[SourceRemote] >= p.set.RemoteFetches {
+			return out
+		}
+		c := (start + i) % len(p.place)
+		if p.held.Has(c) || p.inFlight(c) || p.avail[c] > 0 && p.reachable(c, now) {
+			continue
+		}
+		if s, ok := p.outside(c, level, now); ok {
+			out = append(out, p.begin(c, s, now))
+		}
+	}
+	return out
+}
+
+// reachable tells whether a peer of the region can be asked for chunk c.
+func (p *Planner) reachable(c int, now time.Time) bool {
+	return slices.ContainsFunc(p.sorted, func(q *peer) bool {
+		return q.local && q.has.Has(c) && p.usable(q, now)
+	})
+}
+
+// outside returns the source outside the region for chunk c, when it is this
+// instance's turn. The level rises while nothing new shows up in the region.
+func (p *Planner) outside(c, level int, now time.Time) (Source, bool) {
+	pl := p.place[c]
+	if int(pl.rank) > level {
+		return Source{}, false
+	}
+	if pl.fromOrigin || level >= int(pl.rank)+originLevel {
+		return p.origin(now)
+	}
+	if p.counts[SourceRemote] >= p.set.RemoteFetches {
+		return Source{}, false
+	}
+	q := p.best(now, func(q *peer) bool {
+		return !q.local && q.has.Has(c) && (level > 0 || q.region == pl.previous)
+	})
+	if q == nil {
+		return Source{}, false
+	}
+	return Source{SourceRemote, q.id}, true
+}
+
+// originLevel is how many takeovers must have brought nothing before a region
+// that gets its chunks from another one turns to the origin.
+const originLevel = 3
+
+func (p *Planner) origin(now time.Time) (Source, bool) {
+	if p.counts[SourceOrigin] >= p.set.OriginFetches || now.Before(p.originAt) {
+		return Source{}, false
+	}
+	return Source{Kind: SourceOrigin}, true
+}
+
+// takeover returns how many members before this one are given up for the chunks
+// that are not in the region yet.
+func (p *Planner) takeover(now time.Time) int {
+	wait := max(p.set.MinStall, stallFactor*p.gap, 2*p.usual)
+	return int(now.Sub(p.progress) / wait)
+}
+
+func (p *Planner) nextFromPeers(out []Fetch, now time.Time) []Fetch {
+	for p.counts[SourcePeer] < p.set.PeerFetches {
+		q, c := p.choosePeer(now)
+		if q == nil {
+			return out
+		}
+		out = append(out, p.begin(c, Source{SourcePeer, q.id}, now))
+	}
+	return out
+}
+
+// choosePeer returns the peer with the shortest expected wait that holds a chunk
+// which is missing here, and the rarest such chunk.
+func (p *Planner) choosePeer(now time.Time) (*peer, int) {
+	useless := map[*peer]bool{}
+	for {
+		q := p.best(now, func(q *peer) bool { return q.local && !useless[q] })
+		if q == nil {
+			return nil, 0
+		}
+		if c, ok := p.rarest(q); ok {
+			return q, c
+		}
+		useless[q] = true
+	}
+}
+
+// rarest returns the chunk that q holds, is missing here, not in flight and held
+// by the fewest peers; ties are drawn.
+func (p *Planner) rarest(q *peer) (int, bool) {
+	best, low, ties := -1, math.MaxInt, 0
+	for c := range p.place {
+		if !q.has.Has(c) || p.held.Has(c) || p.inFlight(c) {
+			continue
+		}
+		n := int(p.avail[c])
+		switch {
+		case n < low:
+			best, low, ties = c, n, 1
+		case n == low:
+			ties++
+			if p.random.IntN(ties) == 0 {
+				best = c
+			}
+		}
+	}
+	return best, best >= 0
+}
+
+// best returns the usable peer with the shortest expected wait; ties are drawn.
+func (p *Planner) best(now time.Time, ok func(*peer) bool) *peer {
+	var best *peer
+	low, ties := time.Duration(math.MaxInt64), 0
+	for _, q := range p.sorted {
+		if !p.usable(q, now) || q.inFlight >= p.set.PerPeer || !ok(q) {
+			continue
+		}
+		wait := time.Duration(q.inFlight+1) * q.usual
+		switch {
+		case wait < low:
+			best, low, ties = q, wait, 1
+		case wait == low:
+			ties++
+			if p.random.IntN(ties) == 0 {
+				best = q
+			}
+		}
+	}
+	return best
+}
+
+func (p *Planner) usable(q *peer, now time.Time) bool {
+	return !q.banned && !now.Before(q.notUntil)
+}
+
+// nextEndgame asks a second peer for the last chunks when the first is late.
+func (p *Planner) nextEndgame(out []Fetch, now time.Time) []Fetch {
+	if p.missing > endgameChunks {
+		return out
+	}
+	for _, f := range slices.Clone(p.flights) {
+		late := now.Sub(f.started) > endgameFactor*p.usual && p.usual > 0
+		if !late || f.Source.Kind != SourcePeer || p.copies(f.Chunk) > 1 {
+			continue
+		}
+		q := p.best(now, func(q *peer) bool { return q.local && q.has.Has(f.Chunk) && q.id != f.Source.Peer })
+		if q != nil && p.counts[SourcePeer] < p.set.PeerFetches+endgameChunks {
+			out = append(out, p.begin(f.Chunk, Source{SourcePeer, q.id}, now))
+		}
+	}
+	return out
+}
+
+// Overdue returns the fetches whose progress deadline passed. The deadline
+// follows the observed time of a chunk.
+func (p *Planner) Overdue(now time.Time) []Fetch {
+	var out []Fetch
+	for _, f := range p.flights {
+		if now.After(f.deadline) {
+			out = append(out, f.Fetch)
+		}
+	}
+	return out
+}
+
+func (p *Planner) begin(c int, s Source, now time.Time) Fetch {
+	f := Fetch{Chunk: c, Source: s}
+	p.flights = append(p.flights, flight{Fetch: f, started: now, deadline: now.Add(p.timeout(s))})
+	p.counts[s.Kind]++
+	if q, ok := p.peers[s.Peer]; ok {
+		q.inFlight++
+	}
+	return f
+}
+
+func (p *Planner) timeout(s Source) time.Duration {
+	usual := p.usual
+	if q, ok := p.peers[s.Peer]; ok && q.usual > usual {
+		usual = q.usual
+	}
+	if usual == 0 {
+		return p.set.FirstTimeout
+	}
+	if s.Kind == SourceOrigin {
+		// The origin is shared by the whole fleet: its time varies most.
+		return max(p.set.FirstTimeout, lateFactor*usual)
+	}
+	return max(p.set.MinStall, lateFactor*usual)
+}
+
+func (p *Planner) removeFlight(i int) {
+	f := p.flights[i]
+	p.counts[f.Source.Kind]--
+	if q, ok := p.peers[f.Source.Peer]; ok && q.inFlight > 0 {
+		q.inFlight--
+	}
+	p.flights = slices.Delete(p.flights, i, i+1)
+}
+
+func (p *Planner) flightIndex(f Fetch) int {
+	return slices.IndexFunc(p.flights, func(o flight) bool { return o.Fetch == f })
+}
+
+func (p *Planner) inFlight(c int) bool {
+	return slices.ContainsFunc(p.flights, func(f flight) bool { return f.Chunk == c })
+}
+
+func (p *Planner) copies(c int) int {
+	n := 0
+	for _, f := range p.flights {
+		if f.Chunk == c {
+			n++
+		}
+	}
+	return n
+}
+
+// Woke tells the planner that the process was paused: fetches are given up and
+// the stall clock starts anew.
+func (p *Planner) Woke(now time.Time) []Fetch {
+	var out []Fetch
+	for _, f := range p.flights {
+		out = append(out, f.Fetch)
+	}
+	p.progress = now
+	return out
+}
+
+// InFlight returns the fetches that have begun and not ended.
+func (p *Planner) InFlight() int { return len(p.flights) }
+
+// Missing returns how many chunks are not held.
+func (p *Planner) Missing() int { return p.missing }
+
+// Held returns a copy of the set of held chunks.
+func (p *Planner) Held() Bitmap { return slices.Clone(p.held) }
+
+// Has tells whether chunk c is held.
+func (p *Planner) Has(c int) bool { return p.held.Has(c) }
+
+// Manifest returns the manifest that is planned.
+func (p *Planner) Manifest() *Manifest { return p.manifest }
--- /dev/null
+++ b/io/caller/caller.go
@@ -0,0 +1,436 @@
+// Package caller serves the callers of the system over HTTP: which entry to use,
+// chat completions in the shape that clients of model engines speak, plain
+// services, and orders under tickets.
+//
+// # Usage
+//
+//	h := caller.NewHandler(service)
+//	srv := &http.Server{Handler: h}
+//
+// # Protocol
+//
+// Requests name their workspace in X-Workspace, their class (interactive, standard,
+// batch) in X-Class, and may bound their time with X-Timeout-Ms. Every answer names
+// the version that gave it in X-Version and, in streams, in each event.
+// Every refusal is JSON
+//
+//	{"error": {"outcome": "not_run", "reason": "queue_full", "retry_after_ms": 500}}
+//
+// with a Retry-After header when it is worth trying again. In a stream that has
+// begun the same object comes as an event named error, and no [DONE] follows.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+
+	"amaranthturn/core/fleet"
+)
+
+// Headers of the protocol.
+const (
+	HeaderWorkspace  = "X-Workspace"
+	HeaderClass      = "X-Class"
+	HeaderTimeout    = "X-Timeout-Ms"
+	HeaderVersion    = "X-Version"
+	HeaderTicket     = "X-Order-Ticket"
+	HeaderRequestID  = "X-Request-Id"
+	HeaderOutcome    = "X-Outcome"
+	HeaderRetryAfter = "Retry-After"
+)
+
+// Bounds of requests.
+const (
+	maxBodyBytes   = 1 << 20
+	defaultTimeout = 60 * time.Second
+	maxTimeout     = 10 * time.Minute
+	maxNameLen     = 128
+)
+
+// Generation is a repeatable request to a model.
+type Generation struct {
+	RequestID string
+	Workspace fleet.Workspace
+	Model     fleet.Model
+	Class     fleet.Class
+	Body      []byte
+	MaxTokens int
+	Deadline  time.Time
+}
+
+// Token is one step of an answer.
+type Token struct {
+	Version fleet.Version
+	Index   int
+	Text    string
+	Done    bool
+	Finish  string
+}
+
+// Call is a request to a plain service.
+type Call struct {
+	RequestID   string
+	Workspace   fleet.Workspace
+	Service     fleet.Service
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	Deadline    time.Time
+}
+
+// Answer is what a plain service answered.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// EntryRow is an entry that a caller may use.
+type EntryRow struct {
+	Instance string `json:"instance"`
+	Address  string `json:"address"`
+	Zone     string `json:"availability_zone"`
+}
+
+// EntryList answers which entries to use, best first, and for how long.
+type EntryList struct {
+	Entries []EntryRow `json:"entries"`
+	KeepMS  int64      `json:"keep_ms"`
+}
+
+// TicketAnswer is a ticket for one order.
+type TicketAnswer struct {
+	Ticket  string    `json:"ticket"`
+	Service string    `json:"service"`
+	Target  string    `json:"target"`
+	Expires time.Time `json:"expires"`
+}
+
+// Service does the work. A refusal returned after a token was sent ends the
+// stream with an error event.
+type Service interface {
+	Entries(w fleet.Workspace, caller string) (EntryList, *fleet.Refusal)
+	Generate(ctx context.Context, g Generation, send func(Token) error) *fleet.Refusal
+	Call(ctx context.Context, c Call) (Answer, *fleet.Refusal)
+	Ticket(ctx context.Context, w fleet.Workspace, s fleet.Service) (TicketAnswer, *fleet.Refusal)
+	Order(ctx context.Context, ticket string, c Call) (Answer, *fleet.Refusal)
+}
+
+type handler struct {
+	svc Service
+	now func() time.Time
+}
+
+// NewHandler returns the HTTP handler for callers.
+func NewHandler(svc Service, now func() time.Time) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	r := gin.New()
+	h := &handler{svc: svc, now: now}
+	r.GET("/v1/entries", h.entries)
+	r.POST("/v1/chat/completions", h.generate)
+	r.POST("/v1/orders/ticket", h.ticket)
+	r.POST("/v1/orders/:service/*path", h.order)
+	r.Any("/v1/services/:service/*path", h.call)
+	return r
+}
+
+func (h *handler) entries(c *gin.Context) {
+	w := fleet.Workspace(c.Query("workspace"))
+	list, refusal := h.svc.Entries(w, c.ClientIP()+"/"+string(w)+"/"+c.GetHeader(HeaderRequestID))
+	if refusal != nil {
+		refuse(c, refusal)
+		return
+	}
+	c.JSON(http.StatusOK, list)
+}
+
+// chatBody is the part of a chat completion request that this layer needs.
+type chatBody struct {
+	Model     string            `json:"model"`
+	Stream    bool              `json:"stream"`
+	MaxTokens int               `json:"max_tokens"`
+	Messages  []json.RawMessage `json:"messages"`
+}
+
+func (h *handler) generate(c *gin.Context) {
+	body, ok := readBody(c)
+	if !ok {
+		return
+	}
+	var b chatBody
+	if err := json.Unmarshal(body, &b); err != nil || b.Model == "" || len(b.Model) > maxNameLen || len(b.Messages) == 0 {
+		refuse(c, fleet.NotRun(fleet.ReasonBadRequest, 0))
+		return
+	}
+	class, deadline, ok := h.readHeaders(c)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithDeadline(c.Request.Context(), deadline)
+	defer cancel()
+	g := Generation{
+		RequestID: requestID(c), Workspace: fleet.Workspace(c.GetHeader(HeaderWorkspace)), Model: fleet.Model(b.Model),
+		Class: class, Body: body, MaxTokens: b.MaxTokens, Deadline: deadline,
+	}
+	if b.Stream {
+		h.stream(ctx, c, g)
+		return
+	}
+	h.whole(ctx, c, g)
+}
+
+// chunk is one event of a stream.
+type chunk struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Model   fleet.Model   `json:"model"`
+	Version fleet.Version `json:"version"`
+	Choices []choice      `json:"choices"`
+}
+
+type choice struct {
+	Index  int      `json:"index"`
+	Delta  *content `json:"delta,omitempty"`
+	Whole  *content `json:"message,omitempty"`
+	Finish *string  `json:"finish_reason"`
+}
+
+type content struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+func (h *handler) stream(ctx context.Context, c *gin.Context, g Generation) {
+	begun := false
+	refusal := h.svc.Generate(ctx, g, func(t Token) error {
+		if !begun {
+			begun = true
+			c.Header("Content-Type", "text/event-stream")
+			c.Header("Cache-Control", "no-store")
+			c.Header(HeaderVersion, string(t.Version))
+			c.Status(http.StatusOK)
+		}
+		return writeEvent(c, "", streamChunk(g, t))
+	})
+	switch {
+	case refusal != nil && !begun:
+		refuse(c, refusal)
+	case refusal != nil:
+		_ = writeEvent(c, "error", errorBody(refusal))
+	default:
+		_, _ = c.Writer.WriteString("data: [DONE]\n\n")
+		c.Writer.Flush()
+	}
+}
+
+func streamChunk(g Generation, t Token) chunk {
+	ch := choice{Delta: &content{Content: t.Text}}
+	if t.Done {
+		ch.Finish = &t.Finish
+	}
+	return chunk{ID: g.RequestID, Object: "chat.completion.chunk", Model: g.Model, Version: t.Version, Choices: []choice{ch}}
+}
+
+func writeEvent(c *gin.Context, name string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	var b bytes.Buffer
+	if name != "" {
+		b.WriteString("event: " + name + "\n")
+	}
+	b.WriteString("data: ")
+	b.Write(data)
+	b.WriteString("\n\n")
+	if _, err := c.Writer.Write(b.Bytes()); err != nil {
+		return err
+	}
+	c.Writer.Flush()
+	return nil
+}
+
+func (h *handler) whole(ctx context.Context, c *gin.Context, g Generation) {
+	var text strings.Builder
+	var last Token
+	refusal := h.svc.Generate(ctx, g, func(t Token) error {
+		text.WriteString(t.Text)
+		last = t
+		return nil
+	})
+	if refusal != nil {
+		refuse(c, refusal)
+		return
+	}
+	c.Header(HeaderVersion, string(last.Version))
+	ch := choice{Whole: &content{Role: "assistant", Content: text.String()}, Finish: &last.Finish}
+	c.JSON(http.StatusOK, chunk{ID: g.RequestID, Object: "chat.completion", Model: g.Model, Version: last.Version, Choices: []choice{ch}})
+}
+
+type ticketBody struct {
+	Service string `json:"service"`
+}
+
+func (h *handler) ticket(c *gin.Context) {
+	body, ok := readBody(c)
+	if !ok {
+		return
+	}
+	var b ticketBody
+	if err := json.Unmarshal(body, &b); err != nil || b.Service == "" || len(b.Service) > maxNameLen {
+		refuse(c, fleet.NotRun(fleet.ReasonBadRequest, 0))
+		return
+	}
+	t, refusal := h.svc.Ticket(c.Request.Context(), fleet.Workspace(c.GetHeader(HeaderWorkspace)), fleet.Service(b.Service))
+	if refusal != nil {
+		refuse(c, refusal)
+		return
+	}
+	c.JSON(http.StatusOK, t)
+}
+
+func (h *handler) order(c *gin.Context) {
+	ticket := c.GetHeader(HeaderTicket)
+	if ticket == "" {
+		// Nothing without a ticket ever runs, whatever other header it carries.
+		refuse(c, fleet.NotRun(fleet.ReasonTicketRequired, 0))
+		return
+	}
+	call, ok := h.readCall(c)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithDeadline(c.Request.Context(), call.Deadline)
+	defer cancel()
+	a, refusal := h.svc.Order(ctx, ticket, call)
+	answer(c, a, refusal)
+}
+
+func (h *handler) call(c *gin.Context) {
+	call, ok := h.readCall(c)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithDeadline(c.Request.Context(), call.Deadline)
+	defer cancel()
+	a, refusal := h.svc.Call(ctx, call)
+	answer(c, a, refusal)
+}
+
+func (h *handler) readCall(c *gin.Context) (Call, bool) {
+	body, ok := readBody(c)
+	if !ok {
+		return Call{}, false
+	}
+	_, deadline, ok := h.readHeaders(c)
+	if !ok {
+		return Call{}, false
+	}
+	path := c.Param("path")
+	if q := c.Request.URL.RawQuery; q != "" {
+		path += "?" + q
+	}
+	return Call{
+		RequestID: requestID(c), Workspace: fleet.Workspace(c.GetHeader(HeaderWorkspace)), Service: fleet.Service(c.Param("service")),
+		Method: c.Request.Method, Path: path, ContentType: c.ContentType(), Body: body, Deadline: deadline,
+	}, true
+}
+
+func (h *handler) readHeaders(c *gin.Context) (fleet.Class, time.Time, bool) {
+	class, ok := fleet.ParseClass(c.GetHeader(HeaderClass))
+	if !ok || len(c.GetHeader(HeaderWorkspace)) > maxNameLen {
+		refuse(c, fleet.NotRun(fleet.ReasonBadRequest, 0))
+		return 0, time.Time{}, false
+	}
+	timeout := defaultTimeout
+	if s := c.GetHeader(HeaderTimeout); s != "" {
+		ms, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+			refuse(c, fleet.NotRun(fleet.ReasonBadRequest, 0))
+			return 0, time.Time{}, false
+		}
+		timeout = time.Duration(ms) * time.Millisecond
+	}
+	return class, h.now().Add(timeout), true
+}
+
+func readBody(c *gin.Context) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes))
+	if err != nil {
+		refuse(c, fleet.NotRun(fleet.ReasonBadRequest, 0))
+		return nil, false
+	}
+	return body, true
+}
+
+func requestID(c *gin.Context) string {
+	if id := c.GetHeader(HeaderRequestID); id != "" && len(id) <= maxNameLen {
+		return id
+	}
+	return uuid.NewString()
+}
+
+func answer(c *gin.Context, a Answer, refusal *fleet.Refusal) {
+	if refusal != nil {
+		refuse(c, refusal)
+		return
+	}
+	c.Header(HeaderOutcome, fleet.OutcomeDone.String())
+	c.Data(a.Status, a.ContentType, a.Body)
+}
+
+// errorAnswer is the JSON form of a refusal.
+type errorAnswer struct {
+	Error errorFields `json:"error"`
+}
+
+type errorFields struct {
+	Outcome      string `json:"outcome"`
+	Reason       string `json:"reason"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
+func errorBody(r *fleet.Refusal) errorAnswer {
+	return errorAnswer{errorFields{Outcome: r.Outcome.String(), Reason: string(r.Reason), RetryAfterMS: r.RetryAfter.Milliseconds()}}
+}
+
+func refuse(c *gin.Context, r *fleet.Refusal) {
+	if r.RetryAfter > 0 {
+		c.Header(HeaderRetryAfter, strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	c.Header(HeaderOutcome, r.Outcome.String())
+	c.JSON(StatusOf(r), errorBody(r))
+}
+
+// StatusOf returns the HTTP status of a refusal.
+func StatusOf(r *fleet.Refusal) int {
+	switch r.Reason {
+	case fleet.ReasonBadRequest, fleet.ReasonBadTicket:
+		return http.StatusBadRequest
+	case fleet.ReasonUnknownModel, fleet.ReasonUnknownService:
+		return http.StatusNotFound
+	case fleet.ReasonTicketRequired, fleet.ReasonNotRepeatable:
+		return http.StatusPreconditionRequired
+	case fleet.ReasonQueueFull, fleet.ReasonTooLate, fleet.ReasonClass:
+		return http.StatusTooManyRequests
+	case fleet.ReasonCrashing:
+		return http.StatusUnprocessableEntity
+	case fleet.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	}
+	if r.Outcome == fleet.OutcomeUnknown {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/io/operator/http.go
@@ -0,0 +1,122 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/gin-gonic/gin"
+)
+
+// ErrNoInstance reports that the fleet does not list an instance.
+var ErrNoInstance = errors.New("instance is not in the platform's list")
+
+// Health tells whether a daemon lives and whether it is ready for work.
+type Health interface {
+	Ready() (bool, string)
+}
+
+// Source answers operators; only entries have one.
+type Source interface {
+	Status(ctx context.Context) Status
+	Explain(ctx context.Context, instance string) (Explanation, error)
+}
+
+// NewHandler serves metrics, health and, when src is not nil, the fleet's state.
+func NewHandler(metrics http.Handler, health Health, src Source) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	r := gin.New()
+	r.GET("/metrics", gin.WrapH(metrics))
+	r.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	r.GET("/readyz", func(c *gin.Context) {
+		ok, why := health.Ready()
+		if !ok {
+			c.String(http.StatusServiceUnavailable, "%s\n", why)
+			return
+		}
+		c.String(http.StatusOK, "ready\n")
+	})
+	if src == nil {
+		return r
+	}
+	r.GET("/v1/status", func(c *gin.Context) { c.JSON(http.StatusOK, src.Status(c.Request.Context())) })
+	r.GET("/v1/explain/:instance", func(c *gin.Context) {
+		e, err := src.Explain(c.Request.Context(), c.Param("instance"))
+		if err != nil {
+			c.String(http.StatusNotFound, "%s: %v\n", c.Param("instance"), err)
+			return
+		}
+		c.JSON(http.StatusOK, e)
+	})
+	return r
+}
+
+// UnreachableError reports that an entry did not answer.
+type UnreachableError struct {
+	URL   string
+	Cause error
+}
+
+// Error implements error.
+func (e *UnreachableError) Error() string { return fmt.Sprintf("entry %s: %v", e.URL, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// clientTimeout bounds a question; an entry asks all others meanwhile.
+const clientTimeout = 10 * time.Second
+
+// Client asks one entry.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the operators' listener at base.
+func NewClient(base string) *Client {
+	return &Client{base: base, http: &http.Client{Timeout: clientTimeout}}
+}
+
+// Status asks for the state of the fleet. Errors: *UnreachableError.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var s Status
+	err := c.get(ctx, "/v1/status", &s)
+	return s, err
+}
+
+// Explain asks why an instance does what it does. Errors: ErrNoInstance,
+// *UnreachableError.
+func (c *Client) Explain(ctx context.Context, instance string) (Explanation, error) {
+	var e Explanation
+	err := c.get(ctx, "/v1/explain/"+url.PathEscape(instance), &e)
+	return e, err
+}
+
+func (c *Client) get(ctx context.Context, path string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return &UnreachableError{URL: c.base, Cause: err}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return &UnreachableError{URL: c.base, Cause: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return ErrNoInstance
+	default:
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 256))
+		return &UnreachableError{URL: c.base, Cause: fmt.Errorf("status %d: %s", resp.StatusCode, text)}
+	}
+	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
+		return &UnreachableError{URL: c.base, Cause: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/peer/convert.go
@@ -0,0 +1,375 @@
+package peer
+
+import (
+	"time"
+
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/keys"
+	"amaranthturn/core/member"
+	"amaranthturn/core/spread"
+	"amaranthturn/core/suspect"
+	"amaranthturn/core/swarm"
+	"amaranthturn/core/switchover"
+	"amaranthturn/io/peer/peerpb"
+)
+
+func reportToWire(r member.Report) *peerpb.AgentReport {
+	out := &peerpb.AgentReport{
+		Instance: string(r.Instance), Incarnation: uint64(r.Incarnation), Region: string(r.Region),
+		AvailabilityZone: string(r.Zone), Pool: string(r.Pool), Address: r.Address,
+		Revision: uint64(r.Revision), Leaving: r.Leaving, Models: modelsToWire(r.Models),
+		Load:           loadToWire(r.Load),
+		CachedPrefixes: r.Cached, Sequence: r.Sequence,
+		OriginBytes: uint64(r.OriginBytes), PeerBytes: uint64(r.PeerBytes), ChecksOrders: r.ChecksOrder, WantAck: r.WantAck, CrashBoot: r.CrashBoot,
+	}
+	for _, s := range r.Services {
+		out.Services = append(out.Services, string(s))
+	}
+	for _, f := range r.Crashed {
+		out.CrashedRequests = append(out.CrashedRequests, uint64(f))
+	}
+	return out
+}
+
+func reportFromWire(p *peerpb.AgentReport) member.Report {
+	r := member.Report{
+		Instance: fleet.InstanceID(p.GetInstance()), Incarnation: fleet.Incarnation(p.GetIncarnation()),
+		Region: fleet.Region(p.GetRegion()), Zone: fleet.Zone(p.GetAvailabilityZone()), Pool: fleet.Pool(p.GetPool()),
+		Address: p.GetAddress(), Revision: fleet.Revision(p.GetRevision()), Leaving: p.GetLeaving(),
+		Models: modelsFromWire(p.GetModels()), Load: loadFromWire(p.GetLoad()),
+		Cached: p.GetCachedPrefixes(), Sequence: p.GetSequence(),
+		OriginBytes: fleet.Bytes(p.GetOriginBytes()), PeerBytes: fleet.Bytes(p.GetPeerBytes()), ChecksOrder: p.GetChecksOrders(), WantAck: p.GetWantAck(), CrashBoot: p.GetCrashBoot(),
+	}
+	for _, s := range p.GetServices() {
+		r.Services = append(r.Services, fleet.Service(s))
+	}
+	for _, f := range p.GetCrashedRequests() {
+		r.Crashed = append(r.Crashed, fleet.Fingerprint(f))
+	}
+	return r
+}
+
+// briefReport is a heartbeat whose slow fields are as in the message before.
+func briefReport(r member.Report) *peerpb.AgentReport {
+	return &peerpb.AgentReport{
+		Same: true, Sequence: r.Sequence, Load: loadToWire(r.Load), CachedPrefixes: r.Cached,
+		OriginBytes: uint64(r.OriginBytes), PeerBytes: uint64(r.PeerBytes), WantAck: r.WantAck,
+	}
+}
+
+// applyBrief fills a brief heartbeat from the last full one.
+func applyBrief(last member.Report, p *peerpb.AgentReport) member.Report {
+	last.Sequence = p.GetSequence()
+	last.Load = loadFromWire(p.GetLoad())
+	last.Cached = p.GetCachedPrefixes()
+	last.OriginBytes = fleet.Bytes(p.GetOriginBytes())
+	last.PeerBytes = fleet.Bytes(p.GetPeerBytes())
+	last.Crashed = nil
+	last.WantAck = p.GetWantAck()
+	return last
+}
+
+func loadToWire(l member.Load) *peerpb.LoadReport {
+	return &peerpb.LoadReport{
+		Running: uint32(l.Running), Queued: uint32(l.Queued),
+		Capacity: uint32(l.Capacity), CacheUsed: l.CacheUsed,
+	}
+}
+
+func loadFromWire(p *peerpb.LoadReport) member.Load {
+	return member.Load{
+		Running: int(p.GetRunning()), Queued: int(p.GetQueued()),
+		Capacity: int(p.GetCapacity()), CacheUsed: p.GetCacheUsed(),
+	}
+}
+
+func modelsToWire(list []member.ModelState) []*peerpb.ModelState {
+	var out []*peerpb.ModelState
+	for _, m := range list {
+		w := &peerpb.ModelState{
+			Model: string(m.Model), Desired: string(m.Desired), Serving: string(m.Serving), Staged: string(m.Staged),
+			Phase: int32(m.Phase), ChunksHeld: uint32(m.ChunksHeld), ChunksTotal: uint32(m.ChunksTotal),
+			WaitsFor: m.WaitsFor, LoadFailures: uint32(m.Failures), Intent: m.Intent, CanHoldTwo: m.TwoSlots,
+		}
+		for _, v := range m.Loaded {
+			w.Loaded = append(w.Loaded, string(v))
+		}
+		for _, p := range m.Promises {
+			w.Promises = append(w.Promises, &peerpb.Promise{To: string(p.To), Nonce: p.Nonce})
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func modelsFromWire(list []*peerpb.ModelState) []member.ModelState {
+	var out []member.ModelState
+	for _, w := range list {
+		m := member.ModelState{
+			Model: fleet.Model(w.GetModel()), Desired: fleet.Version(w.GetDesired()),
+			Serving: fleet.Version(w.GetServing()), Staged: fleet.Version(w.GetStaged()),
+			Phase: switchover.Phase(w.GetPhase()), ChunksHeld: int(w.GetChunksHeld()), ChunksTotal: int(w.GetChunksTotal()),
+			WaitsFor: w.GetWaitsFor(), Failures: int(w.GetLoadFailures()), Intent: w.GetIntent(), TwoSlots: w.GetCanHoldTwo(),
+		}
+		for _, v := range w.GetLoaded() {
+			m.Loaded = append(m.Loaded, fleet.Version(v))
+		}
+		for _, p := range w.GetPromises() {
+			m.Promises = append(m.Promises, switchover.Promise{To: fleet.InstanceID(p.GetTo()), Nonce: p.GetNonce()})
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func noticeToWire(n Notice) *peerpb.AgentNotice {
+	out := &peerpb.AgentNotice{MembersSet: n.Replace, Ack: n.Ack}
+	if n.Plan != nil {
+		out.Revision = uint64(n.Plan.Revision)
+		out.Plan = n.Plan.Body
+		out.PlanMac = n.Plan.MAC.Sum
+		out.KeyId = string(n.Plan.MAC.Key)
+	}
+	for _, m := range n.Members {
+		out.Members = append(out.Members, memberToWire(m))
+	}
+	for _, e := range n.Entries {
+		out.Entries = append(out.Entries, &peerpb.EntryAddress{
+			Instance: string(e.ID), Address: e.Address, AvailabilityZone: string(e.Zone),
+		})
+	}
+	return out
+}
+
+func noticeFromWire(p *peerpb.AgentNotice) Notice {
+	n := Notice{Replace: p.GetMembersSet(), Ack: p.GetAck()}
+	if len(p.GetPlan()) > 0 {
+		n.Plan = &spread.SignedPlan{
+			Revision: fleet.Revision(p.GetRevision()), Body: p.GetPlan(),
+			MAC: keys.MAC{Key: keys.ID(p.GetKeyId()), Sum: p.GetPlanMac()},
+		}
+	}
+	for _, m := range p.GetMembers() {
+		n.Members = append(n.Members, memberFromWire(m))
+	}
+	for _, e := range p.GetEntries() {
+		n.Entries = append(n.Entries, fleet.Instance{
+			ID: fleet.InstanceID(e.GetInstance()), Role: fleet.RoleEntry,
+			Address: e.GetAddress(), Zone: fleet.Zone(e.GetAvailabilityZone()),
+		})
+	}
+	return n
+}
+
+// notHeard marks a member of which no heartbeat was received.
+const notHeard = -1
+
+func memberToWire(m MemberInfo) *peerpb.Member {
+	age := int64(notHeard)
+	if m.Heard {
+		age = m.Age.Milliseconds()
+	}
+	return &peerpb.Member{
+		Instance: string(m.Instance.ID), Region: string(m.Instance.Region), AvailabilityZone: string(m.Instance.Zone),
+		Address: m.Instance.Address, Incarnation: uint64(m.Incarnation), Leaving: m.Instance.Leaving,
+		Models: modelsToWire(m.Models), AgeMs: age,
+	}
+}
+
+func memberFromWire(p *peerpb.Member) MemberInfo {
+	return MemberInfo{
+		Instance: fleet.Instance{
+			ID: fleet.InstanceID(p.GetInstance()), Role: fleet.RoleTarget, Region: fleet.Region(p.GetRegion()),
+			Zone: fleet.Zone(p.GetAvailabilityZone()), Address: p.GetAddress(), Leaving: p.GetLeaving(),
+		},
+		Incarnation: fleet.Incarnation(p.GetIncarnation()),
+		Models:      modelsFromWire(p.GetModels()),
+		Heard:       p.GetAgeMs() != notHeard,
+		Age:         time.Duration(max(0, p.GetAgeMs())) * time.Millisecond,
+	}
+}
+
+func generateToWire(r GenerateRequest) *peerpb.GenerateRequest {
+	return &peerpb.GenerateRequest{
+		RequestId: r.RequestID, Workspace: string(r.Workspace), Model: string(r.Model), Class: r.Class.String(),
+		Body: r.Body, Version: string(r.Version), ResumeFrom: uint32(r.ResumeFrom), DeadlineUnixMs: millis(r.Deadline),
+		Fingerprint: uint64(r.Fingerprint), Incarnation: uint64(r.Incarnation), Solo: r.Alone,
+	}
+}
+
+func generateFromWire(p *peerpb.GenerateRequest) GenerateRequest {
+	c, _ := fleet.ParseClass(p.GetClass())
+	return GenerateRequest{
+		RequestID: p.GetRequestId(), Workspace: fleet.Workspace(p.GetWorkspace()), Model: fleet.Model(p.GetModel()), Class: c,
+		Body: p.GetBody(), Version: fleet.Version(p.GetVersion()), ResumeFrom: int(p.GetResumeFrom()),
+		Deadline: fromMillis(p.GetDeadlineUnixMs()), Fingerprint: fleet.Fingerprint(p.GetFingerprint()),
+		Incarnation: fleet.Incarnation(p.GetIncarnation()), Alone: p.GetSolo(),
+	}
+}
+
+func eventToWire(e Event) *peerpb.GenerateEvent {
+	return &peerpb.GenerateEvent{
+		Version: string(e.Version), Index: uint32(e.Index), Token: e.Token, Done: e.Done,
+		FinishReason: e.Finish, CanResume: e.CanResume, Refusal: refusalToWire(e.Refusal),
+	}
+}
+
+func eventFromWire(p *peerpb.GenerateEvent) Event {
+	return Event{
+		Version: fleet.Version(p.GetVersion()), Index: int(p.GetIndex()), Token: p.GetToken(), Done: p.GetDone(),
+		Finish: p.GetFinishReason(), CanResume: p.GetCanResume(), Refusal: refusalFromWire(p.GetRefusal()),
+	}
+}
+
+func refusalToWire(r *fleet.Refusal) *peerpb.Refusal {
+	if r == nil {
+		return nil
+	}
+	return &peerpb.Refusal{Outcome: int32(r.Outcome), Reason: string(r.Reason), RetryAfterMs: r.RetryAfter.Milliseconds()}
+}
+
+func refusalFromWire(p *peerpb.Refusal) *fleet.Refusal {
+	if p == nil {
+		return nil
+	}
+	return &fleet.Refusal{
+		Outcome: fleet.Outcome(p.GetOutcome()), Reason: fleet.Reason(p.GetReason()),
+		RetryAfter: time.Duration(p.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
+
+func callToWire(c Call) *peerpb.CallRequest {
+	return &peerpb.CallRequest{
+		RequestId: c.RequestID, Workspace: string(c.Workspace), Service: string(c.Service), Method: c.Method,
+		Path: c.Path, ContentType: c.ContentType, Body: c.Body, DeadlineUnixMs: millis(c.Deadline),
+	}
+}
+
+func callFromWire(p *peerpb.CallRequest) Call {
+	return Call{
+		RequestID: p.GetRequestId(), Workspace: fleet.Workspace(p.GetWorkspace()), Service: fleet.Service(p.GetService()),
+		Method: p.GetMethod(), Path: p.GetPath(), ContentType: p.GetContentType(), Body: p.GetBody(),
+		Deadline: fromMillis(p.GetDeadlineUnixMs()),
+	}
+}
+
+func replyToWire(r Reply) *peerpb.CallReply {
+	return &peerpb.CallReply{
+		Status: int32(r.Status), ContentType: r.ContentType, Body: r.Body, Refusal: refusalToWire(r.Refusal),
+	}
+}
+
+func replyFromWire(p *peerpb.CallReply) Reply {
+	return Reply{
+		Status: int(p.GetStatus()), ContentType: p.GetContentType(), Body: p.GetBody(), Refusal: refusalFromWire(p.GetRefusal()),
+	}
+}
+
+func updateToWire(u spread.Update) *peerpb.Document {
+	d := &peerpb.Document{
+		Revision: uint64(u.Revision), Body: u.Body, Mac: u.MAC.Sum, KeyId: string(u.MAC.Key), Base: uint64(u.Base),
+	}
+	if u.Base != 0 {
+		d.Body = u.Delta.Middle
+		d.Prefix = uint32(u.Delta.Prefix)
+		d.Suffix = uint32(u.Delta.Suffix)
+	}
+	return d
+}
+
+func updateFromWire(d *peerpb.Document) spread.Update {
+	u := spread.Update{
+		Revision: fleet.Revision(d.GetRevision()), Base: fleet.Revision(d.GetBase()),
+		MAC: keys.MAC{Key: keys.ID(d.GetKeyId()), Sum: d.GetMac()},
+	}
+	if u.Base == 0 {
+		u.Body = d.GetBody()
+		return u
+	}
+	u.Delta = spread.Delta{Prefix: int(d.GetPrefix()), Suffix: int(d.GetSuffix()), Middle: d.GetBody()}
+	return u
+}
+
+func suspectsToWire(list []suspect.Blame) []*peerpb.Suspect {
+	var out []*peerpb.Suspect
+	for _, b := range list {
+		out = append(out, &peerpb.Suspect{Fingerprint: uint64(b.Fingerprint), Blame: b.Value})
+	}
+	return out
+}
+
+func suspectsFromWire(list []*peerpb.Suspect) []suspect.Blame {
+	var out []suspect.Blame
+	for _, p := range list {
+		out = append(out, suspect.Blame{Fingerprint: fleet.Fingerprint(p.GetFingerprint()), Value: p.GetBlame()})
+	}
+	return out
+}
+
+func fleetToWire(f Fleet) *peerpb.FleetReply {
+	out := &peerpb.FleetReply{
+		Entry: string(f.Entry), Revision: uint64(f.Revision), Refused: f.Refused, RefusedRevision: uint64(f.RefusedRevision),
+	}
+	for _, m := range f.Members {
+		out.Members = append(out.Members, &peerpb.FleetMember{Report: reportToWire(m.Report), AgeMs: m.Age.Milliseconds()})
+	}
+	for _, e := range f.Entries {
+		out.Entries = append(out.Entries, &peerpb.EntryState{
+			Instance: string(e.Instance), Address: e.Address, Revision: uint64(e.Revision),
+			AgeMs: e.Age.Milliseconds(), Problem: e.Problem,
+		})
+	}
+	return out
+}
+
+func fleetFromWire(p *peerpb.FleetReply) Fleet {
+	f := Fleet{
+		Entry: fleet.InstanceID(p.GetEntry()), Revision: fleet.Revision(p.GetRevision()),
+		Refused: p.GetRefused(), RefusedRevision: fleet.Revision(p.GetRefusedRevision()),
+	}
+	for _, m := range p.GetMembers() {
+		f.Members = append(f.Members, FleetMember{
+			Report: reportFromWire(m.GetReport()), Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	for _, e := range p.GetEntries() {
+		f.Entries = append(f.Entries, EntryState{
+			Instance: fleet.InstanceID(e.GetInstance()), Address: e.GetAddress(), Revision: fleet.Revision(e.GetRevision()),
+			Age: time.Duration(e.GetAgeMs()) * time.Millisecond, Problem: e.GetProblem(),
+		})
+	}
+	return f
+}
+
+func heldToWire(h Held) *peerpb.ChunksHeld {
+	out := &peerpb.ChunksHeld{Bitmap: h.Bitmap, Gone: h.Gone}
+	for _, c := range h.Added {
+		out.Added = append(out.Added, uint32(c))
+	}
+	return out
+}
+
+func heldFromWire(p *peerpb.ChunksHeld) Held {
+	h := Held{Gone: p.GetGone()}
+	if len(p.GetBitmap()) > 0 {
+		h.Bitmap = swarm.Bitmap(p.GetBitmap())
+	}
+	for _, c := range p.GetAdded() {
+		h.Added = append(h.Added, int(c))
+	}
+	return h
+}
+
+func millis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func fromMillis(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,215 @@
+package peer
+
+import (
+	"context"
+	"errors"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/member"
+	"amaranthturn/core/spread"
+	"amaranthturn/io/peer/peerpb"
+)
+
+// Session is an agent's stream as the entry sees it.
+type Session interface {
+	// Heard takes a heartbeat.
+	Heard(r member.Report)
+	// Notices returns what is to be sent to the agent; it is closed when the
+	// entry ends the session.
+	Notices() <-chan Notice
+	// Close is called when the stream has ended.
+	Close()
+}
+
+// EntryHandler does the work of an entry daemon.
+type EntryHandler interface {
+	Attach(first member.Report) (Session, error)
+	Sync(m SyncMessage) SyncMessage
+	Document(have fleet.Revision, whole bool) (spread.Update, bool)
+	Fleet(ctx context.Context, forward bool) Fleet
+	Relay(ctx context.Context, r GenerateRequest, send func(Event) error) error
+}
+
+// AgentHandler does the work of an agent.
+type AgentHandler interface {
+	Generate(ctx context.Context, r GenerateRequest, send func(Event) error) error
+	Call(ctx context.Context, c Call) Reply
+	RunOrder(ctx context.Context, ticket string, c Call) (fleet.Outcome, Reply)
+	StopOrder(ctx context.Context, ticket string) (fleet.Outcome, Reply)
+	WatchChunks(ctx context.Context, v fleet.Version, send func(Held) error) error
+	Chunk(ctx context.Context, c ChunkRef) ([]byte, error)
+	Manifest(v fleet.Version) ([]byte, bool)
+}
+
+// RegisterEntry serves h on s.
+func RegisterEntry(s *grpc.Server, h EntryHandler) {
+	peerpb.RegisterEntryServer(s, &entryServer{h: h})
+}
+
+// RegisterAgent serves h on s.
+func RegisterAgent(s *grpc.Server, h AgentHandler) {
+	peerpb.RegisterAgentServer(s, &agentServer{h: h})
+}
+
+type entryServer struct {
+	peerpb.UnimplementedEntryServer
+	h EntryHandler
+}
+
+// Attach implements the stream of an agent: heartbeats in, notices out.
+func (s *entryServer) Attach(st grpc.BidiStreamingServer[peerpb.AgentReport, peerpb.AgentNotice]) error {
+	first, err := st.Recv()
+	if err != nil {
+		return err
+	}
+	last := reportFromWire(first)
+	session, err := s.h.Attach(last)
+	if err != nil {
+		return status.Error(codes.FailedPrecondition, err.Error())
+	}
+	w := &noticeWriter{stream: st, notices: session.Notices()}
+	go w.run()
+	defer session.Close()
+	for {
+		p, err := st.Recv()
+		if err != nil {
+			return err
+		}
+		if p.GetSame() {
+			last = applyBrief(last, p)
+		} else {
+			last = reportFromWire(p)
+		}
+		session.Heard(last)
+	}
+}
+
+type noticeWriter struct {
+	stream  grpc.BidiStreamingServer[peerpb.AgentReport, peerpb.AgentNotice]
+	notices <-chan Notice
+}
+
+// run sends notices until the session or the stream ends.
+func (w *noticeWriter) run() {
+	for {
+		select {
+		case <-w.stream.Context().Done():
+			return
+		case n, ok := <-w.notices:
+			if !ok || w.stream.Send(noticeToWire(n)) != nil {
+				return
+			}
+		}
+	}
+}
+
+// Sync implements peerpb.EntryServer.
+func (s *entryServer) Sync(_ context.Context, p *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
+	r := s.h.Sync(syncFromWire(p))
+	out := &peerpb.SyncReply{
+		Revision: uint64(r.Revision), Digest: string(r.Digest),
+		PlatformAgeMs: r.PlatformAge.Milliseconds(), Suspects: suspectsToWire(r.Suspects),
+	}
+	if r.Update != nil {
+		out.Document = updateToWire(*r.Update)
+	}
+	return out, nil
+}
+
+// FetchDocument implements peerpb.EntryServer.
+func (s *entryServer) FetchDocument(_ context.Context, p *peerpb.FetchDocumentRequest) (*peerpb.Document, error) {
+	u, ok := s.h.Document(fleet.Revision(p.GetHaveRevision()), p.GetWhole())
+	if !ok {
+		return nil, status.Error(codes.NotFound, "nothing newer")
+	}
+	return updateToWire(u), nil
+}
+
+// Fleet implements peerpb.EntryServer.
+func (s *entryServer) Fleet(ctx context.Context, p *peerpb.FleetRequest) (*peerpb.FleetReply, error) {
+	return fleetToWire(s.h.Fleet(ctx, p.GetForward())), nil
+}
+
+// Relay implements peerpb.EntryServer.
+func (s *entryServer) Relay(p *peerpb.GenerateRequest, st grpc.ServerStreamingServer[peerpb.GenerateEvent]) error {
+	return s.h.Relay(st.Context(), generateFromWire(p), sender(st))
+}
+
+type agentServer struct {
+	peerpb.UnimplementedAgentServer
+	h AgentHandler
+}
+
+// Generate implements peerpb.AgentServer.
+func (s *agentServer) Generate(p *peerpb.GenerateRequest, st grpc.ServerStreamingServer[peerpb.GenerateEvent]) error {
+	return s.h.Generate(st.Context(), generateFromWire(p), sender(st))
+}
+
+func sender(st grpc.ServerStreamingServer[peerpb.GenerateEvent]) func(Event) error {
+	return func(e Event) error { return st.Send(eventToWire(e)) }
+}
+
+// Call implements peerpb.AgentServer.
+func (s *agentServer) Call(ctx context.Context, p *peerpb.CallRequest) (*peerpb.CallReply, error) {
+	return replyToWire(s.h.Call(ctx, callFromWire(p))), nil
+}
+
+// RunOrder implements peerpb.AgentServer.
+func (s *agentServer) RunOrder(ctx context.Context, p *peerpb.OrderRequest) (*peerpb.OrderReply, error) {
+	return orderToWire(s.h.RunOrder(ctx, p.GetTicket(), callFromWire(p.GetCall()))), nil
+}
+
+// StopOrder implements peerpb.AgentServer.
+func (s *agentServer) StopOrder(ctx context.Context, p *peerpb.StopOrderRequest) (*peerpb.OrderReply, error) {
+	return orderToWire(s.h.StopOrder(ctx, p.GetTicket())), nil
+}
+
+func orderToWire(o fleet.Outcome, r Reply) *peerpb.OrderReply {
+	return &peerpb.OrderReply{Outcome: int32(o), Reply: replyToWire(r)}
+}
+
+// WatchChunks implements peerpb.AgentServer.
+func (s *agentServer) WatchChunks(p *peerpb.WatchChunksRequest, st grpc.ServerStreamingServer[peerpb.ChunksHeld]) error {
+	return s.h.WatchChunks(st.Context(), fleet.Version(p.GetVersion()), func(h Held) error {
+		return st.Send(heldToWire(h))
+	})
+}
+
+// partBytes is the size of one message of a chunk, which bounds how long a live
+// request waits behind it on a shared connection.
+const partBytes = 32 << 10
+
+// FetchChunk implements peerpb.AgentServer.
+func (s *agentServer) FetchChunk(p *peerpb.FetchChunkRequest, st grpc.ServerStreamingServer[peerpb.ChunkPart]) error {
+	data, err := s.h.Chunk(st.Context(), ChunkRef{
+		Version: fleet.Version(p.GetVersion()), Index: int(p.GetIndex()),
+		Digest: fleet.Digest(p.GetDigest()), By: fleet.InstanceID(p.GetInstance()),
+	})
+	switch {
+	case errors.Is(err, ErrBusy):
+		return st.Send(&peerpb.ChunkPart{Busy: true})
+	case err != nil:
+		return status.Error(codes.NotFound, err.Error())
+	}
+	for len(data) > 0 {
+		n := min(partBytes, len(data))
+		if err := st.Send(&peerpb.ChunkPart{Data: data[:n]}); err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
+}
+
+// FetchManifest implements peerpb.AgentServer.
+func (s *agentServer) FetchManifest(_ context.Context, p *peerpb.FetchManifestRequest) (*peerpb.ManifestReply, error) {
+	body, ok := s.h.Manifest(fleet.Version(p.GetVersion()))
+	if !ok {
+		return nil, status.Error(codes.NotFound, "manifest is not held")
+	}
+	return &peerpb.ManifestReply{Body: body}, nil
+}
--- /dev/null
+++ b/io/platform/platform.go
@@ -0,0 +1,182 @@
+// Package platform reads the platform's configuration service and instance list.
+// The platform can only be read.
+//
+// # Usage
+//
+//	c := platform.NewClient("http://127.0.0.1:8500", http.DefaultClient)
+//	cfg, err := c.Config(ctx, after, 20*time.Second)
+//	if errors.Is(err, platform.ErrUnchanged) {
+//		// nothing newer than after within the wait
+//	}
+//
+// # Protocol
+//
+// GET /v1/config?after=REVISION&wait_ms=N answers the document with the header
+// X-Revision, or 304 when nothing newer came within the wait. GET /v1/instances
+// answers JSON in the same way. Bodies are compressed by the transport.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"amaranthturn/core/config"
+	"amaranthturn/core/fleet"
+)
+
+// RevisionHeader carries the revision of an answer.
+const RevisionHeader = "X-Revision"
+
+// maxListBytes bounds the instance list.
+const maxListBytes = 4 << 20
+
+// requestSlack is how much longer than a watch a request may take.
+const requestSlack = 3 * time.Second
+
+// ErrUnchanged reports that nothing newer was published within the wait.
+var ErrUnchanged = errors.New("unchanged")
+
+// UnreachableError reports that the platform did not answer usefully.
+type UnreachableError struct {
+	URL    string
+	Status int // 0 when there was no answer
+	Cause  error
+}
+
+// Error implements error.
+func (e *UnreachableError) Error() string {
+	if e.Status != 0 {
+		return fmt.Sprintf("platform %s answered status %d", e.URL, e.Status)
+	}
+	return fmt.Sprintf("platform %s: %v", e.URL, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// Config is a document as published.
+type Config struct {
+	Revision fleet.Revision
+	Body     []byte
+}
+
+// List is the instance list as published.
+type List struct {
+	Revision  fleet.Revision
+	Instances []fleet.Instance
+}
+
+// InstanceRow is the wire form of an instance.
+type InstanceRow struct {
+	ID      string `json:"id"`
+	Role    string `json:"role"`
+	Region  string `json:"region"`
+	Zone    string `json:"availability_zone"`
+	Pool    string `json:"pool,omitempty"`
+	Address string `json:"address"`
+	Caller  string `json:"caller_address,omitempty"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// Client reads the platform.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the platform at base.
+func NewClient(base string, h *http.Client) *Client {
+	return &Client{base: base, http: h}
+}
+
+// Config returns the document when it is newer than after, waiting for one up to
+// wait. Errors: ErrUnchanged, *UnreachableError.
+func (c *Client) Config(ctx context.Context, after fleet.Revision, wait time.Duration) (Config, error) {
+	rev, body, err := c.get(ctx, "/v1/config", after, wait, config.MaxDocumentBytes+1)
+	if err != nil {
+		return Config{}, err
+	}
+	return Config{Revision: rev, Body: body}, nil
+}
+
+// Instances returns the list when it is newer than after, waiting for one up to
+// wait. Errors: ErrUnchanged, *UnreachableError.
+func (c *Client) Instances(ctx context.Context, after fleet.Revision, wait time.Duration) (List, error) {
+	rev, body, err := c.get(ctx, "/v1/instances", after, wait, maxListBytes)
+	if err != nil {
+		return List{}, err
+	}
+	var rows []InstanceRow
+	if err := json.Unmarshal(body, &rows); err != nil {
+		return List{}, &UnreachableError{URL: c.base, Cause: eris.Wrap(err, "instance list")}
+	}
+	list := List{Revision: rev}
+	for _, r := range rows {
+		in, err := r.Instance()
+		if err != nil {
+			return List{}, &UnreachableError{URL: c.base, Cause: err}
+		}
+		list.Instances = append(list.Instances, in)
+	}
+	return list, nil
+}
+
+// Instance converts the wire form.
+func (r InstanceRow) Instance() (fleet.Instance, error) {
+	role, ok := fleet.ParseRole(r.Role)
+	if !ok {
+		return fleet.Instance{}, eris.Errorf("instance %q has the unknown role %q", r.ID, r.Role)
+	}
+	return fleet.Instance{
+		ID: fleet.InstanceID(r.ID), Role: role, Region: fleet.Region(r.Region), Zone: fleet.Zone(r.Zone),
+		Pool: fleet.Pool(r.Pool), Address: r.Address, Caller: r.Caller, Leaving: r.Leaving,
+	}, nil
+}
+
+// RowOf returns the wire form of an instance.
+func RowOf(in fleet.Instance) InstanceRow {
+	return InstanceRow{
+		ID: string(in.ID), Role: in.Role.String(), Region: string(in.Region), Zone: string(in.Zone),
+		Pool: string(in.Pool), Address: in.Address, Caller: in.Caller, Leaving: in.Leaving,
+	}
+}
+
+func (c *Client) get(ctx context.Context, path string, after fleet.Revision, wait time.Duration, limit int64) (fleet.Revision, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+requestSlack)
+	defer cancel()
+	q := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path+"?"+q.Encode(), nil)
+	if err != nil {
+		return 0, nil, &UnreachableError{URL: c.base, Cause: err}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, &UnreachableError{URL: c.base, Cause: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return 0, nil, ErrUnchanged
+	default:
+		return 0, nil, &UnreachableError{URL: c.base, Status: resp.StatusCode}
+	}
+	rev, err := strconv.ParseUint(resp.Header.Get(RevisionHeader), 10, 64)
+	if err != nil {
+		return 0, nil, &UnreachableError{URL: c.base, Cause: eris.Wrap(err, RevisionHeader)}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	if err != nil {
+		return 0, nil, &UnreachableError{URL: c.base, Cause: err}
+	}
+	return fleet.Revision(rev), body, nil
+}
--- /dev/null
+++ b/standin/authority/authority.go
@@ -0,0 +1,65 @@
+// Package authority makes a certificate authority in memory for mutual TLS in the
+// local mode.
+//
+// # Usage
+//
+//	cfg, err := authority.NewTLS()
+package authority
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"time"
+
+	"amaranthturn/app/node"
+)
+
+// life is how long the certificates hold.
+const life = 24 * time.Hour
+
+// NewTLS returns the mutual TLS configuration of a fleet with a new authority.
+func NewTLS() (*tls.Config, error) {
+	caKey, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	ca := template(1)
+	ca.IsCA = true
+	ca.BasicConstraintsValid = true
+	ca.KeyUsage = x509.KeyUsageCertSign
+	caDER, err := x509.CreateCertificate(rand.Reader, ca, ca, &caKey.PublicKey, caKey)
+	if err != nil {
+		return nil, err
+	}
+	caCert, err := x509.ParseCertificate(caDER)
+	if err != nil {
+		return nil, err
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	leaf := template(2)
+	leaf.DNSNames = []string{node.ServerName}
+	leaf.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, leaf, caCert, &key.PublicKey, caKey)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(caCert)
+	return node.MutualTLS(tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool), nil
+}
+
+func template(serial int64) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: node.ServerName},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(life),
+		KeyUsage: x509.KeyUsageDigitalSignature,
+	}
+}
