Weights: plan against the links' limit, pace by the wait on the link

Change: shared links have few fetches in flight per member and deadlines that double; the next in order watches the first; peers that failed do not count in the order; the pacer compares the wait on the link with a share of the first token's delay.

--- a/app/agent/depot.go
+++ b/app/agent/depot.go
@@ -299,7 +299,7 @@
 
 // Chunk implements peer.AgentHandler: it hands a verified chunk on, at the pace
 // that live requests leave.
-func (a *Agent) Chunk(ctx context.Context, ref peer.ChunkRef) ([]byte, error) {
+func (a *Agent) Chunk(ctx context.Context, ref peer.ChunkRef, send func([]byte) error) error {
 	d := a.depot
 	wait := time.NewTimer(slotWait)
 	defer wait.Stop()
@@ -307,21 +307,28 @@
 	case d.slots <- struct{}{}:
 		defer func() { <-d.slots }()
 	case <-wait.C:
-		return nil, peer.ErrBusy
+		return peer.ErrBusy
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 	d.mu.Lock()
 	c, ok := d.chunks[ref.Digest]
 	d.mu.Unlock()
 	if !ok {
-		return nil, peer.ErrMissing
-	}
-	if err := a.pace.wait(ctx, len(c.data)); err != nil {
-		return nil, err
+		return peer.ErrMissing
 	}
 	a.opt.Metrics.Count("weight_bytes_sent", int64(len(c.data)))
-	return c.data, nil
+	for rest := c.data; len(rest) > 0; {
+		n := min(peer.PartBytes, len(rest))
+		if err := a.pace.wait(ctx, n); err != nil {
+			return err
+		}
+		if err := send(rest[:n]); err != nil {
+			return err
+		}
+		rest = rest[n:]
+	}
+	return nil
 }
 
 // WatchChunks implements peer.AgentHandler.
--- a/app/agent/gate.go
+++ b/app/agent/gate.go
@@ -173,6 +173,10 @@
 
 func (g *generation) token(t engine.Token) error {
 	g.tokens++
+	if g.tokens == 1 {
+		now := g.a.now()
+		g.a.pace.live(now.Sub(g.began), now)
+	}
 	g.sendErr = g.send(peer.Event{
 		Version: g.x.version, Index: t.Index, Token: t.Text, Done: t.Done, Finish: t.Finish, CanResume: g.a.driver.canResume(),
 	})
--- a/app/agent/pacing.go
+++ b/app/agent/pacing.go
@@ -9,11 +9,9 @@
 
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/pace"
+	"amaranthturn/io/peer"
 )
 
-// minBurst lets one part of a chunk pass at once.
-const minBurst = 256 << 10
-
 // pacing applies the pace of weight traffic to what this instance sends. The
 // signal is the time that a heartbeat takes to the entry and back over the same
 // link that live requests use.
@@ -23,29 +21,29 @@
 	limiter *rate.Limiter
 }
 
+// burstTime is how much may be sent at once, as time on the link.
+const burstTime = 20 * time.Millisecond
+
 func newPacing(link fleet.Bytes) *pacing {
-	return &pacing{
-		pacer:   pace.New(pace.DefaultSettings(link)),
-		limiter: rate.NewLimiter(rate.Limit(link), int(max(minBurst, link/8))),
-	}
+	set := pace.DefaultSettings(link)
+	burst := max(peer.PartBytes, int(float64(link)*burstTime.Seconds()))
+	return &pacing{pacer: pace.New(set), limiter: rate.NewLimiter(rate.Limit(set.Full), burst)}
 }
 
 // probe takes the time of one heartbeat to an entry and back.
 func (p *pacing) probe(d time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pacer.Observe(d, now)
-	p.limiter.SetLimitAt(now, rate.Limit(p.pacer.Rate(now)))
+	p.pacer.Probe(d, now)
+	p.limiter.SetLimit(rate.Limit(p.pacer.Rate(now)))
 }
 
-// wait returns when n more bytes may be sent.
-func (p *pacing) wait(ctx context.Context, n int) error {
-	for n > 0 {
-		step := min(n, p.limiter.Burst())
-		if err := p.limiter.WaitN(ctx, step); err != nil {
-			return err
-		}
-		n -= step
-	}
-	return nil
+// live takes the delay of the first token of a live request.
+func (p *pacing) live(d time.Duration, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pacer.Live(d, now)
 }
+
+// wait returns when n more bytes may be sent; n is at most peer.PartBytes.
+func (p *pacing) wait(ctx context.Context, n int) error { return p.limiter.WaitN(ctx, n) }
--- a/app/settings/settings.go
+++ b/app/settings/settings.go
@@ -132,7 +132,7 @@
 	DefaultConcurrency = 64
 	DefaultMemoryBytes = 4 << 30
 	DefaultLinkBytes   = 1 << 30
-	DefaultUploadSlots = 16
+	DefaultUploadSlots = 6
 	DefaultOrderLife   = 5
 )
 
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -3,12 +3,14 @@
 // # Usage
 //
 //	p := pace.New(pace.DefaultSettings(linkRate))
-//	p.Observe(firstTokenDelay, now)
+//	p.Live(firstTokenDelay, now) // a live request got its first token
+//	p.Probe(roundTrip, now)      // a heartbeat crossed the link and came back
 //	limiter.SetLimit(p.Rate(now))
 //
-// The rate falls by a factor when the delay of live requests rises above its
-// baseline, and rises steadily while it does not, as TCP shares a link. Without
-// live requests it returns to the full rate.
+// The probes show how long small messages wait on the link behind weights. While
+// live requests are served, that wait may be a set share of their first token's
+// delay. The rate falls by a factor when it is more, and rises steadily while it is
+// not, as TCP shares a link. Without live requests the rate is full.
 package pace
 
 import (
@@ -22,8 +24,10 @@
 type Settings struct {
 	Full  fleet.Bytes // bytes a second without live requests
 	Floor fleet.Bytes // bytes a second that distribution always keeps
-	// Tolerance is the allowed rise of the delay over its baseline.
-	Tolerance float64
+	// Share of the first token's delay that the wait on the link may take.
+	Share float64
+	// MinWait is always allowed; shorter waits cannot be told from noise.
+	MinWait time.Duration
 	// Decrease is the factor after a rise, at most once a Window.
 	Decrease float64
 	Window   time.Duration
@@ -33,23 +37,29 @@
 	Quiet time.Duration
 }
 
+// headroom keeps weight traffic under the link's rate, so that it does not build a
+// queue of its own.
+const headroom = 0.97
+
 // DefaultSettings suit a link of the given rate in bytes a second.
-func DefaultSettings(full fleet.Bytes) Settings {
+func DefaultSettings(link fleet.Bytes) Settings {
+	full := fleet.Bytes(headroom * float64(link))
 	return Settings{
-		Full: full, Floor: full / 8, Tolerance: 1.10, Decrease: 0.7,
-		Window: 250 * time.Millisecond, Recover: 4 * time.Second, Quiet: 2 * time.Second,
+		Full: full, Floor: full / 4, Share: 0.10, MinWait: 4 * time.Millisecond, Decrease: 0.85,
+		Window: 250 * time.Millisecond, Recover: 3 * time.Second, Quiet: 2 * time.Second,
 	}
 }
 
 // Pacer computes the rate of weight traffic. It is not safe for concurrent use.
 type Pacer struct {
-	set      Settings
-	rate     float64
-	at       time.Time
-	lastCut  time.Time
-	lastLive time.Time
-	baseline time.Duration
-	recent   time.Duration
+	set        Settings
+	rate       float64
+	at         time.Time
+	lastCut    time.Time
+	lastLive   time.Time
+	firstToken time.Duration // usual delay of live requests
+	baseline   time.Duration // least round trip
+	recent     time.Duration // usual round trip now
 }
 
 // New returns a pacer at the full rate.
@@ -57,30 +67,21 @@
 	return &Pacer{set: set, rate: float64(set.Full)}
 }
 
-// Idle takes the delay of a live request while no weights move, which sets the
-// baseline.
-func (p *Pacer) Idle(delay time.Duration) {
-	if p.baseline == 0 {
-		p.baseline = delay
-		return
-	}
-	p.baseline += (delay - p.baseline) / 16
+// Live takes the delay of the first token of a live request.
+func (p *Pacer) Live(firstToken time.Duration, now time.Time) {
+	p.advance(now)
+	p.lastLive = now
+	p.firstToken = smooth(p.firstToken, firstToken, 16)
 }
 
-// Observe takes the delay of a live request while weights move.
-func (p *Pacer) Observe(delay time.Duration, now time.Time) {
+// Probe takes the round trip of a small message over the link.
+func (p *Pacer) Probe(roundTrip time.Duration, now time.Time) {
 	p.advance(now)
-	p.lastLive = now
-	if p.baseline == 0 {
-		p.baseline, p.recent = delay, delay
-		return
+	if p.baseline == 0 || roundTrip < p.baseline {
+		p.baseline = roundTrip
 	}
-	if p.recent == 0 {
-		p.recent = delay
-	}
-	p.recent += (delay - p.recent) / 4
-	p.baseline = min(p.baseline, delay+delay/4)
-	if float64(p.recent) <= p.set.Tolerance*float64(p.baseline) {
+	p.recent = smooth(p.recent, roundTrip, 4)
+	if now.Sub(p.lastLive) > p.set.Quiet || p.wait() <= p.allowed() {
 		return
 	}
 	if now.Sub(p.lastCut) >= p.set.Window {
@@ -89,6 +90,20 @@
 	}
 }
 
+// wait returns how long a message waits on the link, one way.
+func (p *Pacer) wait() time.Duration { return (p.recent - p.baseline) / 2 }
+
+func (p *Pacer) allowed() time.Duration {
+	return max(p.set.MinWait, time.Duration(p.set.Share*float64(p.firstToken)))
+}
+
+func smooth(old, sample time.Duration, weight time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + (sample-old)/weight
+}
+
 // Rate returns the bytes a second that weight traffic may use now.
 func (p *Pacer) Rate(now time.Time) fleet.Bytes {
 	p.advance(now)
--- a/core/swarm/planner.go
+++ b/core/swarm/planner.go
@@ -80,7 +80,7 @@
 	// MaxOriginCopies bounds the copies that the fleet plans to pull.
 	MaxOriginCopies float64
 	PeerFetches     int // chunks in flight from peers of the region
-	RemoteFetches   int // chunks in flight from other regions
+	RemoteFetches   int // chunks in flight from each other region
 	OriginFetches   int // chunks in flight from the origin
 	PerPeer         int // chunks in flight from one peer
 	Neighbours      int // peers watched in the region
@@ -110,7 +110,11 @@
 	corruptLimit   = 2                // corrupt chunks until a peer is banned
 	endgameChunks  = 16               // missing chunks from which a second peer is asked
 	endgameFactor  = 2                // usual times until a second peer is asked
+	sharedPatience = 6                // first timeouts that a fetch over a shared link is given
+	sharedFlights  = 32               // chunks that all members together have in flight over one
 	originBackoff  = 500 * time.Millisecond
+	maxFirst       = 8 // members watched only because this one is next to them
+	patience       = 4 // takeovers' waits that a member that gets on is given
 	originAttempts = 3 // corrupt answers of the origin until it is reported
 )
 
@@ -134,6 +138,7 @@
 
 type flight struct {
 	Fetch
+	region   fleet.Region // of a remote peer
 	started  time.Time
 	deadline time.Time
 }
@@ -149,31 +154,50 @@
 	failures int
 	corrupt  int
 	banned   bool
+	gained   time.Time // when it last got a chunk
+	useless  bool      // holds nothing that is missing here, during one choice
 }
 
 // Planner plans one version on one instance. It is not safe for concurrent use.
 type Planner struct {
-	set      Settings
-	manifest *Manifest
-	random   *rand.Rand
-	held     Bitmap
-	missing  int
-	seen     Bitmap // chunks held here or by a peer of the region
-	avail    []uint16
-	members  []Member
-	place    []placement
-	peers    map[fleet.InstanceID]*peer
-	sorted   []*peer // by id, so that the plan does not depend on map order
-	failed   map[fleet.InstanceID]time.Time
-	flights  []flight
-	counts   [3]int
-	progress time.Time     // when a chunk was last new in the region
-	gap      time.Duration // usual time between new chunks
-	started  time.Time
-	usual    time.Duration
-	originAt time.Time // not before
-	originNo int       // failures in a row
-	corrupt  map[int]int
+	set        Settings
+	manifest   *Manifest
+	random     *rand.Rand
+	held       Bitmap
+	missing    int
+	seen       Bitmap // chunks held here or by a peer of the region
+	avail      []uint16
+	neighbours int // other members of the region
+	members    []Member
+	place      []placement
+	peers      map[fleet.InstanceID]*peer
+	sorted     []*peer // by id, so that the plan does not depend on map order
+	failed     map[fleet.InstanceID]outage
+	wanted     []fleet.InstanceID
+	wantedAt   time.Time // until when wanted holds, zero when it must be made anew
+	flights    []flight
+	flying     []uint8 // fetches in flight, by chunk
+	counts     [3]int
+	remote     map[fleet.Region]int // chunks in flight from other regions
+	progress   time.Time            // when a chunk was last new in the region
+	gap        time.Duration        // usual time between new chunks
+	pipes      [3]pipe              // by kind of source
+	originAt   time.Time            // not before
+	originNo   int                  // failures in a row
+	corrupt    map[int]int
+}
+
+// pipe is what is known of the time that a chunk takes from a kind of source.
+type pipe struct {
+	usual time.Duration
+	first time.Duration // deadline before any chunk came
+}
+
+// outage is a peer whose connection failed. It does not count in the order of
+// members until it is watched again.
+type outage struct {
+	until time.Time
+	tries int
 }
 
 // placement is where a chunk comes from for this region.
@@ -181,6 +205,8 @@
 	rank       int16 // of this instance among the region's members
 	fromOrigin bool
 	previous   fleet.Region
+	// first is the member of rank 0 where this instance is next in order.
+	first fleet.InstanceID
 }
 
 // NewPlanner returns a planner that holds no chunk.
@@ -189,12 +215,14 @@
 	p := &Planner{
 		set: set, manifest: m, random: random,
 		held: NewBitmap(n), seen: NewBitmap(n), missing: n,
-		avail: make([]uint16, n), place: make([]placement, n),
+		avail: make([]uint16, n), place: make([]placement, n), flying: make([]uint8, n),
 		peers:   map[fleet.InstanceID]*peer{},
-		failed:  map[fleet.InstanceID]time.Time{},
-		corrupt: map[int]int{},
-		started: now, progress: now,
+		failed:  map[fleet.InstanceID]outage{},
+		corrupt: map[int]int{}, remote: map[fleet.Region]int{},
+		progress: now,
 	}
+	shared := sharedPatience * set.FirstTimeout
+	p.pipes = [3]pipe{SourcePeer: {first: set.FirstTimeout}, SourceRemote: {first: shared}, SourceOrigin: {first: shared}}
 	p.SetMembers(nil, now)
 	return p
 }
@@ -216,29 +244,41 @@
 
 // rankChunks computes the placement of every chunk from the member list.
 func (p *Planner) rankChunks() {
+	p.wantedAt = time.Time{}
 	regions := p.regionOrder()
-	hashes := make([]uint64, 0, len(p.members))
+	var others []rival
 	for _, m := range p.members {
-		if m.Region == p.set.Region && m.ID != p.set.Self {
-			hashes = append(hashes, rank.Hash(string(m.ID)))
+		if _, out := p.failed[m.ID]; m.Region == p.set.Region && m.ID != p.set.Self && !out {
+			others = append(others, rival{m.ID, rank.Hash(string(m.ID))})
 		}
 	}
+	p.neighbours = len(others)
 	self := rank.Hash(string(p.set.Self))
 	direct := p.directRegions(len(regions))
 	for c := range p.place {
 		key := rank.Hash(string(p.manifest.Chunks[c].Digest))
-		p.place[c] = p.placeChunk(key, self, hashes, regions, direct)
+		p.place[c] = p.placeChunk(key, self, others, regions, direct)
 	}
 }
 
-func (p *Planner) placeChunk(key, self uint64, others []uint64, regions []fleet.Region, direct int) placement {
+// rival is another member of the region.
+type rival struct {
+	id   fleet.InstanceID
+	hash uint64
+}
+
+func (p *Planner) placeChunk(key, self uint64, others []rival, regions []fleet.Region, direct int) placement {
 	mine := rank.ScoreNumber(key, self)
 	out := placement{}
-	for _, h := range others {
-		if rank.ScoreNumber(key, h) > mine {
+	for _, o := range others {
+		if rank.ScoreNumber(key, o.hash) > mine {
 			out.rank++
+			out.first = o.id
 		}
 	}
+	if out.rank != 1 {
+		out.first = ""
+	}
 	order := chunkRegions(key, regions, direct)
 	i := slices.Index(order, p.set.Region)
 	out.fromOrigin = i < direct
@@ -299,25 +339,56 @@
 	return order
 }
 
+// farFuture is later than any time that a planner sees.
+const farFuture = 100 * 365 * 24 * time.Hour
+
 // Wanted returns the peers that this instance should watch. It is stable while
 // the members do not change and no peer fails.
 func (p *Planner) Wanted(now time.Time) []fleet.InstanceID {
+	if now.Before(p.wantedAt) {
+		return p.wanted
+	}
+	p.wantedAt = now.Add(farFuture)
 	byRegion := map[fleet.Region][]fleet.InstanceID{}
 	for _, m := range p.members {
-		if m.ID == p.set.Self || now.Before(p.failed[m.ID]) {
+		if m.ID == p.set.Self {
+			continue
+		}
+		if o, out := p.failed[m.ID]; out && now.Before(o.until) {
+			if o.until.Before(p.wantedAt) {
+				p.wantedAt = o.until
+			}
 			continue
 		}
 		byRegion[m.Region] = append(byRegion[m.Region], m.ID)
 	}
-	var out []fleet.InstanceID
+	p.wanted = nil
 	for _, r := range p.regionOrder() {
 		n := p.set.RemotePerRegion
 		if r == p.set.Region {
 			n = p.set.Neighbours
 		}
-		out = append(out, rank.Top(string(p.set.Self), byRegion[r], n)...)
+		p.wanted = append(p.wanted, rank.Top(string(p.set.Self), byRegion[r], n)...)
+	}
+	p.wantFirst()
+	return p.wanted
+}
+
+// wantFirst adds the members that this instance is next in order to, so that it
+// sees whether they get on before it takes over. Early chunks come first; the
+// number is bounded.
+func (p *Planner) wantFirst() {
+	added := 0
+	for _, pl := range p.place {
+		if pl.first == "" || slices.Contains(p.wanted, pl.first) {
+			continue
+		}
+		p.wanted = append(p.wanted, pl.first)
+		added++
+		if added == maxFirst {
+			return
+		}
 	}
-	return out
 }
 
 // PeerHas replaces what a peer holds.
@@ -326,6 +397,10 @@
 	if q == nil {
 		return
 	}
+	if _, out := p.failed[id]; out {
+		delete(p.failed, id)
+		p.rankChunks()
+	}
 	for c := range p.place {
 		p.mark(q, c, has.Has(c), now)
 	}
@@ -341,7 +416,14 @@
 // PeerGone drops a peer whose connection failed. It is wanted again after a
 // pause.
 func (p *Planner) PeerGone(id fleet.InstanceID, now time.Time) {
-	p.failed[id] = now.Add(peerPenalty)
+	o, again := p.failed[id]
+	o.tries++
+	o.until = now.Add(min(peerPenalty<<min(o.tries-1, 8), maxPenalty))
+	p.failed[id] = o
+	p.wantedAt = time.Time{}
+	if !again {
+		p.rankChunks()
+	}
 	if q, ok := p.peers[id]; ok {
 		p.dropPeer(q)
 	}
@@ -395,6 +477,7 @@
 		return
 	}
 	q.has.Set(c)
+	q.gained = now
 	if q.local {
 		p.avail[c]++
 		p.see(c, now)
@@ -408,12 +491,13 @@
 	}
 	p.seen.Set(c)
 	gap := now.Sub(p.progress)
+	level := p.takeover(now)
 	p.progress = now
-	if p.gap == 0 {
-		p.gap = gap
+	if level > 0 {
+		// What a takeover brought says nothing about the usual rate.
 		return
 	}
-	p.gap += (gap - p.gap) / 8
+	p.gap = average(p.gap, gap)
 }
 
 // Hold records a chunk that is held already, for example one that an older
@@ -446,7 +530,8 @@
 }
 
 func (p *Planner) learn(s Source, took time.Duration) {
-	p.usual = average(p.usual, took)
+	pipe := &p.pipes[s.Kind]
+	pipe.usual = average(pipe.usual, took)
 	if s.Kind == SourceOrigin {
 		p.originNo = 0
 		return
@@ -473,6 +558,11 @@
 	if why == CauseCanceled {
 		return
 	}
+	if why == CauseStalled && f.Source.Kind != SourcePeer {
+		// Links that are shared by many have a queue: waiting in it is usual.
+		p.pipes[f.Source.Kind].usual *= 2
+		p.pipes[f.Source.Kind].first *= 2
+	}
 	if f.Source.Kind == SourceOrigin {
 		p.originFailed(f, why, retryAfter, now)
 		return
@@ -498,7 +588,7 @@
 		p.mark(q, chunk, false, now)
 		return
 	case CauseBusy:
-		q.notUntil = now.Add(p.usual / 2)
+		q.notUntil = now.Add(p.pipes[SourcePeer].usual / 2)
 		return
 	case CauseCorrupt:
 		q.corrupt++
@@ -536,11 +626,8 @@
 	level := p.takeover(now)
 	start := p.random.IntN(len(p.place))
 	for i := range p.place {
-		if p.counts[SourceOrigin] >= p.set.OriginFetches && p.counts[SourceRemote] >= p.set.RemoteFetches {
-			return out
-		}
 		c := (start + i) % len(p.place)
-		if p.held.Has(c) || p.inFlight(c) || p.avail[c] > 0 && p.reachable(c, now) {
+		if !p.turn(c, level, now) || p.held.Has(c) || p.inFlight(c) || p.avail[c] > 0 && p.reachable(c, now) {
 			continue
 		}
 		if s, ok := p.outside(c, level, now); ok {
@@ -550,6 +637,20 @@
 	return out
 }
 
+// turn tells whether it is up to this instance to bring chunk c into the region.
+// The next in order gives the first the more time while that one gets on.
+func (p *Planner) turn(c, level int, now time.Time) bool {
+	pl := p.place[c]
+	if pl.rank == 0 || level == 0 {
+		return pl.rank == 0
+	}
+	if pl.rank > 1 || level >= patience {
+		return int(pl.rank)+patience-1 <= level
+	}
+	q, ok := p.peers[pl.first]
+	return !ok || now.Sub(q.gained) > p.stallWait()
+}
+
 // reachable tells whether a peer of the region can be asked for chunk c.
 func (p *Planner) reachable(c int, now time.Time) bool {
 	return slices.ContainsFunc(p.sorted, func(q *peer) bool {
@@ -561,17 +662,12 @@
 // instance's turn. The level rises while nothing new shows up in the region.
 func (p *Planner) outside(c, level int, now time.Time) (Source, bool) {
 	pl := p.place[c]
-	if int(pl.rank) > level {
-		return Source{}, false
-	}
 	if pl.fromOrigin || level >= int(pl.rank)+originLevel {
 		return p.origin(now)
 	}
-	if p.counts[SourceRemote] >= p.set.RemoteFetches {
-		return Source{}, false
-	}
 	q := p.best(now, func(q *peer) bool {
-		return !q.local && q.has.Has(c) && (level > 0 || q.region == pl.previous)
+		return !q.local && q.has.Has(c) && (level > 0 || q.region == pl.previous) &&
+			p.remote[q.region] < p.remoteSlots()
 	})
 	if q == nil {
 		return Source{}, false
@@ -584,7 +680,7 @@
 const originLevel = 3
 
 func (p *Planner) origin(now time.Time) (Source, bool) {
-	if p.counts[SourceOrigin] >= p.set.OriginFetches || now.Before(p.originAt) {
+	if p.counts[SourceOrigin] >= p.originSlots() || now.Before(p.originAt) {
 		return Source{}, false
 	}
 	return Source{Kind: SourceOrigin}, true
@@ -593,8 +689,24 @@
 // takeover returns how many members before this one are given up for the chunks
 // that are not in the region yet.
 func (p *Planner) takeover(now time.Time) int {
-	wait := max(p.set.MinStall, stallFactor*p.gap, 2*p.usual)
-	return int(now.Sub(p.progress) / wait)
+	return int(now.Sub(p.progress) / p.stallWait())
+}
+
+// stallWait is how long nothing may show up before somebody is given up. It
+// follows the rate at which chunks come.
+func (p *Planner) stallWait() time.Duration {
+	return max(p.set.MinStall, stallFactor*p.gap, 2*p.pipes[SourcePeer].usual)
+}
+
+// remoteSlots shares the fetches from one other region out over the members.
+func (p *Planner) remoteSlots() int {
+	return min(p.set.RemoteFetches, 1+sharedFlights/(2*max(1, p.neighbours)))
+}
+
+// originSlots shares the fetches from the origin out over the members: enough to
+// keep its link busy, few enough to keep its queue short.
+func (p *Planner) originSlots() int {
+	return min(p.set.OriginFetches, 1+sharedFlights/len(p.members))
 }
 
 func (p *Planner) nextFromPeers(out []Fetch, now time.Time) []Fetch {
@@ -611,16 +723,18 @@
 // choosePeer returns the peer with the shortest expected wait that holds a chunk
 // which is missing here, and the rarest such chunk.
 func (p *Planner) choosePeer(now time.Time) (*peer, int) {
-	useless := map[*peer]bool{}
+	for _, q := range p.sorted {
+		q.useless = false
+	}
 	for {
-		q := p.best(now, func(q *peer) bool { return q.local && !useless[q] })
+		q := p.best(now, func(q *peer) bool { return q.local && !q.useless })
 		if q == nil {
 			return nil, 0
 		}
 		if c, ok := p.rarest(q); ok {
 			return q, c
 		}
-		useless[q] = true
+		q.useless = true
 	}
 }
 
@@ -678,8 +792,8 @@
 		return out
 	}
 	for _, f := range slices.Clone(p.flights) {
-		late := now.Sub(f.started) > endgameFactor*p.usual && p.usual > 0
-		if !late || f.Source.Kind != SourcePeer || p.copies(f.Chunk) > 1 {
+		late := now.Sub(f.started) > endgameFactor*p.pipes[SourcePeer].usual && p.pipes[SourcePeer].usual > 0
+		if !late || f.Source.Kind != SourcePeer || p.flying[f.Chunk] > 1 {
 			continue
 		}
 		q := p.best(now, func(q *peer) bool { return q.local && q.has.Has(f.Chunk) && q.id != f.Source.Peer })
@@ -704,25 +818,31 @@
 
 func (p *Planner) begin(c int, s Source, now time.Time) Fetch {
 	f := Fetch{Chunk: c, Source: s}
-	p.flights = append(p.flights, flight{Fetch: f, started: now, deadline: now.Add(p.timeout(s))})
+	fl := flight{Fetch: f, started: now, deadline: now.Add(p.timeout(s))}
 	p.counts[s.Kind]++
+	p.flying[c]++
 	if q, ok := p.peers[s.Peer]; ok {
 		q.inFlight++
+		fl.region = q.region
+	}
+	if s.Kind == SourceRemote {
+		p.remote[fl.region]++
 	}
+	p.flights = append(p.flights, fl)
 	return f
 }
 
 func (p *Planner) timeout(s Source) time.Duration {
-	usual := p.usual
+	pipe := p.pipes[s.Kind]
+	if s.Kind != SourcePeer {
+		return max(pipe.first, lateFactor*pipe.usual)
+	}
+	usual := pipe.usual
 	if q, ok := p.peers[s.Peer]; ok && q.usual > usual {
 		usual = q.usual
 	}
 	if usual == 0 {
-		return p.set.FirstTimeout
-	}
-	if s.Kind == SourceOrigin {
-		// The origin is shared by the whole fleet: its time varies most.
-		return max(p.set.FirstTimeout, lateFactor*usual)
+		return pipe.first
 	}
 	return max(p.set.MinStall, lateFactor*usual)
 }
@@ -730,6 +850,10 @@
 func (p *Planner) removeFlight(i int) {
 	f := p.flights[i]
 	p.counts[f.Source.Kind]--
+	p.flying[f.Chunk]--
+	if f.Source.Kind == SourceRemote {
+		p.remote[f.region]--
+	}
 	if q, ok := p.peers[f.Source.Peer]; ok && q.inFlight > 0 {
 		q.inFlight--
 	}
@@ -740,19 +864,7 @@
 	return slices.IndexFunc(p.flights, func(o flight) bool { return o.Fetch == f })
 }
 
-func (p *Planner) inFlight(c int) bool {
-	return slices.ContainsFunc(p.flights, func(f flight) bool { return f.Chunk == c })
-}
-
-func (p *Planner) copies(c int) int {
-	n := 0
-	for _, f := range p.flights {
-		if f.Chunk == c {
-			n++
-		}
-	}
-	return n
-}
+func (p *Planner) inFlight(c int) bool { return p.flying[c] > 0 }
 
 // Woke tells the planner that the process was paused: fetches are given up and
 // the stall clock starts anew.
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -41,7 +41,9 @@
 	RunOrder(ctx context.Context, ticket string, c Call) (fleet.Outcome, Reply)
 	StopOrder(ctx context.Context, ticket string) (fleet.Outcome, Reply)
 	WatchChunks(ctx context.Context, v fleet.Version, send func(Held) error) error
-	Chunk(ctx context.Context, c ChunkRef) ([]byte, error)
+	// Chunk hands a chunk to send, which is called with each part and waits
+	// until the link has room.
+	Chunk(ctx context.Context, c ChunkRef, send func([]byte) error) error
 	Manifest(v fleet.Version) ([]byte, bool)
 }
 
@@ -179,30 +181,23 @@
 	})
 }
 
-// partBytes is the size of one message of a chunk, which bounds how long a live
-// request waits behind it on a shared connection.
-const partBytes = 32 << 10
+// PartBytes is the size of one message of a chunk, which bounds how long a live
+// request waits behind it on the link.
+const PartBytes = 16 << 10
 
 // FetchChunk implements peerpb.AgentServer.
 func (s *agentServer) FetchChunk(p *peerpb.FetchChunkRequest, st grpc.ServerStreamingServer[peerpb.ChunkPart]) error {
-	data, err := s.h.Chunk(st.Context(), ChunkRef{
+	err := s.h.Chunk(st.Context(), ChunkRef{
 		Version: fleet.Version(p.GetVersion()), Index: int(p.GetIndex()),
 		Digest: fleet.Digest(p.GetDigest()), By: fleet.InstanceID(p.GetInstance()),
-	})
+	}, func(part []byte) error { return st.Send(&peerpb.ChunkPart{Data: part}) })
 	switch {
 	case errors.Is(err, ErrBusy):
 		return st.Send(&peerpb.ChunkPart{Busy: true})
-	case err != nil:
+	case errors.Is(err, ErrMissing):
 		return status.Error(codes.NotFound, err.Error())
 	}
-	for len(data) > 0 {
-		n := min(partBytes, len(data))
-		if err := st.Send(&peerpb.ChunkPart{Data: data[:n]}); err != nil {
-			return err
-		}
-		data = data[n:]
-	}
-	return nil
+	return err
 }
 
 // FetchManifest implements peerpb.AgentServer.
