Weights: deadlines from the usual time and its deviation; takeover on evidence

Cause: peers that stall without closing were still counted as holders, so chunks that only they held were never fetched again, and the bound on takeovers held back even those that had evidence. In the local run one runner waited 15 s because the agent compared what the engine should serve with a state read before the order was answered. Ruled out: the canary rule and stale rows (the log shows the wait was the retry). Change: TCP's rule for late fetches; a peer that stalled gets one fetch until it works again, and the next in order takes over at once when the first is out of reach; reads of the engine's state are applied in the order in which they began.

--- a/app/agent/attach.go
+++ b/app/agent/attach.go
@@ -137,7 +137,7 @@
 			return
 		case <-x.kicked:
 		case <-tick.C:
-			probe = x.a.depot.moving()
+			probe = x.near() && x.a.depot.moving()
 			if !probe && x.a.now().Sub(last) < heartbeatEvery {
 				continue
 			}
@@ -149,12 +149,16 @@
 	}
 }
 
+// near tells whether the entry is in this instance's zone. Only its streams are
+// used to measure the link.
+func (x *attacher) near() bool { return x.to.Zone == x.a.self.Zone }
+
 // maxProbes bounds the heartbeats whose answer is awaited.
 const maxProbes = 64
 
 func (x *attacher) next(probe bool) member.Report {
 	r := x.a.report()
-	r.WantAck = probe || x.a.depot.moving()
+	r.WantAck = probe
 	if r.WantAck {
 		x.mu.Lock()
 		if x.sent == nil || len(x.sent) > maxProbes {
--- a/app/agent/depot.go
+++ b/app/agent/depot.go
@@ -19,9 +19,10 @@
 
 // Constants of the depot.
 const (
-	heldBatch    = 100 * time.Millisecond // news of chunks are sent together
+	heldBatch    = 150 * time.Millisecond // news of chunks are sent together
 	slotWait     = 300 * time.Millisecond // an upload waits for a slot that long
-	manifestWait = 300 * time.Millisecond // between tries to get a manifest
+	manifestWait = 40 * time.Millisecond  // before the second try to get a manifest
+	manifestMax  = 600 * time.Millisecond // between later tries
 )
 
 var errIncomplete = errors.New("version is not complete")
@@ -319,7 +320,7 @@
 	}
 	a.opt.Metrics.Count("weight_bytes_sent", int64(len(c.data)))
 	for rest := c.data; len(rest) > 0; {
-		n := min(peer.PartBytes, len(rest))
+		n := min(a.pace.part, len(rest))
 		if err := a.pace.wait(ctx, n); err != nil {
 			return err
 		}
@@ -416,7 +417,7 @@
 		if m != nil && f.d.opened(ctx, f, m, body) {
 			return
 		}
-		sleep(ctx, manifestWait)
+		sleep(ctx, min(manifestWait<<min(try, 8), manifestMax))
 	}
 }
 
--- a/app/agent/driver.go
+++ b/app/agent/driver.go
@@ -31,6 +31,8 @@
 	state    engine.State
 	up       bool
 	readAt   time.Time
+	reads    uint64 // reads of the state that began
+	applied  uint64 // the last of them that was taken
 	fence    *switchover.Fence
 	takeover *switchover.Takeover
 	machines map[fleet.Model]*switchover.Machine
@@ -127,11 +129,21 @@
 const stateTimeout = time.Second
 
 func (d *driver) read(ctx context.Context) {
+	d.mu.Lock()
+	d.reads++
+	turn := d.reads
+	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	st, err := d.a.opt.Engine.State(ctx)
 	now := d.a.now()
 	d.mu.Lock()
+	if turn < d.applied {
+		// A read that began later has been taken: this one is older than it.
+		d.mu.Unlock()
+		return
+	}
+	d.applied = turn
 	wasUp, old := d.up, d.state
 	d.readAt = now
 	d.dead = false
@@ -342,6 +354,8 @@
 func (x *engineOrder) run(ctx context.Context) {
 	err := x.send(ctx)
 	d := x.d
+	// The machine must not compare what it now expects with a state from before.
+	d.read(ctx)
 	now := d.a.now()
 	var stale *engine.StaleOrderError
 	d.mu.Lock()
@@ -355,13 +369,11 @@
 		x.m.Finished(x.act, err, now)
 	}
 	d.busy = false
-	d.readAt = time.Time{}
 	d.mu.Unlock()
 	if err != nil {
 		d.a.opt.Metrics.Count("engine_orders_failed", 1)
 		d.a.log.engine.Warn().Str("order", x.act.Kind.String()).Str("version", x.act.Version.Short()).Err(err).Msg("order failed")
 	}
-	d.read(ctx)
 	d.wake()
 }
 
--- a/app/agent/pacing.go
+++ b/app/agent/pacing.go
@@ -19,15 +19,22 @@
 	mu      sync.Mutex // guards pacer
 	pacer   *pace.Pacer
 	limiter *rate.Limiter
+	part    int // bytes that are sent at once
 }
 
-// burstTime is how much may be sent at once, as time on the link.
-const burstTime = 20 * time.Millisecond
+// What is sent at once is a short time on the link, because a live request can have
+// to wait behind it.
+const (
+	partTime = 2 * time.Millisecond
+	minPart  = 2 << 10
+	// burstParts makes up for timers that fire late.
+	burstParts = 4
+)
 
 func newPacing(link fleet.Bytes) *pacing {
 	set := pace.DefaultSettings(link)
-	burst := max(peer.PartBytes, int(float64(link)*burstTime.Seconds()))
-	return &pacing{pacer: pace.New(set), limiter: rate.NewLimiter(rate.Limit(set.Full), burst)}
+	part := min(peer.PartBytes, max(minPart, int(float64(link)*partTime.Seconds())))
+	return &pacing{pacer: pace.New(set), part: part, limiter: rate.NewLimiter(rate.Limit(set.Full), burstParts*part)}
 }
 
 // probe takes the time of one heartbeat to an entry and back.
@@ -45,5 +52,5 @@
 	p.pacer.Live(d, now)
 }
 
-// wait returns when n more bytes may be sent; n is at most peer.PartBytes.
+// wait returns when n more bytes may be sent; n is at most one part.
 func (p *pacing) wait(ctx context.Context, n int) error { return p.limiter.WaitN(ctx, n) }
--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -422,7 +422,8 @@
 	want.Pinned = f.state.Pinned()
 	alone := e.ledger.Judge(f.gen.Fingerprint, now) != suspect.Clear
 	q := route.Query{Prefix: f.prefix, Alone: alone, Avoid: f.state.Avoid()}
-	t, ok := e.picker.Choose(route.Eligible(offers, want), q, now)
+	all := route.Eligible(offers, want)
+	t, ok := e.picker.ChooseNear(route.Near(all, offers, e.self.Zone), all, q, now)
 	if !ok {
 		return route.Offer{}, false, false
 	}
@@ -475,7 +476,7 @@
 		t := route.NewTarget(a.Instance, a.Load.Capacity)
 		targets = append(targets, t)
 		byID[a.Instance] = route.Offer{
-			Target: t, Address: a.Address, Incarnation: a.Incarnation, Serving: st.Serving, Loaded: st.Loaded,
+			Target: t, Address: a.Address, Zone: a.Zone, Incarnation: a.Incarnation, Serving: st.Serving, Loaded: st.Loaded,
 		}
 	}
 	route.Sort(targets)
--- a/app/local/options.go
+++ b/app/local/options.go
@@ -40,7 +40,7 @@
 	DefaultInstances  = 14
 	DefaultEntries    = 7
 	DefaultRegions    = 3
-	DefaultModelBytes = 4 << 20
+	DefaultModelBytes = 8 << 20
 	DefaultDuration   = 20 * time.Second
 	chunksPerModel    = 128
 	minChunk          = 4 << 10
--- a/app/telemetry/telemetry.go
+++ b/app/telemetry/telemetry.go
@@ -45,6 +45,9 @@
 	set  settings.Log
 }
 
+// The library keeps the form of time stamps in a variable of its own.
+func init() { zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00" }
+
 // NewLogs returns loggers that write JSON lines to w.
 func NewLogs(w io.Writer, set settings.Log, instance string) *Logs {
 	root := zerolog.New(w).With().Timestamp().Str("instance", instance).Logger()
--- a/cmd/amaranthturn/cmds/local.go
+++ b/cmd/amaranthturn/cmds/local.go
@@ -12,7 +12,7 @@
 	Instances  int           `long:"instances" default:"14" description:"model runners"`
 	Entries    int           `long:"entries" default:"7" description:"entry instances"`
 	Regions    int           `long:"regions" default:"3" description:"regions with one availability zone each"`
-	ModelBytes int           `long:"model-bytes" default:"4194304" description:"size of a model version"`
+	ModelBytes int           `long:"model-bytes" default:"8388608" description:"size of a model version"`
 	Duration   time.Duration `long:"duration" default:"20s" description:"how long requests are driven at least"`
 	Faults     []string      `long:"fault" description:"something to go wrong (repeatable, see --faults)"`
 	ListFaults bool          `long:"faults" description:"list the faults and exit"`
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -109,14 +109,15 @@
 
 // Default values of fields that a document leaves out.
 const (
-	DefaultMaxOriginCopies = 2.0
-	DefaultMinServing      = 1
-	DefaultKeepOldSeconds  = 60
-	DefaultQueue           = 64
-	DefaultQueueMillis     = 10_000
-	DefaultRetryShare      = 0.1
-	DefaultCrashTargets    = 2
-	DefaultOrderSeconds    = 600
+	DefaultTimeCopies     = 2.0  // origin copies with the objective time
+	DefaultOriginCopies   = 1.05 // origin copies with the objective origin_bytes
+	DefaultMinServing     = 1
+	DefaultKeepOldSeconds = 60
+	DefaultQueue          = 64
+	DefaultQueueMillis    = 10_000
+	DefaultRetryShare     = 0.1
+	DefaultCrashTargets   = 2
+	DefaultOrderSeconds   = 600
 )
 
 // ModelPlan is what one target does about one model.
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -48,7 +48,6 @@
 func (d *Document) fillDefaults() {
 	f := &d.Defaults
 	f.Objective = cmp.Or(f.Objective, fleet.ObjectiveTime.String())
-	f.MaxOriginCopies = cmp.Or(f.MaxOriginCopies, DefaultMaxOriginCopies)
 	f.MinServing = cmp.Or(f.MinServing, DefaultMinServing)
 	f.KeepOldSeconds = cmp.Or(f.KeepOldSeconds, DefaultKeepOldSeconds)
 	l := &f.Limits
@@ -88,7 +87,9 @@
 func (c *checker) checkDefaults() {
 	d := c.doc.Defaults
 	c.checkObjective("defaults.objective", d.Objective)
-	c.checkRange("defaults.max_origin_copies", d.MaxOriginCopies, 1, 1000)
+	if d.MaxOriginCopies != 0 {
+		c.checkRange("defaults.max_origin_copies", d.MaxOriginCopies, 1, 1000)
+	}
 	c.checkRange("defaults.min_serving", float64(d.MinServing), 1, 10_000)
 	c.checkRange("defaults.keep_old_seconds", float64(d.KeepOldSeconds), 1, 86_400)
 	l := d.Limits
--- a/core/config/resolve.go
+++ b/core/config/resolve.go
@@ -53,9 +53,20 @@
 			p.MinServing = e.Set.MinServing
 		}
 	}
+	if p.MaxOriginCopies == 0 {
+		p.MaxOriginCopies = defaultCopies(p.Objective)
+	}
 	return p
 }
 
+// defaultCopies returns the bound on origin copies that goes with an objective.
+func defaultCopies(objective string) float64 {
+	if objective == fleet.ObjectiveOriginBytes.String() {
+		return DefaultOriginCopies
+	}
+	return DefaultTimeCopies
+}
+
 // targetExceptions returns the exceptions for a target and model, wider scopes
 // first, so that applying them in order lets the narrowest win.
 func (d *Document) targetExceptions(m fleet.Model, in fleet.Instance) []ExceptionRule {
--- a/core/route/eligible.go
+++ b/core/route/eligible.go
@@ -10,6 +10,7 @@
 type Offer struct {
 	Target
 	Address     string
+	Zone        fleet.Zone
 	Incarnation fleet.Incarnation
 	Serving     fleet.Version
 	Loaded      []fleet.Version
@@ -47,6 +48,25 @@
 	})
 }
 
+// Near returns those of the targets that are in a zone, in the same order.
+func Near(targets []Target, offers []Offer, z fleet.Zone) []Target {
+	var out []Target
+	i := 0
+	for _, o := range offers {
+		if i == len(targets) {
+			break
+		}
+		if targets[i].ID != o.ID {
+			continue
+		}
+		if o.Zone == z {
+			out = append(out, targets[i])
+		}
+		i++
+	}
+	return out
+}
+
 func pick(offers []Offer, ok func(Offer) bool) []Target {
 	var out []Target
 	for _, o := range offers {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -31,6 +31,9 @@
 type Settings struct {
 	// Bound is how far above the mean load an affine target may be.
 	Bound float64
+	// SpillAt is the load, as a share of capacity, at which a request leaves its
+	// zone.
+	SpillAt float64
 	// ReportHalfLife is the age at which a load report counts half.
 	ReportHalfLife time.Duration
 	// PrefixLife is how long a reported prefix is believed without news.
@@ -44,6 +47,7 @@
 // DefaultSettings suit engines whose cache events lag by seconds.
 var DefaultSettings = Settings{
 	Bound:          1.25,
+	SpillAt:        0.9,
 	ReportHalfLife: 2 * time.Second,
 	PrefixLife:     2 * time.Minute,
 	Prefixes:       8192,
@@ -148,6 +152,15 @@
 	return p.twoChoices(candidates, q, now)
 }
 
+// ChooseNear chooses among near candidates while one of them has room, and else
+// among all: a request crosses between zones only when its own is full.
+func (p *Picker) ChooseNear(near, all []Target, q Query, now time.Time) (Target, bool) {
+	if t, ok := p.Choose(near, q, now); ok && p.relative(t, now) < p.set.SpillAt {
+		return t, true
+	}
+	return p.Choose(all, q, now)
+}
+
 // affine returns the target that is believed to cache the prefix, or one that
 // the prefix hashes to, when its load is within the bound.
 func (p *Picker) affine(candidates []Target, q Query, now time.Time) (Target, bool) {
--- a/core/swarm/planner.go
+++ b/core/swarm/planner.go
@@ -77,7 +77,8 @@
 	// crossing between regions.
 	OriginRegion fleet.Region
 	Objective    fleet.Objective
-	// MaxOriginCopies bounds the copies that the fleet plans to pull.
+	// MaxOriginCopies bounds the copies that the fleet may pull while it takes
+	// over for members that seem stuck.
 	MaxOriginCopies float64
 	PeerFetches     int // chunks in flight from peers of the region
 	RemoteFetches   int // chunks in flight from each other region
@@ -103,19 +104,21 @@
 
 // Limits of the reaction to failures.
 const (
-	lateFactor     = 8                // a fetch is late after this many usual times
+	lateDeviations = 4                // a fetch is late after the usual time and these
 	stallFactor    = 10               // gaps between new chunks until a takeover
 	peerPenalty    = 2 * time.Second  // first pause of a failing peer
 	maxPenalty     = 30 * time.Second // longest pause of a failing peer
+	maxOutage      = 8 * time.Second  // longest wait until a lost peer is tried again
 	corruptLimit   = 2                // corrupt chunks until a peer is banned
 	endgameChunks  = 16               // missing chunks from which a second peer is asked
 	endgameFactor  = 2                // usual times until a second peer is asked
 	sharedPatience = 6                // first timeouts that a fetch over a shared link is given
 	sharedFlights  = 32               // chunks that all members together have in flight over one
 	originBackoff  = 500 * time.Millisecond
-	maxFirst       = 8 // members watched only because this one is next to them
-	patience       = 4 // takeovers' waits that a member that gets on is given
-	originAttempts = 3 // corrupt answers of the origin until it is reported
+	maxFirst       = 8  // members watched only because this one is next to them
+	despair        = 12 // waits after which the bound on takeovers is lifted
+	patience       = 4  // takeovers' waits that a member that gets on is given
+	originAttempts = 3  // corrupt answers of the origin until it is reported
 )
 
 // Member is an instance that should get the version.
@@ -168,6 +171,7 @@
 	seen       Bitmap // chunks held here or by a peer of the region
 	avail      []uint16
 	neighbours int // other members of the region
+	takeovers  int // chunks fetched in the place of another member
 	members    []Member
 	place      []placement
 	peers      map[fleet.InstanceID]*peer
@@ -190,9 +194,23 @@
 // pipe is what is known of the time that a chunk takes from a kind of source.
 type pipe struct {
 	usual time.Duration
+	dev   time.Duration // usual deviation from it
 	first time.Duration // deadline before any chunk came
 }
 
+// learn takes the time of one chunk.
+func (p *pipe) learn(took time.Duration) {
+	if p.usual == 0 {
+		p.usual, p.dev = took, took/2
+		return
+	}
+	p.dev += ((took - p.usual).Abs() - p.dev) / 4
+	p.usual += (took - p.usual) / 8
+}
+
+// late returns when a fetch counts as stalled, as TCP does for a segment.
+func (p *pipe) late() time.Duration { return p.usual + lateDeviations*p.dev }
+
 // outage is a peer whose connection failed. It does not count in the order of
 // members until it is watched again.
 type outage struct {
@@ -254,10 +272,9 @@
 	}
 	p.neighbours = len(others)
 	self := rank.Hash(string(p.set.Self))
-	direct := p.directRegions(len(regions))
 	for c := range p.place {
 		key := rank.Hash(string(p.manifest.Chunks[c].Digest))
-		p.place[c] = p.placeChunk(key, self, others, regions, direct)
+		p.place[c] = p.placeChunk(key, self, others, regions)
 	}
 }
 
@@ -267,7 +284,7 @@
 	hash uint64
 }
 
-func (p *Planner) placeChunk(key, self uint64, others []rival, regions []fleet.Region, direct int) placement {
+func (p *Planner) placeChunk(key, self uint64, others []rival, regions []fleet.Region) placement {
 	mine := rank.ScoreNumber(key, self)
 	out := placement{}
 	for _, o := range others {
@@ -279,9 +296,9 @@
 	if out.rank != 1 {
 		out.first = ""
 	}
-	order := chunkRegions(key, regions, direct)
+	order := chunkRegions(key, regions)
 	i := slices.Index(order, p.set.Region)
-	out.fromOrigin = i < direct
+	out.fromOrigin = i == 0
 	if !out.fromOrigin {
 		out.previous = order[i-1]
 	}
@@ -312,19 +329,11 @@
 	return out
 }
 
-// directRegions returns how many regions pull their own copy from the origin.
-func (p *Planner) directRegions(regions int) int {
-	if p.set.Objective == fleet.ObjectiveOriginBytes {
-		return 1
-	}
-	return max(1, min(regions, int(p.set.MaxOriginCopies)))
-}
-
-// chunkRegions orders the regions for one chunk: those that pull from the origin
+// chunkRegions orders the regions for one chunk: the one that pulls from the origin
 // first, then the others by rendezvous, which spreads the relaying.
-func chunkRegions(key uint64, regions []fleet.Region, direct int) []fleet.Region {
+func chunkRegions(key uint64, regions []fleet.Region) []fleet.Region {
 	order := slices.Clone(regions)
-	rest := order[min(direct, len(order)):]
+	rest := order[1:]
 	slices.SortFunc(rest, func(a, b fleet.Region) int {
 		x := rank.ScoreNumber(key, rank.Hash(string(a)))
 		y := rank.ScoreNumber(key, rank.Hash(string(b)))
@@ -418,7 +427,7 @@
 func (p *Planner) PeerGone(id fleet.InstanceID, now time.Time) {
 	o, again := p.failed[id]
 	o.tries++
-	o.until = now.Add(min(peerPenalty<<min(o.tries-1, 8), maxPenalty))
+	o.until = now.Add(min(peerPenalty<<min(o.tries-1, 8), maxOutage))
 	p.failed[id] = o
 	p.wantedAt = time.Time{}
 	if !again {
@@ -531,7 +540,7 @@
 
 func (p *Planner) learn(s Source, took time.Duration) {
 	pipe := &p.pipes[s.Kind]
-	pipe.usual = average(pipe.usual, took)
+	pipe.learn(took)
 	if s.Kind == SourceOrigin {
 		p.originNo = 0
 		return
@@ -560,7 +569,7 @@
 	}
 	if why == CauseStalled && f.Source.Kind != SourcePeer {
 		// Links that are shared by many have a queue: waiting in it is usual.
-		p.pipes[f.Source.Kind].usual *= 2
+		p.pipes[f.Source.Kind].dev *= 2
 		p.pipes[f.Source.Kind].first *= 2
 	}
 	if f.Source.Kind == SourceOrigin {
@@ -631,6 +640,9 @@
 			continue
 		}
 		if s, ok := p.outside(c, level, now); ok {
+			if p.place[c].rank > 0 {
+				p.takeovers++
+			}
 			out = append(out, p.begin(c, s, now))
 		}
 	}
@@ -641,14 +653,30 @@
 // The next in order gives the first the more time while that one gets on.
 func (p *Planner) turn(c, level int, now time.Time) bool {
 	pl := p.place[c]
-	if pl.rank == 0 || level == 0 {
-		return pl.rank == 0
+	if pl.rank == 0 {
+		return true
 	}
-	if pl.rank > 1 || level >= patience {
-		return int(pl.rank)+patience-1 <= level
+	if pl.rank > 1 {
+		return int(pl.rank)+patience-1 <= level && p.mayTakeOver(level)
 	}
 	q, ok := p.peers[pl.first]
-	return !ok || now.Sub(q.gained) > p.stallWait()
+	switch {
+	case !ok:
+		return level > 0
+	case q.banned || q.failures > 0:
+		// What it holds is out of reach: waiting for it is of no use.
+		return true
+	case level >= patience || level > 0 && now.Sub(q.gained) > p.stallWait():
+		return p.mayTakeOver(level)
+	}
+	return false
+}
+
+// mayTakeOver keeps the takeovers of all members within the copies that the
+// operator allows, until the version would not get whole otherwise.
+func (p *Planner) mayTakeOver(level int) bool {
+	share := (p.set.MaxOriginCopies - 1) * float64(len(p.place)) / float64(p.neighbours+1)
+	return p.takeovers <= int(share) || level >= despair
 }
 
 // reachable tells whether a peer of the region can be asked for chunk c.
@@ -695,7 +723,11 @@
 // stallWait is how long nothing may show up before somebody is given up. It
 // follows the rate at which chunks come.
 func (p *Planner) stallWait() time.Duration {
-	return max(p.set.MinStall, stallFactor*p.gap, 2*p.pipes[SourcePeer].usual)
+	wait := max(p.set.MinStall, stallFactor*p.gap, 2*p.pipes[SourcePeer].usual)
+	if p.set.Objective == fleet.ObjectiveOriginBytes {
+		return 2 * wait
+	}
+	return wait
 }
 
 // remoteSlots shares the fetches from one other region out over the members.
@@ -765,7 +797,11 @@
 	var best *peer
 	low, ties := time.Duration(math.MaxInt64), 0
 	for _, q := range p.sorted {
-		if !p.usable(q, now) || q.inFlight >= p.set.PerPeer || !ok(q) {
+		slots := p.set.PerPeer
+		if q.failures > 0 {
+			slots = 1 // one fetch shows whether it works again
+		}
+		if !p.usable(q, now) || q.inFlight >= slots || !ok(q) {
 			continue
 		}
 		wait := time.Duration(q.inFlight+1) * q.usual
@@ -834,17 +870,17 @@
 
 func (p *Planner) timeout(s Source) time.Duration {
 	pipe := p.pipes[s.Kind]
-	if s.Kind != SourcePeer {
-		return max(pipe.first, lateFactor*pipe.usual)
+	if pipe.usual == 0 {
+		return pipe.first
 	}
-	usual := pipe.usual
-	if q, ok := p.peers[s.Peer]; ok && q.usual > usual {
-		usual = q.usual
+	late := pipe.late()
+	if q, ok := p.peers[s.Peer]; ok {
+		late += max(0, q.usual-pipe.usual)
 	}
-	if usual == 0 {
-		return pipe.first
+	if s.Kind == SourceOrigin {
+		return max(p.set.FirstTimeout, 2*late)
 	}
-	return max(p.set.MinStall, lateFactor*usual)
+	return max(p.set.MinStall, late)
 }
 
 func (p *Planner) removeFlight(i int) {
--- a/core/switchover/machine.go
+++ b/core/switchover/machine.go
@@ -543,9 +543,10 @@
 	m.retryAt = now.Add(m.set.RetryAfter / 10)
 }
 
-// watchEngine blames a version when the engine loses it soon after activation.
+// watchEngine blames a version when the engine loses it soon after activation. An
+// engine that only does not answer is not judged until it does.
 func (m *Machine) watchEngine(in Input, now time.Time) {
-	lost := m.active != "" && (!in.Engine.Up || in.Engine.Serving != m.active)
+	lost := m.active != "" && in.Engine.Up && in.Engine.Serving != m.active
 	if !lost || m.busy.Kind != ActionNone || m.acting {
 		return
 	}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -399,8 +399,9 @@
 	wire := reportToWire(r)
 	if a.sent && sameSlowFields(a.last, r) {
 		wire = briefReport(r)
+	} else {
+		a.last, a.sent = r, true
 	}
-	a.last, a.sent = r, true
 	if err := a.stream.Send(wire); err != nil {
 		return lost(a.addr, err)
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -181,9 +181,8 @@
 	})
 }
 
-// PartBytes is the size of one message of a chunk, which bounds how long a live
-// request waits behind it on the link.
-const PartBytes = 16 << 10
+// PartBytes is the largest message of a chunk.
+const PartBytes = 64 << 10
 
 // FetchChunk implements peerpb.AgentServer.
 func (s *agentServer) FetchChunk(p *peerpb.FetchChunkRequest, st grpc.ServerStreamingServer[peerpb.ChunkPart]) error {
