--- a/app/agent/distribution.go
+++ b/app/agent/distribution.go
@@ -133,7 +133,7 @@
 	var list []swarm.Member
 	addr := map[fleet.InstanceID]string{}
 	for _, r := range rows {
-		if r.Instance.Leaving || !x.shares(r) {
+		if r.Lost || r.Instance.Leaving || !x.shares(r) {
 			continue
 		}
 		list = append(list, swarm.Member{ID: r.Instance.ID, Region: r.Instance.Region})
--- a/app/entry/attach.go
+++ b/app/entry/attach.go
@@ -274,6 +274,7 @@
 	row.Incarnation = a.Incarnation
 	row.Models = a.Models
 	row.Heard = true
+	row.Lost = e.table.StateOf(a, now) == member.StateExpired
 	row.Age = now.Sub(a.Heard)
 	row.Instance.Address = a.Address
 	row.Instance.Leaving = in.Leaving || a.Leaving
@@ -322,6 +323,7 @@
 	h.SetSeed(s.seed)
 	maphash.WriteComparable(&h, r.Instance)
 	maphash.WriteComparable(&h, r.Incarnation)
+	maphash.WriteComparable(&h, r.Lost)
 	for _, m := range r.Models {
 		maphash.WriteComparable(&h, [4]fleet.Version{m.Desired, m.Serving, m.Staged, fleet.Version(m.Model)})
 		maphash.WriteComparable(&h, m.Phase)
--- a/core/swarm/bench_test.go
+++ b/core/swarm/bench_test.go
@@ -117,6 +117,23 @@
 	do   func(*bench)
 }
 
+// leaseTime is when the entries tell all that an instance has gone silent.
+const leaseTime = 5 * time.Second
+
+// dropStalled takes the stalled nodes out of everybody's list, as entries do when
+// heartbeats stop.
+func (b *bench) dropStalled() {
+	var list []Member
+	for _, n := range b.nodes {
+		if !n.dead && !n.stalled {
+			list = append(list, Member{n.id, n.region})
+		}
+	}
+	for _, n := range b.nodes {
+		n.plan.SetMembers(list, b.now)
+	}
+}
+
 // benchFaults strike while a third of the distribution is done.
 var benchFaults = []benchFault{
 	{"none", func(*bench) {}},
@@ -129,6 +146,7 @@
 		for i := range max(1, len(b.nodes)/10) {
 			b.nodes[i*7%len(b.nodes)].stalled = true
 		}
+		b.at(leaseTime, b.dropStalled)
 	}},
 	{"corrupt", func(b *bench) {
 		for i := range max(1, len(b.nodes)/10) {
--- a/core/swarm/planner.go
+++ b/core/swarm/planner.go
@@ -107,6 +107,7 @@
 	lateDeviations = 4                // a fetch is late after the usual time and these
 	stallFactor    = 10               // gaps between new chunks until a takeover
 	peerPenalty    = 2 * time.Second  // first pause of a failing peer
+	maxStall       = time.Minute      // longest wait before the next in order takes over
 	maxPenalty     = 30 * time.Second // longest pause of a failing peer
 	maxOutage      = 8 * time.Second  // longest wait until a lost peer is tried again
 	corruptLimit   = 2                // corrupt chunks until a peer is banned
@@ -115,10 +116,10 @@
 	sharedPatience = 6                // first timeouts that a fetch over a shared link is given
 	sharedFlights  = 32               // chunks that all members together have in flight over one
 	originBackoff  = 500 * time.Millisecond
-	maxFirst       = 8  // members watched only because this one is next to them
-	despair        = 12 // waits after which the bound on takeovers is lifted
-	patience       = 4  // takeovers' waits that a member that gets on is given
-	originAttempts = 3  // corrupt answers of the origin until it is reported
+	maxFirst       = 8 // members watched only because this one is next to them
+	despair        = 8 // waits after which the bound on takeovers is lifted
+	patience       = 4 // takeovers' waits that a member that gets on is given
+	originAttempts = 3 // corrupt answers of the origin until it is reported
 )
 
 // Member is an instance that should get the version.
@@ -170,8 +171,9 @@
 	missing    int
 	seen       Bitmap // chunks held here or by a peer of the region
 	avail      []uint16
-	neighbours int // other members of the region
-	takeovers  int // chunks fetched in the place of another member
+	neighbours int     // other members of the region
+	takeovers  int     // chunks fetched in the place of another member
+	luck       float64 // in [0, 1): rounds a share of a chunk up for some members
 	members    []Member
 	place      []placement
 	peers      map[fleet.InstanceID]*peer
@@ -189,6 +191,7 @@
 	originAt   time.Time            // not before
 	originNo   int                  // failures in a row
 	corrupt    map[int]int
+	blocked    map[int]time.Time // since when no holder of a chunk can be asked
 }
 
 // pipe is what is known of the time that a chunk takes from a kind of source.
@@ -208,8 +211,19 @@
 	p.usual += (took - p.usual) / 8
 }
 
+// stalled widens the deadline: a first one that was too short, and those of links
+// that are shared by many and have a queue, where waiting is usual.
+func (p *pipe) stalled(kind SourceKind) {
+	p.first *= 2
+	if kind != SourcePeer {
+		p.dev *= 2
+	}
+}
+
 // late returns when a fetch counts as stalled, as TCP does for a segment.
-func (p *pipe) late() time.Duration { return p.usual + lateDeviations*p.dev }
+func (p *pipe) late() time.Duration {
+	return p.usual + lateDeviations*max(p.dev, p.usual/2)
+}
 
 // outage is a peer whose connection failed. It does not count in the order of
 // members until it is watched again.
@@ -236,11 +250,12 @@
 		avail: make([]uint16, n), place: make([]placement, n), flying: make([]uint8, n),
 		peers:   map[fleet.InstanceID]*peer{},
 		failed:  map[fleet.InstanceID]outage{},
-		corrupt: map[int]int{}, remote: map[fleet.Region]int{},
+		corrupt: map[int]int{}, blocked: map[int]time.Time{}, remote: map[fleet.Region]int{},
 		progress: now,
 	}
 	shared := sharedPatience * set.FirstTimeout
 	p.pipes = [3]pipe{SourcePeer: {first: set.FirstTimeout}, SourceRemote: {first: shared}, SourceOrigin: {first: shared}}
+	p.luck = float64(rank.Score(string(m.Version), string(set.Self))>>11) / (1 << 53)
 	p.SetMembers(nil, now)
 	return p
 }
@@ -500,13 +515,15 @@
 	}
 	p.seen.Set(c)
 	gap := now.Sub(p.progress)
-	level := p.takeover(now)
-	p.progress = now
-	if level > 0 {
-		// What a takeover brought says nothing about the usual rate.
+	if p.gap == 0 || p.takeover(now) == 0 {
+		p.progress = now
+		p.gap = average(p.gap, gap)
 		return
 	}
-	p.gap = average(p.gap, gap)
+	// A late chunk takes one wait back, not all: it may come from a takeover, and
+	// others may be missing for the same reason. For that reason too it says
+	// nothing about the usual rate.
+	p.progress = p.progress.Add(p.stallWait())
 }
 
 // Hold records a chunk that is held already, for example one that an older
@@ -567,10 +584,8 @@
 	if why == CauseCanceled {
 		return
 	}
-	if why == CauseStalled && f.Source.Kind != SourcePeer {
-		// Links that are shared by many have a queue: waiting in it is usual.
-		p.pipes[f.Source.Kind].dev *= 2
-		p.pipes[f.Source.Kind].first *= 2
+	if why == CauseStalled {
+		p.pipes[f.Source.Kind].stalled(f.Source.Kind)
 	}
 	if f.Source.Kind == SourceOrigin {
 		p.originFailed(f, why, retryAfter, now)
@@ -636,7 +651,10 @@
 	start := p.random.IntN(len(p.place))
 	for i := range p.place {
 		c := (start + i) % len(p.place)
-		if !p.turn(c, level, now) || p.held.Has(c) || p.inFlight(c) || p.avail[c] > 0 && p.reachable(c, now) {
+		if p.held.Has(c) || p.inFlight(c) || p.avail[c] > 0 && p.reachable(c) {
+			continue
+		}
+		if !p.turn(c, level, now) && !p.outOfReach(c, now) {
 			continue
 		}
 		if s, ok := p.outside(c, level, now); ok {
@@ -663,27 +681,49 @@
 	switch {
 	case !ok:
 		return level > 0
-	case q.banned || q.failures > 0:
-		// What it holds is out of reach: waiting for it is of no use.
+	case q.banned:
 		return true
+	case q.failures > 1 && p.pipes[SourcePeer].usual > 0:
+		// What it holds seems out of reach: waiting for it is of little use.
+		return level > 1 || p.mayTakeOver(level)
 	case level >= patience || level > 0 && now.Sub(q.gained) > p.stallWait():
 		return p.mayTakeOver(level)
 	}
 	return false
 }
 
+// outOfReach tells whether chunk c has been held in the region by peers that do not
+// answer for so long that it is up to this instance, in the order of members.
+func (p *Planner) outOfReach(c int, now time.Time) bool {
+	if p.avail[c] == 0 {
+		return false
+	}
+	since, ok := p.blocked[c]
+	if !ok {
+		p.blocked[c] = now
+		return false
+	}
+	return now.Sub(since) > time.Duration(p.place[c].rank)*p.stallWait()
+}
+
 // mayTakeOver keeps the takeovers of all members within the copies that the
 // operator allows, until the version would not get whole otherwise.
 func (p *Planner) mayTakeOver(level int) bool {
 	share := (p.set.MaxOriginCopies - 1) * float64(len(p.place)) / float64(p.neighbours+1)
-	return p.takeovers <= int(share) || level >= despair
+	return p.takeovers < int(share+p.luck) || level >= despair
 }
 
-// reachable tells whether a peer of the region can be asked for chunk c.
-func (p *Planner) reachable(c int, now time.Time) bool {
-	return slices.ContainsFunc(p.sorted, func(q *peer) bool {
-		return q.local && q.has.Has(c) && p.usable(q, now)
+// reachable tells whether a peer of the region can be asked for chunk c, now or when
+// it is less busy.
+func (p *Planner) reachable(c int) bool {
+	known := p.pipes[SourcePeer].usual > 0
+	ok := slices.ContainsFunc(p.sorted, func(q *peer) bool {
+		return q.local && q.has.Has(c) && !q.banned && (!known || q.failures < 2)
 	})
+	if ok {
+		delete(p.blocked, c)
+	}
+	return ok
 }
 
 // outside returns the source outside the region for chunk c, when it is this
@@ -724,6 +764,10 @@
 // follows the rate at which chunks come.
 func (p *Planner) stallWait() time.Duration {
 	wait := max(p.set.MinStall, stallFactor*p.gap, 2*p.pipes[SourcePeer].usual)
+	if p.gap == 0 {
+		wait = max(wait, p.set.FirstTimeout)
+	}
+	wait = min(wait, maxStall)
 	if p.set.Objective == fleet.ObjectiveOriginBytes {
 		return 2 * wait
 	}
--- a/core/swarm/sim_test.go
+++ b/core/swarm/sim_test.go
@@ -26,6 +26,7 @@
 	cross    float64 // chunks that went between regions
 	down     bool    // the origin answers nothing
 	cut      fleet.Region
+	make     func(Settings, *Manifest, *rand.Rand, time.Time) chooser
 }
 
 // link is a rate and the time at which its queue is empty.
@@ -74,8 +75,8 @@
 	lies     bool // sends corrupt chunks
 	doneAt   time.Time
 	fresh    []int
-	canceled map[Fetch]int
-	control  float64 // bytes of control traffic sent
+	live     map[Fetch]int // serial of the fetch in flight
+	control  float64       // bytes of control traffic sent
 }
 
 type event struct {
@@ -129,7 +130,7 @@
 func newBench(n, regions, chunks int, seed uint64, make func(Settings, *Manifest, *rand.Rand, time.Time) chooser, objective fleet.Objective) *bench {
 	b := &bench{
 		now: benchStart, manifest: benchManifest(chunks), regions: map[string]*link{}, size: benchChunk,
-		random: rand.New(rand.NewPCG(seed, 7)), byID: map[fleet.InstanceID]*benchNode{},
+		random: rand.New(rand.NewPCG(seed, 7)), byID: map[fleet.InstanceID]*benchNode{}, make: make,
 	}
 	f := float64(chunks) * benchChunk
 	b.origin = link{rate: 4 * f / benchT}
@@ -138,7 +139,7 @@
 		node := &benchNode{
 			id: fleet.InstanceID(fmt.Sprintf("n%03d", i)), region: fleet.Region(fmt.Sprintf("r%d", i%regions)),
 			up: link{rate: 2 * f / benchT}, down: link{rate: 2 * f / benchT},
-			watching: map[fleet.InstanceID]bool{}, watchers: map[fleet.InstanceID]bool{}, canceled: map[Fetch]int{},
+			watching: map[fleet.InstanceID]bool{}, watchers: map[fleet.InstanceID]bool{}, live: map[Fetch]int{},
 		}
 		b.nodes = append(b.nodes, node)
 		b.byID[node.id] = node
@@ -220,7 +221,7 @@
 		return
 	}
 	for _, f := range n.plan.Overdue(b.now) {
-		n.canceled[f]++
+		delete(n.live, f)
 		n.plan.Failed(f, CauseStalled, 0, b.now)
 	}
 	for _, f := range n.plan.Next(b.now) {
@@ -258,6 +259,8 @@
 }
 
 func (b *bench) begin(n *benchNode, f Fetch) {
+	b.serial++
+	n.live[f] = b.serial
 	if f.Source.Kind == SourceOrigin {
 		b.fromOrigin(n, f)
 		return
@@ -283,8 +286,9 @@
 		return
 	}
 	b.copies++
+	serial := n.live[f]
 	path := append([]*link{&b.origin}, b.between("r0", n.region)...)
-	b.pass(append(path, &n.down), func() { b.arrive(n, f, nil) })
+	b.pass(append(path, &n.down), func() { b.arrive(n, f, serial, nil) })
 }
 
 // pass sends a chunk over links one after the other; it queues at each when it gets
@@ -316,16 +320,15 @@
 }
 
 func (b *bench) transfer(src, dst *benchNode, f Fetch) {
+	serial := dst.live[f]
 	path := append([]*link{&src.up}, b.between(src.region, dst.region)...)
-	b.pass(append(path, &dst.down), func() { b.arrive(dst, f, src) })
+	b.pass(append(path, &dst.down), func() { b.arrive(dst, f, serial, src) })
 }
 
-func (b *bench) arrive(n *benchNode, f Fetch, src *benchNode) {
+func (b *bench) arrive(n *benchNode, f Fetch, serial int, src *benchNode) {
 	b.at(localLatency, func() {
 		switch {
-		case n.dead:
-		case n.canceled[f] > 0:
-			n.canceled[f]--
+		case n.dead || n.live[f] != serial:
 		case src != nil && src.dead:
 			b.fail(n, f, CauseGone)
 		case src != nil && src.lies:
@@ -337,13 +340,10 @@
 }
 
 func (b *bench) fail(n *benchNode, f Fetch, why Cause) {
-	if n.dead {
-		return
-	}
-	if n.canceled[f] > 0 {
-		n.canceled[f]--
+	if _, ok := n.live[f]; n.dead || !ok {
 		return
 	}
+	delete(n.live, f)
 	n.plan.Failed(f, why, 0, b.now)
 	if why == CauseGone && f.Source.Kind != SourceOrigin {
 		n.plan.PeerGone(f.Source.Peer, b.now)
@@ -353,8 +353,9 @@
 }
 
 func (b *bench) done(n *benchNode, f Fetch) {
+	delete(n.live, f)
 	for _, extra := range n.plan.Done(f, b.now) {
-		n.canceled[extra]++
+		delete(n.live, extra)
 		n.plan.Failed(extra, CauseCanceled, 0, b.now)
 	}
 	if n.plan.Missing() == 0 && n.doneAt.IsZero() {
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -172,7 +172,7 @@
 	return &peerpb.Member{
 		Instance: string(m.Instance.ID), Region: string(m.Instance.Region), AvailabilityZone: string(m.Instance.Zone),
 		Address: m.Instance.Address, Incarnation: uint64(m.Incarnation), Leaving: m.Instance.Leaving,
-		Models: modelsToWire(m.Models), AgeMs: age,
+		Models: modelsToWire(m.Models), AgeMs: age, Lost: m.Lost,
 	}
 }
 
@@ -185,6 +185,7 @@
 		Incarnation: fleet.Incarnation(p.GetIncarnation()),
 		Models:      modelsFromWire(p.GetModels()),
 		Heard:       p.GetAgeMs() != notHeard,
+		Lost:        p.GetLost(),
 		Age:         time.Duration(max(0, p.GetAgeMs())) * time.Millisecond,
 	}
 }
--- a/io/peer/types.go
+++ b/io/peer/types.go
@@ -51,6 +51,7 @@
 	Models      []member.ModelState
 	Heard       bool          // a heartbeat was received
 	Age         time.Duration // since that heartbeat
+	Lost        bool          // its lease has run out
 }
 
 // Notice is what an entry tells an agent.
