--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -115,6 +115,7 @@
 // Token checks a token of the present attempt. The caller is given it only when
 // the error is nil.
 func (r *Request) Token(e Event) error {
+	r.mayRun = true // whatever the target says of it later
 	if r.pinned != "" && e.Version != r.pinned || e.Index != r.sent || e.Version == "" {
 		return &MixedError{Pinned: r.pinned, Got: e.Version, Expected: r.sent, Index: e.Index}
 	}
--- a/core/switchover/machine.go
+++ b/core/switchover/machine.go
@@ -286,7 +286,10 @@
 	case target == in.Desired && now.Before(m.retryAt):
 		m.settle(PhaseStaged, WaitRetry)
 		return Action{}
-	case !m.mayBegin(in, target, now):
+	case !m.acting && !m.mayBegin(in, target, now):
+		// Whoever waits must not be promised anything: the first in rank may
+		// need the promise of the one that would keep it.
+		m.intent = 0
 		m.phase = PhaseStaged
 		return Action{}
 	}
@@ -423,14 +426,16 @@
 		return true
 	}
 	m.phase = PhaseStaged
-	if m.intent == 0 || now.Sub(m.intentAt) >= m.set.IntentLife {
-		m.nonce++
-		m.intent, m.intentAt = m.nonce, now
-	}
 	if len(m.promises) > 0 {
+		// Two that hold each other's promise would wait without end.
+		m.intent = 0
 		m.wait = WaitPromised
 		return false
 	}
+	if m.intent == 0 || now.Sub(m.intentAt) >= m.set.IntentLife {
+		m.nonce++
+		m.intent, m.intentAt = m.nonce, now
+	}
 	floor := min(in.MinServing, in.View.ZoneSize-1)
 	if m.promised(in, now) < floor {
 		m.wait = WaitPromises
