Requests, configuration: checks and benches of choice, admission, tickets and spread

Cause: the decisions had no measurement beside a baseline. Change: benches and table tests; the two targets of a choice are different ones (a full zone could draw the same target twice and not spill); a plan that did not change for a target is announced by its revision alone; the pools of a zone are spread evenly over its entries.

--- a/app/entry/attach.go
+++ b/app/entry/attach.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"hash/maphash"
@@ -30,20 +31,21 @@
 
 // session is the stream of one agent.
 type session struct {
-	e       *Entry
-	agent   fleet.InstanceID
-	inc     fleet.Incarnation
-	pool    fleet.Pool
-	zone    fleet.Zone
-	out     chan peer.Notice
-	kick    chan struct{}
-	ctx     context.Context
-	cancel  context.CancelFunc
-	sentRev fleet.Revision
-	sent    map[fleet.InstanceID]uint64
-	seed    maphash.Seed
-	entries uint64
-	ack     atomic.Uint64
+	e        *Entry
+	agent    fleet.InstanceID
+	inc      fleet.Incarnation
+	pool     fleet.Pool
+	zone     fleet.Zone
+	out      chan peer.Notice
+	kick     chan struct{}
+	ctx      context.Context
+	cancel   context.CancelFunc
+	sentRev  fleet.Revision
+	sentPlan []byte
+	sent     map[fleet.InstanceID]uint64
+	seed     maphash.Seed
+	entries  uint64
+	ack      atomic.Uint64
 }
 
 // Attach implements peer.EntryHandler.
@@ -230,6 +232,11 @@
 		return nil
 	}
 	s.sentRev = rev
+	if bytes.Equal(signed.Body, s.sentPlan) {
+		signed.Body = nil
+	} else {
+		s.sentPlan = signed.Body
+	}
 	return &signed
 }
 
--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,351 @@
+package admit
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"amaranthturn/core/fleet"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func queue(limit int) *Queue {
+	set := DefaultLimitSettings
+	set.Min, set.Max = limit, limit
+	return NewQueue(NewLimit(set, limit), func(fleet.Workspace) Limits { return Limits{Weight: 1, Queue: 10} })
+}
+
+func request(id int, w string, c fleet.Class) Request {
+	return Request{ID: RequestID(id), Workspace: fleet.Workspace(w), Class: c, Deadline: now.Add(time.Minute), Cost: 10}
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	q := queue(1)
+	assert.Equal(t, q.Offer(request(0, "a", 0), now).Verdict, Admitted)
+	for i := range 10 {
+		assert.Equal(t, q.Offer(request(i+1, "a", 0), now).Verdict, Queued)
+	}
+	d := q.Offer(request(99, "a", 0), now)
+	assert.Equal(t, d.Cause, CauseQueueFull)
+	assert.Equal(t, q.Offer(request(100, "b", 0), now).Verdict, Queued, "another workspace has its own queue")
+}
+
+func TestClassesOrderWithinAWorkspace(t *testing.T) {
+	q := queue(1)
+	q.Offer(request(0, "a", 0), now)
+	q.Offer(request(1, "a", fleet.ClassBatch), now)
+	q.Offer(request(2, "a", fleet.ClassInteractive), now)
+	got, _ := q.Release(request(0, "a", 0), 10, now)
+	assert.Equal(t, got[0].ID, RequestID(2))
+}
+
+func TestExpiredAreDropped(t *testing.T) {
+	q := queue(1)
+	q.Offer(request(0, "a", 0), now)
+	q.Offer(request(1, "a", 0), now)
+	_, late := q.Tick(now.Add(2 * time.Minute))
+	assert.Equal(t, len(late), 1)
+	assert.Equal(t, q.Queued(), 0)
+}
+
+func TestLimitFollowsDelay(t *testing.T) {
+	l := NewLimit(DefaultLimitSettings, 20)
+	at := now
+	for range 200 {
+		at = at.Add(10 * time.Millisecond)
+		l.Observe(10*time.Millisecond, l.Value(), at)
+	}
+	high := l.Value()
+	assert.Assert(t, high > 20)
+	for range 200 {
+		at = at.Add(10 * time.Millisecond)
+		l.Observe(100*time.Millisecond, l.Value(), at)
+	}
+	assert.Assert(t, l.Value() < high)
+}
+
+// TestNothingIsLost: every offered request is admitted, refused, expired or canceled
+// exactly once, and the counts agree.
+func TestNothingIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue(rapid.IntRange(1, 4).Draw(t, "limit"))
+		at, next := now, 0
+		flying, waiting := map[RequestID]Request{}, map[RequestID]Request{}
+		move := func(admitted, expired []Request) {
+			for _, r := range admitted {
+				if _, ok := waiting[r.ID]; !ok {
+					t.Fatalf("admitted %d twice", r.ID)
+				}
+				delete(waiting, r.ID)
+				flying[r.ID] = r
+			}
+			for _, r := range expired {
+				if _, ok := waiting[r.ID]; !ok {
+					t.Fatalf("expired %d twice", r.ID)
+				}
+				delete(waiting, r.ID)
+			}
+		}
+		first := func(m map[RequestID]Request) (Request, bool) {
+			for _, r := range m {
+				return r, true
+			}
+			return Request{}, false
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				next++
+				r := request(next, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"), fleet.Class(rapid.IntRange(0, 2).Draw(t, "class")))
+				r.Deadline = at.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "deadline")) * time.Second)
+				switch q.Offer(r, at).Verdict {
+				case Admitted:
+					flying[r.ID] = r
+				case Queued:
+					waiting[r.ID] = r
+				}
+			},
+			"release": func(t *rapid.T) {
+				if r, ok := first(flying); ok {
+					delete(flying, r.ID)
+					move(q.Release(r, float64(rapid.IntRange(0, 50).Draw(t, "tokens")), at))
+				}
+			},
+			"cancel": func(*rapid.T) {
+				if r, ok := first(waiting); ok {
+					delete(waiting, r.ID)
+					if !q.Cancel(r) {
+						t.Fatalf("%d was not waiting", r.ID)
+					}
+				}
+			},
+			"tick": func(t *rapid.T) {
+				at = at.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
+				move(q.Tick(at))
+			},
+			"": func(*rapid.T) {
+				if q.InFlight() != len(flying) || q.Queued() != len(waiting) {
+					t.Fatalf("counts %d/%d, truth %d/%d", q.InFlight(), q.Queued(), len(flying), len(waiting))
+				}
+			},
+		})
+	})
+}
+
+// arrival is one request of the overload bench.
+type arrival struct {
+	Request
+	at     time.Time
+	tokens float64
+}
+
+// overload plays a minute of arrivals at targets that serve a fixed number of requests
+// at once, a token every 10 ms. mode chooses fair queueing, one queue for all, or a
+// random waiting request.
+type overload struct {
+	mode    string
+	slots   int
+	busy    endHeap
+	fifo    []arrival
+	random  *rand.Rand
+	q       *Queue
+	pending map[RequestID]arrival
+	served  map[fleet.Workspace]float64
+	first   []float64 // ms until the first token of small workspaces
+	wasted  float64
+	useful  float64
+}
+
+type ending struct {
+	at time.Time
+	a  arrival
+}
+type endHeap []ending
+
+func (h endHeap) Len() int           { return len(h) }
+func (h endHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h endHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *endHeap) Push(x any)        { *h = append(*h, x.(ending)) }
+func (h *endHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+const (
+	tokenTime = 10 * time.Millisecond
+	patience  = 4 * time.Second // after which a caller is gone
+	benchTime = 60 * time.Second
+)
+
+func (o *overload) begin(a arrival, at time.Time) {
+	wait := at.Sub(a.at)
+	if wait > patience {
+		o.wasted += a.tokens
+	} else {
+		o.useful += a.tokens
+		o.served[a.Workspace] += a.tokens
+		if a.Workspace != "greedy" {
+			o.first = append(o.first, float64(wait.Milliseconds()))
+		}
+	}
+	heap.Push(&o.busy, ending{at.Add(time.Duration(a.tokens) * tokenTime), a})
+}
+
+func (o *overload) arrive(a arrival) {
+	if o.mode == "fair" {
+		switch o.q.Offer(a.Request, a.at).Verdict {
+		case Admitted:
+			o.begin(a, a.at)
+		case Queued:
+			o.pending[a.ID] = a
+		}
+		return
+	}
+	if len(o.busy) < o.slots {
+		o.begin(a, a.at)
+		return
+	}
+	if len(o.fifo) < 300 {
+		o.fifo = append(o.fifo, a)
+	}
+}
+
+func (o *overload) end(e ending) {
+	if o.mode == "fair" {
+		admitted, expired := o.q.Release(e.a.Request, e.a.tokens, e.at)
+		for _, r := range expired {
+			delete(o.pending, r.ID)
+		}
+		for _, r := range admitted {
+			o.begin(o.pending[r.ID], e.at)
+			delete(o.pending, r.ID)
+		}
+		return
+	}
+	if len(o.fifo) == 0 {
+		return
+	}
+	i := 0
+	if o.mode == "random" {
+		i = o.random.IntN(len(o.fifo))
+	}
+	a := o.fifo[i]
+	o.fifo = slices.Delete(o.fifo, i, i+1)
+	o.begin(a, e.at)
+}
+
+func (o *overload) run(list []arrival) {
+	for _, a := range list {
+		for len(o.busy) > 0 && o.busy[0].at.Before(a.at) {
+			o.end(heap.Pop(&o.busy).(ending))
+		}
+		o.arrive(a)
+	}
+}
+
+// arrivals makes small workspaces that ask for half of their fair share, and one
+// greedy workspace that asks for the rest of twice the capacity.
+func arrivals(slots int, greedy bool) []arrival {
+	random := rand.New(rand.NewPCG(7, 7))
+	capacity := float64(slots) / tokenTime.Seconds() // tokens a second
+	var out []arrival
+	add := func(w string, rate float64) {
+		for at := 0.0; at < benchTime.Seconds(); {
+			tokens := 20 + float64(random.IntN(60))
+			at += random.ExpFloat64() * 50 / rate
+			out = append(out, arrival{Request: Request{Workspace: fleet.Workspace(w), Cost: 50}, at: now.Add(time.Duration(at * float64(time.Second))), tokens: tokens})
+		}
+	}
+	for i := range 9 {
+		add(fmt.Sprintf("small-%d", i), capacity/20)
+	}
+	if greedy {
+		add("greedy", 2*capacity-9*capacity/20)
+	}
+	slices.SortFunc(out, func(a, b arrival) int { return a.at.Compare(b.at) })
+	for i := range out {
+		out[i].ID = RequestID(i + 1)
+		out[i].Deadline = out[i].at.Add(patience)
+	}
+	return out
+}
+
+func play(mode string, slots int, list []arrival) *overload {
+	set := DefaultLimitSettings
+	set.Min, set.Max = slots, slots
+	o := &overload{
+		mode: mode, slots: slots, random: rand.New(rand.NewPCG(3, 3)), served: map[fleet.Workspace]float64{}, pending: map[RequestID]arrival{},
+		q: NewQueue(NewLimit(set, slots), func(fleet.Workspace) Limits { return Limits{Weight: 1, Queue: 64} }),
+	}
+	o.run(list)
+	return o
+}
+
+func (o *overload) small() float64 {
+	n := 0.0
+	for w, t := range o.served {
+		if w != "greedy" {
+			n += t
+		}
+	}
+	return n
+}
+
+// BenchmarkOverload measures twice the capacity with one greedy workspace.
+func BenchmarkOverload(b *testing.B) {
+	const slots = 64
+	alone := play("fair", slots, arrivals(slots, false)).small()
+	capacity := slots / tokenTime.Seconds() * benchTime.Seconds()
+	for _, mode := range []string{"fair", "fifo", "random"} {
+		b.Run(mode, func(b *testing.B) {
+			for range b.N {
+				o := play(mode, slots, arrivals(slots, true))
+				slices.Sort(o.first)
+				b.ReportMetric(o.small()/alone, "small_workspace_share")
+				b.ReportMetric(o.useful/capacity, "useful_share")
+				b.ReportMetric(o.first[len(o.first)*95/100], "first_token_ms_p95")
+			}
+		})
+	}
+}
+
+// TestOverloadKeepsSmallWorkspaces holds the stated targets: small workspaces keep 90 %
+// of their rate and useful work 95 % of the capacity at twice the load.
+func TestOverloadKeepsSmallWorkspaces(t *testing.T) {
+	const slots = 64
+	alone := play("fair", slots, arrivals(slots, false)).small()
+	o := play("fair", slots, arrivals(slots, true))
+	assert.Assert(t, o.small() >= 0.9*alone, "%.2f of the uncontended rate", o.small()/alone)
+	capacity := slots / tokenTime.Seconds() * benchTime.Seconds()
+	assert.Assert(t, o.useful >= 0.95*capacity, "%.2f of the capacity", o.useful/capacity)
+}
+
+// BenchmarkOffer measures admission as workspaces grow.
+func BenchmarkOffer(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 5000} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			q := queue(n)
+			names := make([]fleet.Workspace, n)
+			for i := range names {
+				names[i] = fleet.Workspace(fmt.Sprint(i))
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				r := Request{ID: RequestID(i), Workspace: names[i%n], Deadline: now.Add(time.Minute), Cost: 1}
+				if q.Offer(r, now).Verdict == Admitted {
+					q.Release(r, 1, now)
+				}
+			}
+		})
+	}
+}
--- a/core/member/home.go
+++ b/core/member/home.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"slices"
 
 	"amaranthturn/core/fleet"
@@ -31,7 +32,36 @@
 	if len(local) == 0 {
 		local = all
 	}
-	return ordered(HomeKey(z, p), local, HomeCount)
+	return balanced(list, local, z, p)
+}
+
+// loadUnit is the agents that count as one unit of load of an entry, so that a
+// single instance that comes or goes seldom moves others.
+const loadUnit = 16
+
+// balanced hands the pools of a zone to its entries one after the other, each to
+// the entries with the least load so far, and returns those of pool p. All compute
+// the same from the same list.
+func balanced(list, local []fleet.Instance, z fleet.Zone, p fleet.Pool) []fleet.Instance {
+	sizes := map[fleet.Pool]int{p: 0}
+	for _, in := range list {
+		if in.Role == fleet.RoleTarget && in.Zone == z {
+			sizes[in.Pool]++
+		}
+	}
+	loads := map[fleet.InstanceID]int{}
+	for _, pool := range slices.Sorted(maps.Keys(sizes)) {
+		homes := ordered(HomeKey(z, pool), local, len(local))
+		slices.SortStableFunc(homes, func(a, b fleet.Instance) int { return loads[a.ID] - loads[b.ID] })
+		homes = homes[:min(HomeCount, len(homes))]
+		if pool == p {
+			return homes
+		}
+		for _, in := range homes {
+			loads[in.ID] += (sizes[pool] + loadUnit - 1) / loadUnit
+		}
+	}
+	return nil
 }
 
 // Offered returns the entries that a caller in any zone should use for a pool,
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -182,26 +182,28 @@
 	return Target{}, false
 }
 
+// twoChoices returns the less loaded of two different candidates drawn at random.
 func (p *Picker) twoChoices(candidates []Target, q Query, now time.Time) (Target, bool) {
-	a, ok := p.draw(candidates, q)
-	if !ok {
+	n := len(candidates)
+	if n == 0 {
 		return Target{}, false
 	}
-	b, _ := p.draw(candidates, q)
-	if p.relative(b, now) < p.relative(a, now) {
+	start := p.random.IntN(n)
+	a, ok := draw(candidates, q, start, n)
+	if !ok || n == 1 {
+		return a, ok
+	}
+	b, ok := draw(candidates, q, start+1+p.random.IntN(n-1), n)
+	if ok && p.relative(b, now) < p.relative(a, now) {
 		return b, true
 	}
 	return a, true
 }
 
-// draw returns a random candidate that is not avoided.
-func (p *Picker) draw(candidates []Target, q Query) (Target, bool) {
-	if len(candidates) == 0 {
-		return Target{}, false
-	}
-	start := p.random.IntN(len(candidates))
-	for i := range candidates {
-		t := candidates[(start+i)%len(candidates)]
+// draw returns the first candidate from start on that is not avoided.
+func draw(candidates []Target, q Query, start, n int) (Target, bool) {
+	for i := range n {
+		t := candidates[(start+i)%n]
 		if !avoided(q, t.ID) {
 			return t, true
 		}
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,121 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/core/fleet"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func targets(n int) []Target {
+	out := make([]Target, n)
+	for i := range out {
+		out[i] = NewTarget(fleet.InstanceID(fmt.Sprintf("t%d", i)), 16)
+	}
+	Sort(out)
+	return out
+}
+
+func picker() *Picker { return NewPicker(DefaultSettings, rand.New(rand.NewPCG(1, 1))) }
+
+func TestPrefixGoesWhereItIsCached(t *testing.T) {
+	p, list := picker(), targets(20)
+	p.Cached("t7", 99, now)
+	got, _ := p.Choose(list, Query{Prefix: 99}, now)
+	assert.Equal(t, got.ID, fleet.InstanceID("t7"))
+	for range 40 {
+		p.Started("t7")
+	}
+	got, _ = p.Choose(list, Query{Prefix: 99}, now)
+	assert.Assert(t, got.ID != "t7", "affinity has a bound")
+	got, _ = p.Choose(list, Query{Prefix: 99, Avoid: []fleet.InstanceID{"t7"}}, now.Add(time.Hour))
+	assert.Assert(t, got.ID != "t7")
+}
+
+func TestOldReportsFade(t *testing.T) {
+	p, list := picker(), targets(2)
+	p.Reported("t0", 100, now)
+	for range 20 {
+		got, _ := p.Choose(list, Query{}, now)
+		assert.Equal(t, got.ID, fleet.InstanceID("t1"))
+	}
+	assert.Assert(t, p.weight("t0", now.Add(time.Minute)) < 0.01)
+}
+
+func TestAloneWantsAnIdleTarget(t *testing.T) {
+	p, list := picker(), targets(2)
+	p.Started("t0")
+	got, ok := p.Choose(list, Query{Alone: true}, now)
+	assert.Assert(t, ok)
+	assert.Equal(t, got.ID, fleet.InstanceID("t1"))
+	p.Started("t1")
+	_, ok = p.Choose(list, Query{Alone: true}, now)
+	assert.Assert(t, !ok)
+}
+
+func TestChooseNearSpillsWhenFull(t *testing.T) {
+	p, list := picker(), targets(4)
+	near := list[:1]
+	got, _ := p.ChooseNear(near, list, Query{}, now)
+	assert.Equal(t, got.ID, near[0].ID)
+	for range 16 {
+		p.Started(near[0].ID)
+	}
+	for range 10 {
+		got, _ = p.ChooseNear(near, list, Query{}, now)
+		assert.Assert(t, got.ID != near[0].ID)
+	}
+}
+
+func TestEligible(t *testing.T) {
+	offer := func(id fleet.InstanceID, v fleet.Version, loaded ...fleet.Version) Offer {
+		return Offer{Target: NewTarget(id, 1), Serving: v, Loaded: append(loaded, v)}
+	}
+	offers := []Offer{offer("old", "v1"), offer("new", "v2", "v1"), offer("test", "v3")}
+	ids := func(w Want) string {
+		s := ""
+		for _, x := range Eligible(offers, w) {
+			s += string(x.ID) + " "
+		}
+		return s
+	}
+	rows := map[string]struct {
+		want Want
+		ids  string
+	}{
+		"spreading":         {Want{Asked: "v2", Default: "v2"}, "old new test "},
+		"isolated":          {Want{Asked: "v2", Default: "v2", Isolated: []fleet.Version{"v3"}}, "old new "},
+		"exception":         {Want{Asked: "v3", Default: "v2", Isolated: []fleet.Version{"v3"}}, "test "},
+		"exception missing": {Want{Asked: "v9", Default: "v2", Isolated: []fleet.Version{"v9", "v3"}}, "old new "},
+		"pinned":            {Want{Pinned: "v1", Asked: "v2", Default: "v2"}, "old new "},
+	}
+	for name, r := range rows {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, ids(r.want), r.ids) })
+	}
+}
+
+// BenchmarkChoose measures a choice as targets grow.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 5000} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			p, list := picker(), targets(n)
+			for _, x := range list {
+				p.Reported(x.ID, 3, now)
+			}
+			b.ReportAllocs()
+			i := uint64(0)
+			for b.Loop() {
+				i++
+				x, _ := p.Choose(list, Query{Prefix: i%1024 + 1}, now)
+				p.Started(x.ID)
+				p.Finished(x.ID)
+			}
+		})
+	}
+}
--- a/core/spread/plan.go
+++ b/core/spread/plan.go
@@ -19,7 +19,7 @@
 // of the document, which keeps their control traffic small.
 type SignedPlan struct {
 	Revision fleet.Revision
-	Body     []byte // JSON of a config.TargetPlan
+	Body     []byte // JSON of a config.TargetPlan; nil when as in the plan before
 	MAC      keys.MAC
 }
 
@@ -37,6 +37,7 @@
 	ring   *keys.Ring
 	target fleet.InstanceID
 	rev    fleet.Revision
+	body   []byte
 	plan   config.TargetPlan
 }
 
@@ -53,14 +54,22 @@
 	if s.Revision == h.rev {
 		return Result{Verdict: Known}
 	}
-	if err := h.ring.Check(planPurpose, s.MAC, []byte(h.target), revisionBytes(s.Revision), s.Body); err != nil {
+	body := s.Body
+	if body == nil {
+		body = h.body
+	}
+	if err := h.ring.Check(planPurpose, s.MAC, []byte(h.target), revisionBytes(s.Revision), body); err != nil {
+		if s.Body == nil {
+			// Another entry told a plan in between; it will tell the next too.
+			return Result{Verdict: Unfitting}
+		}
 		return Result{Verdict: Forged, Problem: err}
 	}
 	var p config.TargetPlan
-	if err := json.Unmarshal(s.Body, &p); err != nil {
+	if err := json.Unmarshal(body, &p); err != nil {
 		return Result{Verdict: Forged, Problem: fmt.Errorf("%w: %w", ErrBadPlan, err)}
 	}
-	h.rev, h.plan = s.Revision, p
+	h.rev, h.plan, h.body = s.Revision, p, body
 	return Result{Verdict: Accepted, Changed: true}
 }
 
--- /dev/null
+++ b/core/suspect/suspect_test.go
@@ -0,0 +1,54 @@
+package suspect
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/core/fleet"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+// TestCulpritIsStoppedAndBystandersAreNot plays a deadly request that is sent again
+// among others that only ran beside it.
+func TestCulpritIsStoppedAndBystandersAreNot(t *testing.T) {
+	l := NewLedger(DefaultSettings)
+	const culprit = fleet.Fingerprint(1)
+	l.Crashed([]fleet.Fingerprint{culprit, 2, 3, 4}, now)
+	assert.Equal(t, l.Judge(culprit, now), Alone)
+	assert.Equal(t, l.Judge(3, now), Alone)
+	l.Finished(3, true, now)
+	assert.Equal(t, l.Judge(3, now), Clear, "what finishes alone is cleared")
+	crashes := 1
+	for l.Judge(culprit, now) != Stop {
+		l.Crashed([]fleet.Fingerprint{culprit}, now)
+		crashes++
+	}
+	assert.Assert(t, crashes <= DefaultSettings.Targets+1, "%d targets", crashes)
+	assert.Equal(t, l.Judge(2, now.Add(2*time.Hour)), Clear, "shared blame decays")
+}
+
+func TestMergeTakesTheWorse(t *testing.T) {
+	a, b := NewLedger(DefaultSettings), NewLedger(DefaultSettings)
+	a.Crashed([]fleet.Fingerprint{7}, now)
+	a.Crashed([]fleet.Fingerprint{7}, now)
+	b.Merge(a.Worst(10, now), now)
+	assert.Equal(t, b.Judge(7, now), Stop)
+	b.Merge([]Blame{{7, 0.1}, {8, -3}}, now)
+	assert.Equal(t, b.Judge(7, now), Stop)
+	assert.Equal(t, b.Judge(8, now), Clear)
+}
+
+func TestLedgerIsBounded(t *testing.T) {
+	set := DefaultSettings
+	set.Capacity = 10
+	l := NewLedger(set)
+	l.Crashed([]fleet.Fingerprint{1}, now)
+	for f := range fleet.Fingerprint(100) {
+		l.Crashed([]fleet.Fingerprint{1000 + f, 2000 + f}, now)
+	}
+	assert.Equal(t, l.Len(), 10)
+	assert.Equal(t, l.Judge(1, now), Alone, "the most blamed stays")
+}
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -143,9 +143,9 @@
 
 func noticeFromWire(p *peerpb.AgentNotice) Notice {
 	n := Notice{Replace: p.GetMembersSet(), Ack: p.GetAck()}
-	if len(p.GetPlan()) > 0 {
+	if len(p.GetPlanMac()) > 0 {
 		n.Plan = &spread.SignedPlan{
-			Revision: fleet.Revision(p.GetRevision()), Body: p.GetPlan(),
+			Revision: fleet.Revision(p.GetRevision()), Body: noneIfEmpty(p.GetPlan()),
 			MAC: keys.MAC{Key: keys.ID(p.GetKeyId()), Sum: p.GetPlanMac()},
 		}
 	}
@@ -361,6 +361,14 @@
 	return h
 }
 
+// noneIfEmpty undoes that the wire does not tell nil from empty.
+func noneIfEmpty(b []byte) []byte {
+	if len(b) == 0 {
+		return nil
+	}
+	return b
+}
+
 func millis(t time.Time) int64 {
 	if t.IsZero() {
 		return 0
