Recovery: a failed version waits by itself; the origin is tried again soon

Cause: with an engine that died the fleet took 17 s, because the pause after a failure held back every version and not only the one that failed; after 4 s without the origin it took 35 s, because the pause between tries had grown to 32 s. Change: the pause belongs to a version; the origin's doubles three times at most; the load tool tells a connection that was never made from one that broke, and counts the latter against a planned stop.

--- a/app/agent/driver.go
+++ b/app/agent/driver.go
@@ -362,9 +362,9 @@
 	switch {
 	case errors.As(err, &stale):
 		d.fence.Raise(stale.Seen)
-		x.m.Refused(now)
+		x.m.Refused(x.act, now)
 	case errors.Is(err, errPaused):
-		x.m.Refused(now)
+		x.m.Refused(x.act, now)
 	default:
 		x.m.Finished(x.act, err, now)
 	}
--- a/app/local/report.go
+++ b/app/local/report.go
@@ -53,7 +53,7 @@
 	r.OrdersSent, r.OrdersRun, r.OrdersTwice = v.OrdersSent, v.OrdersRun, v.OrdersTwice
 	r.OrdersLost, r.OrdersUnknown, r.NotRunButRan = v.OrdersLost, v.OrdersUnknown, v.NotRunButRan
 	r.CutByStop, r.BadWeights = v.CutByStop, v.BadWeights
-	r.Broken = v.Broken()
+	r.Broken = append([]string{}, v.Broken()...)
 }
 
 // Failed tells whether a promise was broken or the fleet did not converge.
--- a/core/swarm/planner.go
+++ b/core/swarm/planner.go
@@ -104,22 +104,23 @@
 
 // Limits of the reaction to failures.
 const (
-	lateDeviations = 4                // a fetch is late after the usual time and these
-	stallFactor    = 10               // gaps between new chunks until a takeover
-	peerPenalty    = 2 * time.Second  // first pause of a failing peer
-	maxStall       = time.Minute      // longest wait before the next in order takes over
-	maxPenalty     = 30 * time.Second // longest pause of a failing peer
-	maxOutage      = 8 * time.Second  // longest wait until a lost peer is tried again
-	corruptLimit   = 2                // corrupt chunks until a peer is banned
-	endgameChunks  = 16               // missing chunks from which a second peer is asked
-	endgameFactor  = 2                // usual times until a second peer is asked
-	sharedPatience = 6                // first timeouts that a fetch over a shared link is given
-	sharedFlights  = 32               // chunks that all members together have in flight over one
-	originBackoff  = 500 * time.Millisecond
-	maxFirst       = 8 // members watched only because this one is next to them
-	despair        = 8 // waits after which the bound on takeovers is lifted
-	patience       = 4 // takeovers' waits that a member that gets on is given
-	originAttempts = 3 // corrupt answers of the origin until it is reported
+	lateDeviations   = 4                // a fetch is late after the usual time and these
+	stallFactor      = 10               // gaps between new chunks until a takeover
+	peerPenalty      = 2 * time.Second  // first pause of a failing peer
+	maxStall         = time.Minute      // longest wait before the next in order takes over
+	maxPenalty       = 30 * time.Second // longest pause of a failing peer
+	maxOutage        = 8 * time.Second  // longest wait until a lost peer is tried again
+	corruptLimit     = 2                // corrupt chunks until a peer is banned
+	endgameChunks    = 16               // missing chunks from which a second peer is asked
+	endgameFactor    = 2                // usual times until a second peer is asked
+	sharedPatience   = 6                // first timeouts that a fetch over a shared link is given
+	sharedFlights    = 32               // chunks that all members together have in flight over one
+	originMaxDoubles = 3                // of the backoff
+	originBackoff    = 500 * time.Millisecond
+	maxFirst         = 8 // members watched only because this one is next to them
+	despair          = 8 // waits after which the bound on takeovers is lifted
+	patience         = 4 // takeovers' waits that a member that gets on is given
+	originAttempts   = 3 // corrupt answers of the origin until it is reported
 )
 
 // Member is an instance that should get the version.
@@ -601,7 +602,7 @@
 	if why == CauseCorrupt {
 		p.corrupt[f.Chunk]++
 	}
-	wait := originBackoff << min(p.originNo-1, 5)
+	wait := originBackoff << min(p.originNo-1, originMaxDoubles)
 	wait += time.Duration(p.random.Int64N(int64(wait)))
 	p.originAt = now.Add(max(wait, retryAfter))
 }
--- a/core/switchover/machine.go
+++ b/core/switchover/machine.go
@@ -188,8 +188,8 @@
 	acting   bool // the gate is closed for a switch
 	promises map[fleet.InstanceID]given
 	failures map[fleet.Version]int
-	retryAt  time.Time
-	active   fleet.Version // what the engine was last made to serve
+	retryAt  map[fleet.Version]time.Time // not loaded again before
+	active   fleet.Version               // what the engine was last made to serve
 	activeAt time.Time
 	lastGood fleet.Version
 	oldSince time.Time
@@ -205,7 +205,7 @@
 	return &Machine{
 		set: set, nonce: uint64(incarnation) << 16,
 		promises: map[fleet.InstanceID]given{},
-		failures: map[fleet.Version]int{},
+		failures: map[fleet.Version]int{}, retryAt: map[fleet.Version]time.Time{},
 	}
 }
 
@@ -283,7 +283,7 @@
 		m.endIntent()
 		m.settle(PhaseFetching, WaitWeights)
 		return Action{}
-	case target == in.Desired && now.Before(m.retryAt):
+	case target == in.Desired && now.Before(m.retryAt[target]):
 		m.settle(PhaseStaged, WaitRetry)
 		return Action{}
 	case !m.acting && !m.mayBegin(in, target, now):
@@ -317,7 +317,7 @@
 // givenUp tells that the desired version failed on too many instances, or failed
 // here a short while ago.
 func (m *Machine) givenUp(in Input, now time.Time) bool {
-	return m.failedOn(in) >= m.failLimit(in, now) || m.failures[in.Desired] > 0 && now.Before(m.retryAt)
+	return m.failedOn(in) >= m.failLimit(in, now) || m.failures[in.Desired] > 0 && now.Before(m.retryAt[in.Desired])
 }
 
 // failedOn counts the instances that the desired version failed on.
@@ -535,7 +535,7 @@
 		}
 		return
 	}
-	m.retryAt = now.Add(m.set.RetryAfter)
+	m.retryAt[a.Version] = now.Add(m.set.RetryAfter)
 	if a.Kind == ActionLoad || a.Kind == ActionActivate {
 		m.failures[a.Version]++
 	}
@@ -543,9 +543,9 @@
 
 // Refused records that the order did not reach the engine or was refused for
 // being old; the version is not blamed.
-func (m *Machine) Refused(now time.Time) {
+func (m *Machine) Refused(a Action, now time.Time) {
 	m.busy = Action{}
-	m.retryAt = now.Add(m.set.RetryAfter / 10)
+	m.retryAt[a.Version] = now.Add(m.set.RetryAfter / 10)
 }
 
 // watchEngine blames a version when the engine loses it soon after activation. An
@@ -557,7 +557,7 @@
 	}
 	if now.Sub(m.activeAt) < m.set.ProveTime {
 		m.failures[m.active]++
-		m.retryAt = now.Add(m.set.RetryAfter)
+		m.retryAt[m.active] = now.Add(m.set.RetryAfter)
 	}
 	m.active = ""
 }
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -252,8 +253,7 @@
 	began := time.Now()
 	resp, err := c.post(ctx, addr, "/v1/chat/completions", id, "", body)
 	if err != nil {
-		c.drop()
-		return record.ToldUnknown
+		return c.noAnswer(addr, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
@@ -267,6 +267,20 @@
 	return told
 }
 
+// noAnswer gives an entry up. A connection that was never made carried nothing; one
+// that a planned stop broke is a request cut by it.
+func (c *client) noAnswer(addr string, err error) record.Told {
+	c.drop()
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return record.ToldNotRun
+	}
+	if c.l.rec.IsStopping(addr) {
+		c.l.rec.Cut()
+	}
+	return record.ToldUnknown
+}
+
 func toldBy(resp *http.Response) record.Told {
 	if resp.Header.Get(caller.HeaderOutcome) == fleet.OutcomeNotRun.String() {
 		return record.ToldNotRun
@@ -427,8 +441,7 @@
 	addr := c.entry(ctx)
 	resp, err := c.post(ctx, addr, "/v1/orders/orders/orders", "", ticket, body)
 	if err != nil {
-		c.drop()
-		return record.ToldUnknown
+		return c.noAnswer(addr, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.Header.Get(caller.HeaderOutcome) != fleet.OutcomeDone.String() {
