Weights: the group of a new version comes from the configuration

Cause: with unlimited links three agents pulled 2.1 to 3 copies: what others wanted was taken from their own reports, which lag behind a change, so each thought it was alone. Change: entries tell the versions that the configuration wants for each instance; nothing is asked of the origin in the first 100 ms.

--- a/app/entry/attach.go
+++ b/app/entry/attach.go
@@ -276,10 +276,11 @@
 	row := peer.MemberInfo{Instance: in}
 	a, ok := e.table.Get(in.ID)
 	if !ok {
+		row.Models = e.desired(in, nil)
 		return row
 	}
 	row.Incarnation = a.Incarnation
-	row.Models = a.Models
+	row.Models = e.desired(in, a.Models)
 	row.Heard = true
 	row.Lost = e.table.StateOf(a, now) == member.StateExpired
 	row.Age = now.Sub(a.Heard)
@@ -288,6 +289,30 @@
 	return row
 }
 
+// desired returns the states of an instance's models with the versions that the
+// configuration in force wants there. What the instance itself reports lags behind a
+// change, and agents would not know with whom they share a new version.
+func (e *Entry) desired(in fleet.Instance, states []member.ModelState) []member.ModelState {
+	doc, _ := e.document()
+	if doc == nil {
+		return states
+	}
+	var out []member.ModelState
+	for _, p := range doc.PlanFor(in).Models {
+		st := member.ModelState{Model: p.Model}
+		for _, s := range states {
+			if s.Model == p.Model {
+				st = s
+			}
+		}
+		if st.Desired != p.Version {
+			st.Desired, st.Failures = p.Version, 0
+		}
+		out = append(out, st)
+	}
+	return out
+}
+
 // moving tells whether any member of the group is switching or about to.
 func moving(rows []peer.MemberInfo) bool {
 	for _, r := range rows {
--- a/core/swarm/fuzz_test.go
+++ b/core/swarm/fuzz_test.go
@@ -192,16 +192,19 @@
 // TestThrottledOriginWaits shows that Retry-After is kept.
 func TestThrottledOriginWaits(t *testing.T) {
 	p := NewPlanner(DefaultSettings("a", "r"), benchManifest(1), rand.New(rand.NewPCG(1, 1)), benchStart)
-	f := p.Next(benchStart)[0]
-	p.Failed(f, CauseThrottled, 30*time.Second, benchStart)
-	assert.Equal(t, len(p.Next(benchStart.Add(29*time.Second))), 0)
-	assert.Equal(t, len(p.Next(benchStart.Add(31*time.Second))), 1)
+	assert.Equal(t, len(p.Next(benchStart)), 0, "the others may not be known yet")
+	begun := benchStart.Add(time.Second)
+	f := p.Next(begun)[0]
+	p.Failed(f, CauseThrottled, 30*time.Second, begun)
+	assert.Equal(t, len(p.Next(begun.Add(29*time.Second))), 0)
+	assert.Equal(t, len(p.Next(begun.Add(31*time.Second))), 1)
 }
 
 // TestWokenPlannerStartsAnew shows that fetches from before a pause are given up.
 func TestWokenPlannerStartsAnew(t *testing.T) {
 	p := NewPlanner(DefaultSettings("a", "r"), benchManifest(4), rand.New(rand.NewPCG(1, 1)), benchStart)
-	begun := p.Next(benchStart)
+	begun := p.Next(benchStart.Add(time.Second))
+	assert.Equal(t, len(begun), 3)
 	later := benchStart.Add(10 * time.Minute)
 	given := p.Woke(later)
 	assert.Equal(t, len(given), len(begun))
--- a/core/swarm/planner.go
+++ b/core/swarm/planner.go
@@ -88,6 +88,9 @@
 	RemotePerRegion int // peers watched in each other region
 	// FirstTimeout is the progress deadline before any rate is known.
 	FirstTimeout time.Duration
+	// OriginDelay is how long nothing is asked of the origin at first, so that the
+	// instances come to know of each other's part.
+	OriginDelay time.Duration
 	// MinStall is the shortest wait before the next in order takes over.
 	MinStall time.Duration
 }
@@ -99,6 +102,7 @@
 		PeerFetches: 8, RemoteFetches: 4, OriginFetches: 3, PerPeer: 2,
 		Neighbours: 24, RemotePerRegion: 4,
 		FirstTimeout: 10 * time.Second, MinStall: 2 * time.Second,
+		OriginDelay: 100 * time.Millisecond,
 	}
 }
 
@@ -252,7 +256,7 @@
 		peers:   map[fleet.InstanceID]*peer{},
 		failed:  map[fleet.InstanceID]outage{},
 		corrupt: map[int]int{}, blocked: map[int]time.Time{}, remote: map[fleet.Region]int{},
-		progress: now,
+		progress: now, originAt: now.Add(set.OriginDelay),
 	}
 	shared := sharedPatience * set.FirstTimeout
 	p.pipes = [3]pipe{SourcePeer: {first: set.FirstTimeout}, SourceRemote: {first: shared}, SourceOrigin: {first: shared}}
