--- a/app/agent/attach.go
+++ b/app/agent/attach.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"amaranthturn/app/node"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/member"
 	"amaranthturn/core/spread"
@@ -46,7 +47,7 @@
 	t.firstHomes(ctx)
 	for ctx.Err() == nil {
 		t.reconcile(ctx, t.a.view.homeEntries())
-		sleep(ctx, homesEvery)
+		node.Sleep(ctx, homesEvery)
 	}
 	t.reconcile(ctx, nil)
 }
@@ -63,7 +64,7 @@
 			}
 		}
 		t.a.opt.Metrics.Count("list_failures", 1)
-		sleep(ctx, listRetry)
+		node.Sleep(ctx, listRetry)
 	}
 }
 
@@ -106,7 +107,7 @@
 func (x *attacher) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		x.stream(ctx)
-		sleep(ctx, reattachEvery)
+		node.Sleep(ctx, reattachEvery)
 	}
 }
 
@@ -216,15 +217,3 @@
 	}
 	a.driver.wake()
 }
-
-// sleep waits or tells that ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/app/agent/depot.go
+++ b/app/agent/depot.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"amaranthturn/app/node"
 	"amaranthturn/core/config"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/hold"
@@ -344,7 +345,7 @@
 			return ctx.Err()
 		case <-changed:
 		}
-		if !sleep(ctx, heldBatch) {
+		if !node.Sleep(ctx, heldBatch) {
 			return ctx.Err()
 		}
 		var now swarm.Bitmap
@@ -417,7 +418,7 @@
 		if m != nil && f.d.opened(ctx, f, m, body) {
 			return
 		}
-		sleep(ctx, min(manifestWait<<min(try, 8), manifestMax))
+		node.Sleep(ctx, min(manifestWait<<min(try, 8), manifestMax))
 	}
 }
 
--- a/app/agent/module.go
+++ b/app/agent/module.go
@@ -20,17 +20,14 @@
 
 // Module builds an agent from *settings.Agent and node.Overrides.
 var Module = fx.Module("agent",
-	fx.Provide(newRing, newTelemetry, newPool, newAgent),
+	node.Module,
+	fx.Provide(common, newMetrics, newAgent),
 	fx.Invoke(serve),
 )
 
-func newRing(s *settings.Agent) (*keys.Ring, error) { return s.Keys.Ring() }
+func common(s *settings.Agent) *settings.Common { return &s.Common }
 
-func newTelemetry(s *settings.Agent, o node.Overrides) (*telemetry.Logs, *telemetry.Metrics) {
-	return telemetry.NewLogs(o.LogTo, s.Log, s.Instance), telemetry.NewMetrics("agent")
-}
-
-func newPool(o node.Overrides) *peer.Pool { return node.NewPool(o) }
+func newMetrics() *telemetry.Metrics { return telemetry.NewMetrics("agent") }
 
 func newAgent(s *settings.Agent, o node.Overrides, l *telemetry.Logs, m *telemetry.Metrics, p *peer.Pool, r *keys.Ring) *Agent {
 	opt := Options{
--- a/app/entry/attach.go
+++ b/app/entry/attach.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthturn/app/node"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/member"
 	"amaranthturn/core/spread"
@@ -192,7 +193,7 @@
 			return
 		case s.out <- n:
 		}
-		if !sleep(s.ctx, noticeGap) {
+		if !node.Sleep(s.ctx, noticeGap) {
 			return
 		}
 	}
--- a/app/entry/config.go
+++ b/app/entry/config.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"amaranthturn/app/node"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/spread"
 	"amaranthturn/io/peer"
@@ -23,18 +24,6 @@
 
 func (b *backoff) reset() { b.wait = 0 }
 
-// sleep waits or tells that ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (e *Entry) jitter() float64 {
 	e.reqMu.Lock()
 	defer e.reqMu.Unlock()
@@ -51,12 +40,12 @@
 func (w *configWatcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !w.turn() {
-			sleep(ctx, platformRetry)
+			node.Sleep(ctx, platformRetry)
 			continue
 		}
 		if err := w.e.readConfig(ctx); err != nil {
 			w.e.opt.Metrics.Count("platform_read_failures", 1)
-			sleep(ctx, w.wait.next(w.e.jitter()))
+			node.Sleep(ctx, w.wait.next(w.e.jitter()))
 			continue
 		}
 		w.wait.reset()
@@ -91,7 +80,7 @@
 	e.took(res, got.Revision, "platform")
 	if res.Verdict == spread.Older || res.Verdict == spread.Conflict {
 		// A stale answer came without waiting: asking again at once would spin.
-		sleep(ctx, platformRetry)
+		node.Sleep(ctx, platformRetry)
 	}
 	return nil
 }
@@ -157,7 +146,7 @@
 func (w *listWatcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := w.e.readList(ctx); err != nil {
-			sleep(ctx, w.wait.next(w.e.jitter()))
+			node.Sleep(ctx, w.wait.next(w.e.jitter()))
 			continue
 		}
 		w.wait.reset()
--- a/app/entry/module.go
+++ b/app/entry/module.go
@@ -19,17 +19,14 @@
 
 // Module builds an entry daemon from *settings.Entry and node.Overrides.
 var Module = fx.Module("entry",
-	fx.Provide(newRing, newTelemetry, newPool, newEntry),
+	node.Module,
+	fx.Provide(common, newMetrics, newEntry),
 	fx.Invoke(serve),
 )
 
-func newRing(s *settings.Entry) (*keys.Ring, error) { return s.Keys.Ring() }
+func common(s *settings.Entry) *settings.Common { return &s.Common }
 
-func newTelemetry(s *settings.Entry, o node.Overrides) (*telemetry.Logs, *telemetry.Metrics) {
-	return telemetry.NewLogs(o.LogTo, s.Log, s.Instance), telemetry.NewMetrics("entry")
-}
-
-func newPool(o node.Overrides) *peer.Pool { return node.NewPool(o) }
+func newMetrics() *telemetry.Metrics { return telemetry.NewMetrics("entry") }
 
 func newEntry(s *settings.Entry, o node.Overrides, l *telemetry.Logs, m *telemetry.Metrics, p *peer.Pool, r *keys.Ring) *Entry {
 	return New(Options{
@@ -93,7 +90,7 @@
 func (s *server) stop(ctx context.Context) error {
 	s.e.leaving.Store(true)
 	s.callers.HTTP.SetKeepAlivesEnabled(false)
-	sleep(ctx, lameDuck)
+	node.Sleep(ctx, lameDuck)
 	err := s.callers.HTTP.Shutdown(ctx)
 	s.e.Leave(ctx)
 	s.loops.Stop(ctx)
--- a/app/entry/orders.go
+++ b/app/entry/orders.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"amaranthturn/app/node"
 	"amaranthturn/core/dispatch"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/member"
@@ -250,7 +251,7 @@
 		if !step.Retry {
 			return caller.Answer{}, step.Refusal
 		}
-		if !sleep(ctx, step.Wait) {
+		if !node.Sleep(ctx, step.Wait) {
 			return caller.Answer{}, state.Failed(dispatch.Failure{Kind: f.ended(ctx)}, f.allowRetry, 0, e.now()).Refusal
 		}
 	}
--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"amaranthturn/app/node"
 	"amaranthturn/core/admit"
 	"amaranthturn/core/config"
 	"amaranthturn/core/dispatch"
@@ -260,7 +261,7 @@
 			return step.Refusal
 		}
 		f.e.opt.Metrics.Count("retries", 1)
-		if !sleep(ctx, step.Wait) {
+		if !node.Sleep(ctx, step.Wait) {
 			return f.state.Failed(dispatch.Failure{Kind: f.ended(ctx)}, f.allowRetry, 0, f.e.now()).Refusal
 		}
 		if f.judge() == suspect.Stop {
--- a/app/local/faults.go
+++ b/app/local/faults.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"amaranthturn/app/node"
 	"amaranthturn/standin/engine"
 	"amaranthturn/standin/load"
 	"amaranthturn/standin/weights"
@@ -107,7 +108,7 @@
 
 func (c *causing) run() {
 	defer c.p.wg.Done()
-	if pause(c.ctx, faultDelay) {
+	if node.Sleep(c.ctx, faultDelay) {
 		c.p.r.say("fault: %s", c.k.name)
 		c.k.during(c.p.r, c.ctx)
 	}
@@ -151,7 +152,7 @@
 	r.w.mu.Lock()
 	d.gone = true
 	r.w.mu.Unlock()
-	pause(ctx, listLag)
+	node.Sleep(ctx, listLag)
 	r.w.publishList()
 }
 
@@ -216,7 +217,7 @@
 func stallLink(r *run, ctx context.Context) {
 	d := r.pick(3, isRunner)
 	d.link.Stall(true)
-	pause(ctx, faultLasts)
+	node.Sleep(ctx, faultLasts)
 	d.link.Stall(false)
 }
 
@@ -225,7 +226,7 @@
 
 func originDown(r *run, ctx context.Context) {
 	r.w.origin.SetDown(true)
-	pause(ctx, faultLasts)
+	node.Sleep(ctx, faultLasts)
 	r.w.origin.SetDown(false)
 }
 
@@ -238,30 +239,30 @@
 	r.w.mu.Unlock()
 	rev := r.w.platform.Publish(documentFor(o, v3.ID))
 	r.say("version %s published as revision %d", v3.ID.Short(), rev)
-	pause(ctx, faultLasts/4)
+	node.Sleep(ctx, faultLasts/4)
 }
 
 func platformDown(r *run, ctx context.Context) {
 	r.w.platform.SetDown(true)
-	pause(ctx, faultLasts)
+	node.Sleep(ctx, faultLasts)
 	r.w.platform.SetDown(false)
 }
 
 func platformStale(r *run, ctx context.Context) {
 	r.w.platform.SetStale(true)
-	pause(ctx, faultLasts)
+	node.Sleep(ctx, faultLasts)
 	r.w.platform.SetStale(false)
 }
 
 func refusedConfig(r *run, ctx context.Context) {
 	r.w.platform.Publish([]byte("schema = 1\n[[exceptions]]\nname = \"no reason\"\n[exceptions.scope]\nregion = \"addis\"\n"))
-	pause(ctx, faultLasts/4)
+	node.Sleep(ctx, faultLasts/4)
 }
 
 func partition(r *run, ctx context.Context) {
 	region := regionNames[r.w.opt.Regions-1]
 	r.w.net.CutRegions(region, true)
-	pause(ctx, faultLasts)
+	node.Sleep(ctx, faultLasts)
 	r.w.net.CutRegions(region, false)
 }
 
@@ -272,13 +273,13 @@
 		id := uuid.NewString()
 		r.w.rec.Sent()
 		r.w.rec.Told(id, r.load.SendOnce(ctx, workspaceName(0), id, body))
-		pause(ctx, faultDelay/2)
+		node.Sleep(ctx, faultDelay/2)
 	}
 }
 
 func engineCrash(r *run, ctx context.Context) {
 	r.pick(4, isRunner).engine.Crash()
-	pause(ctx, faultDelay)
+	node.Sleep(ctx, faultDelay)
 }
 
 func slowOrders(r *run, _ context.Context) { r.w.orders.Slow(12 * time.Second) }
--- a/app/local/run.go
+++ b/app/local/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"amaranthturn/app/node"
 	"amaranthturn/core/fleet"
 	"amaranthturn/standin/load"
 	"amaranthturn/standin/weights"
@@ -156,7 +157,7 @@
 	defer stopLoad()
 	r.startLoad(loadCtx)
 	r.load.Enter("idle")
-	if !pause(ctx, o.Duration/2) {
+	if !node.Sleep(ctx, o.Duration/2) {
 		return ctx.Err()
 	}
 	r.load.Enter("distribution")
@@ -176,27 +177,16 @@
 	r.load.Enter("after")
 	r.rep.CrossBytes = r.w.net.CrossRegionBytes() - crossBefore
 	r.rep.OriginBytes = r.w.rec.OriginBytes() - originBefore
-	if rest := o.Duration - time.Since(began) - o.Duration/2; rest > 0 && !pause(ctx, rest) {
+	if rest := o.Duration - time.Since(began) - o.Duration/2; rest > 0 && !node.Sleep(ctx, rest) {
 		return ctx.Err()
 	}
-	pause(ctx, settleTime)
+	node.Sleep(ctx, settleTime)
 	stopLoad()
 	r.load.Wait()
 	r.finish(ctx)
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (r *run) startLoad(ctx context.Context) {
 	var seeds, names []string
 	for _, d := range r.w.live() {
--- a/app/node/node.go
+++ b/app/node/node.go
@@ -24,10 +24,34 @@
 	"google.golang.org/grpc/credentials"
 
 	"amaranthturn/app/settings"
+	"amaranthturn/app/telemetry"
 	"amaranthturn/core/clock"
+	"amaranthturn/core/keys"
 	"amaranthturn/io/peer"
 )
 
+// Module provides what every daemon is built from, out of *settings.Common and
+// Overrides.
+var Module = fx.Module("node", fx.Provide(newRing, newLogs, NewPool))
+
+func newRing(s *settings.Common) (*keys.Ring, error) { return s.Keys.Ring() }
+
+func newLogs(s *settings.Common, o Overrides) *telemetry.Logs {
+	return telemetry.NewLogs(o.LogTo, s.Log, s.Instance)
+}
+
+// Sleep waits, or tells that ctx ended before.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 // Overrides replace parts of a daemon where it does not run by itself, as in the
 // local mode, where links are rate-limited and faults are caused.
 type Overrides struct {
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -256,11 +256,13 @@
 	return r.Models[i], true
 }
 
+// selectAgents returns copies: callers look at them after they gave up the lock.
 func (t *Table) selectAgents(ok func(*Agent) bool) []*Agent {
 	var out []*Agent
 	for _, a := range t.agents {
 		if ok(a) {
-			out = append(out, a)
+			c := *a
+			out = append(out, &c)
 		}
 	}
 	slices.SortFunc(out, func(a, b *Agent) int { return cmp.Compare(a.Instance, b.Instance) })
--- /dev/null
+++ b/internal/faultmatrix/doc.go
@@ -0,0 +1,6 @@
+// Package faultmatrix checks that the fault matrix in docs/FAULTS.md is whole.
+//
+// # Usage
+//
+//	go test ./internal/faultmatrix
+package faultmatrix
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,166 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/member"
+	"amaranthturn/core/spread"
+	"amaranthturn/core/swarm"
+	"amaranthturn/core/switchover"
+)
+
+// fakeAgent answers with fixed data.
+type fakeAgent struct {
+	tokens int
+	chunk  []byte
+	err    error
+}
+
+func (f *fakeAgent) Generate(_ context.Context, r GenerateRequest, send func(Event) error) error {
+	for i := range f.tokens {
+		if err := send(Event{Version: r.Version, Index: i, Token: "token ", Done: i == f.tokens-1}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fakeAgent) Call(context.Context, Call) Reply { return Reply{Status: 200} }
+
+func (f *fakeAgent) RunOrder(context.Context, string, Call) (fleet.Outcome, Reply) {
+	return fleet.OutcomeDone, Reply{Status: 201, Body: []byte("done")}
+}
+
+func (f *fakeAgent) StopOrder(context.Context, string) (fleet.Outcome, Reply) {
+	return fleet.OutcomeNotRun, Reply{Refusal: fleet.NotRun(fleet.ReasonStopped, time.Second)}
+}
+
+func (f *fakeAgent) WatchChunks(_ context.Context, _ fleet.Version, send func(Held) error) error {
+	b := swarm.NewBitmap(9)
+	b.Set(3)
+	return errors.Join(send(Held{Bitmap: b}), send(Held{Added: []int{1, 8}}), send(Held{Gone: true}))
+}
+
+func (f *fakeAgent) Chunk(_ context.Context, _ ChunkRef, send func([]byte) error) error {
+	if f.err != nil {
+		return f.err
+	}
+	return errors.Join(send(f.chunk[:4]), send(f.chunk[4:]))
+}
+
+func (f *fakeAgent) Manifest(fleet.Version) ([]byte, bool) { return []byte("manifest"), f.err == nil }
+
+// serve serves an agent on loopback and returns its address and a pool.
+func serve(t testing.TB, h AgentHandler) (string, *Pool) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	g := grpc.NewServer(ServerOptions(nil)...)
+	RegisterAgent(g, h)
+	s := &grpcRun{g, l}
+	go s.run()
+	p := NewPool(DialOptions{})
+	t.Cleanup(func() { p.Close(); g.Stop() })
+	return l.Addr().String(), p
+}
+
+type grpcRun struct {
+	g *grpc.Server
+	l net.Listener
+}
+
+func (r *grpcRun) run() { _ = r.g.Serve(r.l) }
+
+func TestAgentOverTheWire(t *testing.T) {
+	ctx := context.Background()
+	addr, p := serve(t, &fakeAgent{tokens: 3, chunk: []byte("weights!")})
+	n := 0
+	assert.NilError(t, p.Generate(ctx, addr, GenerateRequest{Version: "v", Deadline: time.Now().Add(time.Second)}, func(e Event) error {
+		assert.Equal(t, e.Index, n)
+		n++
+		return nil
+	}))
+	assert.Equal(t, n, 3)
+	got, err := p.Chunk(ctx, addr, ChunkRef{}, func(int) {})
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(got, []byte("weights!")))
+	o, r, err := p.StopOrder(ctx, addr, "t")
+	assert.NilError(t, err)
+	assert.Equal(t, o, fleet.OutcomeNotRun)
+	assert.Equal(t, r.Refusal.Reason, fleet.ReasonStopped)
+	var seen []Held
+	err = p.WatchChunks(ctx, addr, "v", func(h Held) { seen = append(seen, h) })
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(seen), 3)
+	assert.Assert(t, seen[0].Bitmap.Has(3) && seen[2].Gone)
+}
+
+func TestErrorsAreTranslated(t *testing.T) {
+	ctx := context.Background()
+	for _, want := range []error{ErrBusy, ErrMissing} {
+		addr, p := serve(t, &fakeAgent{err: want})
+		_, err := p.Chunk(ctx, addr, ChunkRef{}, func(int) {})
+		assert.Assert(t, errors.Is(err, want), "%v", err)
+	}
+}
+
+// TestNotSentIsCertain: only a connection that was never made counts as not sent.
+func TestNotSentIsCertain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	gone := l.Addr().String()
+	assert.NilError(t, l.Close())
+	p := NewPool(DialOptions{})
+	defer p.Close()
+	_, _, err = p.RunOrder(context.Background(), gone, "t", Call{})
+	var lost *LostError
+	assert.Assert(t, errors.As(err, &lost))
+	assert.Assert(t, lost.NotSent)
+	addr, p2 := serve(t, &fakeAgent{tokens: 1000})
+	err = p2.Generate(context.Background(), addr, GenerateRequest{}, func(e Event) error {
+		if e.Index == 1 {
+			return errors.New("caller stops")
+		}
+		return nil
+	})
+	assert.ErrorContains(t, err, "caller stops")
+}
+
+func TestReportsSurviveTheWire(t *testing.T) {
+	r := member.Report{
+		Instance: "a", Incarnation: 7, Region: "r", Zone: "z", Pool: "p", Address: "x:1", Revision: 9, Leaving: true,
+		Models: []member.ModelState{{
+			Model: "m", Desired: "d", Serving: "s", Staged: "g", Loaded: []fleet.Version{"s"}, Phase: switchover.PhaseStaged,
+			ChunksHeld: 3, ChunksTotal: 4, WaitsFor: "w", Failures: 1, Intent: 5, Promises: []switchover.Promise{{To: "b", Nonce: 2}}, TwoSlots: true,
+		}},
+		Services: []fleet.Service{"o"}, Load: member.Load{Running: 1, Queued: 2, Capacity: 3, CacheUsed: 0.5},
+		Cached: []uint64{1}, Sequence: 4, OriginBytes: 5, PeerBytes: 6, Crashed: []fleet.Fingerprint{8}, CrashBoot: 9, WantAck: true,
+	}
+	assert.DeepEqual(t, reportFromWire(reportToWire(r)), r)
+	r.Crashed = nil
+	brief := r
+	brief.Sequence, brief.Load.Running = 5, 9
+	assert.DeepEqual(t, applyBrief(r, briefReport(brief)), brief)
+	u := spread.Update{Revision: 3, Base: 2, Delta: spread.Delta{Prefix: 1, Suffix: 2, Middle: []byte("x")}}
+	back := updateFromWire(updateToWire(u))
+	assert.DeepEqual(t, back.Delta, u.Delta)
+}
+
+// BenchmarkTokens measures a token between agent and entry over loopback.
+func BenchmarkTokens(b *testing.B) {
+	const tokens = 200
+	addr, p := serve(b, &fakeAgent{tokens: tokens})
+	for b.Loop() {
+		_ = p.Generate(context.Background(), addr, GenerateRequest{}, func(Event) error { return nil })
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tokens, "ns/token")
+}
--- /dev/null
+++ b/io/service/service_test.go
@@ -0,0 +1,88 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestNoHiddenRetry breaks the connection after the request was read. The service must
+// see the call once, whatever the standard transport would like to do.
+func TestNoHiddenRetry(t *testing.T) {
+	var seen atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if seen.Add(1)%2 == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte("ok"))
+	}))
+	defer srv.Close()
+	c := NewClient(srv.URL)
+	for range 5 {
+		before := seen.Load()
+		_, err := c.Call(context.Background(), Request{Method: http.MethodPost, Path: "/orders", Body: []byte("x")})
+		assert.Equal(t, seen.Load(), before+1)
+		if err != nil {
+			assert.Assert(t, errors.Is(err, ErrNoAnswer), "%v", err)
+		}
+	}
+}
+
+// TestKeptConnectionsWouldRepeat shows the danger that the client avoids: the standard
+// transport repeats a POST that carries an Idempotency-Key when a kept connection breaks.
+func TestKeptConnectionsWouldRepeat(t *testing.T) {
+	var seen atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if seen.Add(1) == 2 {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_ = conn.Close()
+			}
+			return
+		}
+		_, _ = w.Write([]byte("ok"))
+	}))
+	defer srv.Close()
+	h := &http.Client{Timeout: 5 * time.Second}
+	for range 2 {
+		req, err := http.NewRequest(http.MethodPost, srv.URL, http.NoBody)
+		assert.NilError(t, err)
+		req.Header.Set("Idempotency-Key", "1")
+		resp, err := h.Do(req)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(resp.Body) // a connection is kept when its answer was read
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+	}
+	assert.Equal(t, seen.Load(), int64(3), "two calls were seen three times")
+}
+
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := l.Addr().String()
+	assert.NilError(t, l.Close())
+	_, err = NewClient("http://"+addr).Call(context.Background(), Request{Method: http.MethodPost, Path: "/"})
+	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
+}
+
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var seen atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen.Add(1)
+		http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
+	}))
+	defer srv.Close()
+	reply, err := NewClient(srv.URL).Call(context.Background(), Request{Method: http.MethodPost, Path: "/"})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Status, http.StatusTemporaryRedirect)
+	assert.Equal(t, seen.Load(), int64(1))
+}
