Structure: split the planner, the switching machine and the entry's requests

Change: order of members, peers and choice of chunks each in a file; promises and failures of a version; offers and relay. No behaviour changes. Conclusion: one job a file.

--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -12,7 +12,6 @@
 	"amaranthturn/core/config"
 	"amaranthturn/core/dispatch"
 	"amaranthturn/core/fleet"
-	"amaranthturn/core/member"
 	"amaranthturn/core/retry"
 	"amaranthturn/core/route"
 	"amaranthturn/core/suspect"
@@ -34,13 +33,6 @@
 	firstEventTimeout = 30 * time.Second
 )
 
-// offerCache is a selection of the targets of one model.
-type offerCache struct {
-	version uint64
-	at      time.Time
-	offers  []route.Offer
-}
-
 // flight is one request under way.
 type flight struct {
 	e       *Entry
@@ -411,144 +403,3 @@
 		e.ledger.Crashed(list, e.now())
 	}
 }
-
-// choose picks a target and counts the request there.
-func (f *flight) choose() (route.Offer, bool, bool) {
-	e := f.e
-	now := e.now()
-	offers := e.offersFor(f.gen.Model, now)
-	e.reqMu.Lock()
-	defer e.reqMu.Unlock()
-	want := f.want
-	want.Pinned = f.state.Pinned()
-	alone := e.ledger.Judge(f.gen.Fingerprint, now) != suspect.Clear
-	q := route.Query{Prefix: f.prefix, Alone: alone, Avoid: f.state.Avoid()}
-	all := route.Eligible(offers, want)
-	t, ok := e.picker.ChooseNear(route.Near(all, offers, e.self.Zone), all, q, now)
-	if !ok {
-		return route.Offer{}, false, false
-	}
-	e.picker.Started(t.ID)
-	if e.running[t.ID] == nil {
-		e.running[t.ID] = map[admit.RequestID]fleet.Fingerprint{}
-	}
-	e.running[t.ID][f.admit.ID] = f.gen.Fingerprint
-	for _, o := range offers {
-		if o.ID == t.ID {
-			return o, alone, true
-		}
-	}
-	return route.Offer{}, false, false
-}
-
-func (f *flight) finished(o route.Offer) {
-	f.e.reqMu.Lock()
-	defer f.e.reqMu.Unlock()
-	f.e.picker.Finished(o.ID)
-	delete(f.e.running[o.ID], f.admit.ID)
-}
-
-// offersFor returns the targets of a model that may be sent work, in the order
-// that the picker wants.
-func (e *Entry) offersFor(m fleet.Model, now time.Time) []route.Offer {
-	e.memMu.Lock()
-	version := e.table.Version()
-	e.memMu.Unlock()
-	e.reqMu.Lock()
-	c, ok := e.offers[m]
-	e.reqMu.Unlock()
-	if ok && c.version == version && now.Sub(c.at) < offerLife {
-		return c.offers
-	}
-	e.memMu.Lock()
-	offers := makeOffers(e.table.Serving(m, now), m)
-	e.memMu.Unlock()
-	e.reqMu.Lock()
-	e.offers[m] = offerCache{version: version, at: now, offers: offers}
-	e.reqMu.Unlock()
-	return offers
-}
-
-func makeOffers(agents []*member.Agent, m fleet.Model) []route.Offer {
-	targets := make([]route.Target, 0, len(agents))
-	byID := make(map[fleet.InstanceID]route.Offer, len(agents))
-	for _, a := range agents {
-		st, _ := a.Model(m)
-		t := route.NewTarget(a.Instance, a.Load.Capacity)
-		targets = append(targets, t)
-		byID[a.Instance] = route.Offer{
-			Target: t, Address: a.Address, Zone: a.Zone, Incarnation: a.Incarnation, Serving: st.Serving, Loaded: st.Loaded,
-		}
-	}
-	route.Sort(targets)
-	out := make([]route.Offer, 0, len(targets))
-	for _, t := range targets {
-		out = append(out, byID[t.ID])
-	}
-	return out
-}
-
-// relay passes a request to an entry that knows targets of the model.
-func (f *flight) relay(ctx context.Context) (dispatch.Failure, bool) {
-	doc, _ := f.e.document()
-	f.e.memMu.Lock()
-	homes := member.Offered(f.e.table.List(), f.e.self.Zone, doc.PoolOf(f.gen.Model), f.gen.RequestID)
-	f.e.memMu.Unlock()
-	known := f.e.knowsPool(homes)
-	for _, in := range homes {
-		if in.ID == f.e.self.ID || known {
-			continue
-		}
-		f.state.Began(in.ID)
-		f.e.opt.Metrics.Count("relays", 1)
-		return f.call(ctx, in.ID, func(ctx context.Context, each func(peer.Event) error) error {
-			return f.e.opt.Pool.Relay(ctx, in.Address, f.gen, each)
-		})
-	}
-	return dispatch.Failure{Kind: dispatch.KindNoTarget}, false
-}
-
-// knowsPool tells whether this entry is attached to every target of the pool, so
-// that no other entry could know one more.
-func (e *Entry) knowsPool(homes []fleet.Instance) bool {
-	e.memMu.Lock()
-	defer e.memMu.Unlock()
-	n := 0
-	for _, in := range e.table.List() {
-		if in.Role == fleet.RoleEntry && !in.Leaving {
-			n++
-		}
-	}
-	if n > member.AttachAll {
-		return false
-	}
-	for _, in := range homes {
-		if in.ID == e.self.ID {
-			return true
-		}
-	}
-	return false
-}
-
-// Relay implements peer.EntryHandler: it runs a request for another entry and
-// passes it no further.
-func (e *Entry) Relay(ctx context.Context, r peer.GenerateRequest, send func(peer.Event) error) error {
-	e.inFlight.Add(1)
-	defer e.inFlight.Done()
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	defer cancel()
-	g := caller.Generation{
-		RequestID: r.RequestID, Workspace: r.Workspace, Model: r.Model, Class: r.Class, Body: r.Body, Deadline: r.Deadline,
-	}
-	f, refusal := e.newFlight(g, func(t caller.Token) error {
-		return send(peer.Event{Version: t.Version, Index: t.Index, Token: t.Text, Done: t.Done, Finish: t.Finish})
-	})
-	if refusal == nil {
-		f.relayed = true
-		refusal = f.admitAndRun(ctx)
-	}
-	if refusal != nil {
-		return send(peer.Event{Refusal: refusal})
-	}
-	return nil
-}
--- a/core/switchover/machine.go
+++ b/core/switchover/machine.go
@@ -39,7 +39,6 @@
 	"time"
 
 	"amaranthturn/core/fleet"
-	"amaranthturn/core/rank"
 )
 
 //go:generate stringer -type=Phase,ActionKind,Wait -output=switchover_string.go -linecomment
@@ -195,11 +194,6 @@
 	oldSince time.Time
 }
 
-type given struct {
-	nonce uint64
-	at    time.Time
-}
-
 // New returns a machine. The incarnation makes the nonces of two runs differ.
 func New(set Settings, incarnation fleet.Incarnation) *Machine {
 	return &Machine{
@@ -218,21 +212,6 @@
 // Intent returns the nonce of the announced intent, 0 without one.
 func (m *Machine) Intent() uint64 { return m.intent }
 
-// Promises returns the promises that this instance has given.
-func (m *Machine) Promises() []Promise {
-	var out []Promise
-	for id, g := range m.promises {
-		out = append(out, Promise{id, g.nonce})
-	}
-	slices.SortFunc(out, func(a, b Promise) int {
-		if a.To < b.To {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
-
 // Open tells whether the gate admits requests.
 func (m *Machine) Open() bool { return !m.acting }
 
@@ -314,38 +293,6 @@
 	return ""
 }
 
-// givenUp tells that the desired version failed on too many instances, or failed
-// here a short while ago.
-func (m *Machine) givenUp(in Input, now time.Time) bool {
-	return m.failedOn(in) >= m.failLimit(in, now) || m.failures[in.Desired] > 0 && now.Before(m.retryAt[in.Desired])
-}
-
-// failedOn counts the instances that the desired version failed on.
-func (m *Machine) failedOn(in Input) int {
-	n := in.View.FailedOn[in.Desired]
-	if m.failures[in.Desired] > 0 {
-		n++
-	}
-	return n
-}
-
-// failLimit is the failed instances at which a version stops spreading. A
-// version that many serve is not stopped by a few bad instances, and a lone
-// instance stops by itself.
-func (m *Machine) failLimit(in Input, now time.Time) int {
-	serving := 0
-	for _, o := range in.View.Members {
-		if o.Serving == in.Desired && !m.stale(o, now) {
-			serving++
-		}
-	}
-	limit := min(m.set.FailLimit, len(in.View.Members)+1)
-	return max(1, limit, serving/toleratedShare)
-}
-
-// toleratedShare of the serving instances may fail without stopping a version.
-const toleratedShare = 4
-
 // reach records that the engine serves the target.
 func (m *Machine) reach(in Input, target fleet.Version, now time.Time) {
 	if m.active != target {
@@ -362,31 +309,6 @@
 	m.settle(PhaseServing, WaitNothing)
 }
 
-// mayBegin tells whether the version may be loaded here now.
-func (m *Machine) mayBegin(in Input, v fleet.Version, now time.Time) bool {
-	if v == m.lastGood || m.proven(in, v, now) {
-		return true
-	}
-	key := string(v)
-	mine := rank.Score(key, string(m.set.Self))
-	for _, o := range in.View.Members {
-		if o.Zone != m.set.Zone || o.Staged != v || o.Leaving || m.stale(o, now) {
-			continue
-		}
-		if rank.Score(key, string(o.ID)) > mine {
-			m.wait = WaitCanary
-			return false
-		}
-	}
-	return true
-}
-
-func (m *Machine) proven(in Input, v fleet.Version, now time.Time) bool {
-	return slices.ContainsFunc(in.View.Members, func(o Member) bool {
-		return o.Serving == v && !m.stale(o, now)
-	})
-}
-
 // replace loads v beside the old version, or in its place.
 func (m *Machine) replace(in Input, v fleet.Version, now time.Time) Action {
 	free := len(in.Engine.Loaded) == 0 || in.Engine.TwoSlots && len(in.Engine.Loaded) < 2
@@ -420,91 +342,6 @@
 	return "", false
 }
 
-// mayStopServing announces the intent and tells whether enough members promised.
-func (m *Machine) mayStopServing(in Input, now time.Time) bool {
-	if m.acting {
-		return true
-	}
-	m.phase = PhaseStaged
-	if len(m.promises) > 0 {
-		// Two that hold each other's promise would wait without end.
-		m.intent = 0
-		m.wait = WaitPromised
-		return false
-	}
-	if m.intent == 0 || now.Sub(m.intentAt) >= m.set.IntentLife {
-		m.nonce++
-		m.intent, m.intentAt = m.nonce, now
-	}
-	floor := min(in.MinServing, in.View.ZoneSize-1)
-	if m.promised(in, now) < floor {
-		m.wait = WaitPromises
-		return false
-	}
-	return true
-}
-
-// promised counts the members that serve and promised to go on.
-func (m *Machine) promised(in Input, now time.Time) int {
-	n := 0
-	for _, o := range in.View.Members {
-		if o.Zone != m.set.Zone || o.Leaving || o.Serving == "" || m.stale(o, now) {
-			continue
-		}
-		if slices.Contains(o.Promises, Promise{m.set.Self, m.intent}) {
-			n++
-		}
-	}
-	return n
-}
-
-// keepPromises gives and ends promises.
-func (m *Machine) keepPromises(in Input, now time.Time) {
-	m.endPromises(in, now)
-	if m.acting || in.Leaving || in.Engine.Serving == "" || !in.Engine.Up {
-		return
-	}
-	for _, o := range in.View.Members {
-		if o.Zone != m.set.Zone || o.Intent == 0 || m.stale(o, now) {
-			continue
-		}
-		if m.intent != 0 && !m.outranks(in, o.ID) {
-			continue
-		}
-		if g, ok := m.promises[o.ID]; !ok || g.nonce != o.Intent {
-			m.promises[o.ID] = given{o.Intent, now}
-		}
-	}
-}
-
-// outranks tells whether another member goes before this one.
-func (m *Machine) outranks(in Input, other fleet.InstanceID) bool {
-	key := string(in.Desired)
-	return rank.Score(key, string(other)) > rank.Score(key, string(m.set.Self))
-}
-
-// endPromises drops promises whose member has no intent any more, or about which
-// nothing was heard for so long that its intent must have ended.
-func (m *Machine) endPromises(in Input, now time.Time) {
-	for id, g := range m.promises {
-		i := slices.IndexFunc(in.View.Members, func(o Member) bool { return o.ID == id })
-		if i >= 0 && in.View.Members[i].Heard.After(g.at) {
-			o := in.View.Members[i]
-			if o.Intent == 0 {
-				delete(m.promises, id)
-				continue
-			}
-			if o.Intent == g.nonce {
-				g.at = o.Heard
-				m.promises[id] = g
-			}
-		}
-		if now.Sub(g.at) > promiseFactor*m.set.IntentLife {
-			delete(m.promises, id)
-		}
-	}
-}
-
 func (m *Machine) stale(o Member, now time.Time) bool {
 	return now.Sub(o.Heard) > m.set.FreshFor
 }
@@ -548,20 +385,6 @@
 	m.retryAt[a.Version] = now.Add(m.set.RetryAfter / 10)
 }
 
-// watchEngine blames a version when the engine loses it soon after activation. An
-// engine that only does not answer is not judged until it does.
-func (m *Machine) watchEngine(in Input, now time.Time) {
-	lost := m.active != "" && in.Engine.Up && in.Engine.Serving != m.active
-	if !lost || m.busy.Kind != ActionNone || m.acting {
-		return
-	}
-	if now.Sub(m.activeAt) < m.set.ProveTime {
-		m.failures[m.active]++
-		m.retryAt[m.active] = now.Add(m.set.RetryAfter)
-	}
-	m.active = ""
-}
-
 func (m *Machine) endIntent() {
 	m.intent = 0
 	m.acting = false
