--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -177,6 +177,9 @@
 	return true, ""
 }
 
+// Leaving implements caller.Service.
+func (e *Entry) Leaving() bool { return e.leaving.Load() }
+
 // Revision returns the revision in force.
 func (e *Entry) Revision() fleet.Revision {
 	_, rev := e.document()
--- a/app/entry/module.go
+++ b/app/entry/module.go
@@ -37,7 +37,7 @@
 
 // lameDuck is how long a leaving entry still accepts connections and asks
 // callers to close theirs, before its listener goes.
-const lameDuck = time.Second
+const lameDuck = 2 * time.Second
 
 // server is the outward side of an entry.
 type server struct {
@@ -89,7 +89,6 @@
 // first, then the listener goes, then the requests are waited for.
 func (s *server) stop(ctx context.Context) error {
 	s.e.leaving.Store(true)
-	s.callers.HTTP.SetKeepAlivesEnabled(false)
 	node.Sleep(ctx, lameDuck)
 	err := s.callers.HTTP.Shutdown(ctx)
 	s.e.Leave(ctx)
--- a/app/local/faults.go
+++ b/app/local/faults.go
@@ -234,9 +234,7 @@
 	o := r.w.opt
 	v3 := weights.New(modelName, o.Seed+2, o.ModelBytes, o.chunkBytes())
 	r.w.origin.Add(v3)
-	r.w.mu.Lock()
-	r.want = v3.ID
-	r.w.mu.Unlock()
+	r.want.Store(&v3)
 	rev := r.w.platform.Publish(documentFor(o, v3.ID))
 	r.say("version %s published as revision %d", v3.ID.Short(), rev)
 	node.Sleep(ctx, faultLasts/4)
--- a/app/local/run.go
+++ b/app/local/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"amaranthturn/app/node"
@@ -70,8 +71,8 @@
 	rep  *Report
 	v1   weights.Version
 	v2   weights.Version
-	want fleet.Version // the version that the fleet should end at
-	goal int           // how many instances should serve it
+	want atomic.Pointer[weights.Version] // what the fleet should end at
+	goal int                             // how many instances should serve it
 }
 
 // Run starts a fleet, drives it and reports. The error tells why there is no
@@ -165,9 +166,9 @@
 	began := time.Now()
 	faults := &faultPlan{r: r}
 	faults.before(ctx)
-	r.want = r.v2.ID
-	rev := r.w.platform.Publish(documentFor(o, r.want))
-	r.say("version %s published as revision %d", r.want.Short(), rev)
+	r.want.Store(&r.v2)
+	rev := r.w.platform.Publish(documentFor(o, r.v2.ID))
+	r.say("version %s published as revision %d", r.v2.ID.Short(), rev)
 	faults.start(ctx)
 	if err := r.inForce(ctx, began, rev); err != nil {
 		return err
@@ -227,18 +228,18 @@
 func (r *run) distribution(ctx context.Context, began time.Time) {
 	limit := convergeLimit + 4*r.w.opt.spread()
 	_, err := r.await(ctx, "new version served everywhere", limit, func() bool {
-		_, ok := r.w.rec.NthServing(r.want, r.goal)
+		_, ok := r.w.rec.NthServing(r.want.Load().ID, r.goal)
 		return ok
 	})
 	if err != nil {
 		r.say("%v", err)
 		return
 	}
-	at, _ := r.w.rec.NthServing(r.want, r.goal)
+	at, _ := r.w.rec.NthServing(r.want.Load().ID, r.goal)
 	took := at.Sub(began)
 	r.rep.TimeToNMS = took.Milliseconds()
 	r.rep.FloorRatio = took.Seconds() / r.w.opt.Bound().Seconds()
-	r.say("version %s serves on %d after %v", r.want.Short(), r.goal, took.Round(time.Millisecond))
+	r.say("version %s serves on %d after %v", r.want.Load().ID.Short(), r.goal, took.Round(time.Millisecond))
 }
 
 // finish asks an entry whether the fleet converged and takes the verdict.
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -12,8 +13,11 @@
 	"pgregory.net/rapid"
 
 	"amaranthturn/core/fleet"
+	"amaranthturn/internal/fixedseed"
 )
 
+func TestMain(m *testing.M) { os.Exit(fixedseed.Main(m)) }
+
 var now = time.Unix(1_700_000_000, 0)
 
 func queue(limit int) *Queue {
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -125,6 +125,8 @@
 	Call(ctx context.Context, c Call) (Answer, *fleet.Refusal)
 	Ticket(ctx context.Context, w fleet.Workspace, s fleet.Service) (TicketAnswer, *fleet.Refusal)
 	Order(ctx context.Context, ticket string, c Call) (Answer, *fleet.Refusal)
+	// Leaving tells that callers should close their connections after the answer.
+	Leaving() bool
 }
 
 type handler struct {
@@ -137,6 +139,7 @@
 	gin.SetMode(gin.ReleaseMode)
 	r := gin.New()
 	h := &handler{svc: svc, now: now}
+	r.Use(h.closeWhenLeaving)
 	r.GET("/v1/entries", h.entries)
 	r.POST("/v1/chat/completions", h.generate)
 	r.POST("/v1/orders/ticket", h.ticket)
@@ -145,6 +148,15 @@
 	return r
 }
 
+// closeWhenLeaving asks a caller to close its connection after this answer. Closing an
+// idle connection from this side could meet a request that is on its way.
+func (h *handler) closeWhenLeaving(c *gin.Context) {
+	if h.svc.Leaving() {
+		c.Header("Connection", "close")
+	}
+	c.Next()
+}
+
 func (h *handler) entries(c *gin.Context) {
 	w := fleet.Workspace(c.Query("workspace"))
 	list, refusal := h.svc.Entries(w, c.ClientIP()+"/"+string(w)+"/"+c.GetHeader(HeaderRequestID))
