--- a/core/swarm/choose.go
+++ b/core/swarm/choose.go
@@ -198,8 +198,9 @@
 	if q, ok := p.peers[s.Peer]; ok {
 		late += max(0, q.usual-pipe.usual)
 	}
-	if s.Kind == SourceOrigin {
-		return max(p.set.FirstTimeout, 2*late)
+	if s.Kind != SourcePeer {
+		// Links that many share have queues that come and go.
+		return max(sharedLate*p.set.FirstTimeout, 2*late)
 	}
 	return max(p.set.MinStall, late)
 }
--- a/core/swarm/planner.go
+++ b/core/swarm/planner.go
@@ -117,6 +117,7 @@
 	endgameChunks    = 16               // missing chunks from which a second peer is asked
 	endgameFactor    = 2                // usual times until a second peer is asked
 	sharedPatience   = 6                // first timeouts that a fetch over a shared link is given
+	sharedLate       = 5                // first timeouts after which such a fetch may count as stalled
 	sharedFlights    = 32               // chunks that all members together have in flight over one
 	originMaxDoubles = 3                // of the backoff
 	originBackoff    = 500 * time.Millisecond
