Recovery: an engine that dies under requests is excused once

The deadly request killed engines within ten seconds of the version's activation, two instances blamed the version, and the others stopped for the operator. Change: a death while requests ran is not blamed on the version the first time; stalls from before the time of a chunk was known are forgiven. Conclusion: deadly requests are found by the suspicion of requests, versions by their second death.

--- a/app/agent/driver.go
+++ b/app/agent/driver.go
@@ -232,7 +232,7 @@
 func (d *driver) input(p config.ModelPlan, now time.Time) switchover.Input {
 	rows := d.a.view.members()
 	in := switchover.Input{
-		Desired: p.Version, MinServing: p.MinServing, Leaving: d.a.leaving.Load(),
+		Desired: p.Version, MinServing: p.MinServing, Leaving: d.a.leaving.Load(), DiedBusy: d.a.gate.diedBusy(),
 		Complete: d.a.depot.complete, InFlight: d.a.gate.inFlight(p.Model), View: d.groupView(rows, p.Model),
 	}
 	d.mu.Lock()
--- a/app/agent/gate.go
+++ b/app/agent/gate.go
@@ -105,6 +105,13 @@
 	return true
 }
 
+// diedBusy tells whether requests ran when the engine last died.
+func (g *gate) diedBusy() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.crashed) > 0
+}
+
 // crashNews is how long heartbeats name the requests of a crash; every entry
 // counts a run of the engine once.
 const crashNews = 5 * time.Second
--- a/core/swarm/order.go
+++ b/core/swarm/order.go
@@ -123,7 +123,7 @@
 		return true
 	case q.failures > 1 && p.pipes[SourcePeer].usual > 0:
 		// What it holds seems out of reach: waiting for it is of little use.
-		return level > 1 || p.mayTakeOver(level)
+		return level >= patience || p.mayTakeOver(level)
 	case level >= patience || level > 0 && now.Sub(q.gained) > p.stallWait():
 		return p.mayTakeOver(level)
 	}
--- a/core/swarm/peers.go
+++ b/core/swarm/peers.go
@@ -227,3 +227,12 @@
 func (p *Planner) usable(q *peer, now time.Time) bool {
 	return !q.banned && !now.Before(q.notUntil)
 }
+
+// forgiveEarlyStalls drops what peers were blamed for while the time of a chunk was
+// not known yet.
+func (p *Planner) forgiveEarlyStalls() {
+	for _, q := range p.sorted {
+		q.failures = 0
+		q.notUntil = time.Time{}
+	}
+}
--- a/core/swarm/planner.go
+++ b/core/swarm/planner.go
@@ -267,6 +267,9 @@
 
 func (p *Planner) learn(s Source, took time.Duration) {
 	pipe := &p.pipes[s.Kind]
+	if pipe.usual == 0 && s.Kind == SourcePeer {
+		p.forgiveEarlyStalls()
+	}
 	pipe.learn(took)
 	if s.Kind == SourceOrigin {
 		p.originNo = 0
--- a/core/switchover/failure.go
+++ b/core/switchover/failure.go
@@ -72,7 +72,13 @@
 	if !lost || m.busy.Kind != ActionNone || m.acting {
 		return
 	}
-	if now.Sub(m.activeAt) < m.set.ProveTime {
+	// A request may be the cause, and is found by other means; a version that dies
+	// under requests again is blamed all the same.
+	excuse := in.DiedBusy && !m.excused[m.active]
+	if excuse {
+		m.excused[m.active] = true
+	}
+	if now.Sub(m.activeAt) < m.set.ProveTime && !excuse {
 		m.failures[m.active]++
 		m.retryAt[m.active] = now.Add(m.set.RetryAfter)
 	}
--- a/core/switchover/fuzz_test.go
+++ b/core/switchover/fuzz_test.go
@@ -324,3 +324,23 @@
 		assert.Assert(t, !staleOrder(true, 5*time.Second, late), "late by %v", late)
 	}
 }
+
+// TestDeathUnderRequestsIsExcusedOnce: a deadly request does not stop a version, a
+// version that dies again under requests is stopped.
+func TestDeathUnderRequestsIsExcusedOnce(t *testing.T) {
+	g := newGroup(1, 1, true)
+	x := g.nodes[0]
+	die := func() {
+		x.eng = Engine{Up: true, TwoSlots: true}
+		in := g.input(x)
+		in.DiedBusy = true
+		x.m.Step(in, g.now)
+	}
+	x.m.active, x.m.activeAt = newVersion, g.now
+	die()
+	assert.Equal(t, x.m.Failures(newVersion), 0)
+	x.m.busy = Action{}
+	x.m.active, x.m.activeAt = newVersion, g.now
+	die()
+	assert.Equal(t, x.m.Failures(newVersion), 1)
+}
--- a/core/switchover/machine.go
+++ b/core/switchover/machine.go
@@ -165,6 +165,8 @@
 	InFlight   map[fleet.Version]int // requests in progress by version
 	View       View
 	Leaving    bool
+	// DiedBusy tells that requests ran when the engine last died.
+	DiedBusy bool
 	// Unsettled tells that orders of an earlier run of the agent may still act.
 	Unsettled bool
 }
@@ -187,6 +189,7 @@
 	acting   bool // the gate is closed for a switch
 	promises map[fleet.InstanceID]given
 	failures map[fleet.Version]int
+	excused  map[fleet.Version]bool      // lost once while requests ran
 	retryAt  map[fleet.Version]time.Time // not loaded again before
 	active   fleet.Version               // what the engine was last made to serve
 	activeAt time.Time
@@ -199,7 +202,7 @@
 	return &Machine{
 		set: set, nonce: uint64(incarnation) << 16,
 		promises: map[fleet.InstanceID]given{},
-		failures: map[fleet.Version]int{}, retryAt: map[fleet.Version]time.Time{},
+		failures: map[fleet.Version]int{}, excused: map[fleet.Version]bool{}, retryAt: map[fleet.Version]time.Time{},
 	}
 }
 
