--- a/app/agent/module.go
+++ b/app/agent/module.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/fx"
 	"google.golang.org/grpc"
@@ -82,9 +83,15 @@
 	return nil
 }
 
+// flushTime lets the last answers leave before connections are closed.
+const flushTime = 200 * time.Millisecond
+
 // stop lets requests and orders in progress end, then goes.
 func (s *server) stop(ctx context.Context) error {
 	s.a.Leave(ctx)
+	// Stopping the server drops what it has not written yet; a graceful stop would
+	// wait for watches that never end.
+	node.Sleep(ctx, flushTime)
 	s.loops.Stop(ctx)
 	s.peers.GRPC.Stop()
 	_ = s.operators.HTTP.Close()
--- /dev/null
+++ b/core/rank/rank_test.go
@@ -0,0 +1,50 @@
+package rank
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func members(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprint("m", i)
+	}
+	return out
+}
+
+// TestLossMovesOnlyItsKeys: without a member the keys that it ranked first on move, and
+// no other.
+func TestLossMovesOnlyItsKeys(t *testing.T) {
+	all := members(20)
+	without := slices.Delete(slices.Clone(all), 7, 8)
+	for k := range 500 {
+		key := fmt.Sprint("key", k)
+		first := Top(key, all, 1)[0]
+		if first != "m7" {
+			assert.Equal(t, Top(key, without, 1)[0], first)
+		}
+	}
+}
+
+func TestOrderDoesNotDependOnTheList(t *testing.T) {
+	all := members(10)
+	turned := slices.Clone(all)
+	slices.Reverse(turned)
+	assert.DeepEqual(t, Top("k", all, 10), Top("k", turned, 10))
+	assert.Equal(t, Position("k", all, Top("k", all, 10)[3]), 3)
+	assert.Equal(t, Position("k", all, "nobody"), -1)
+}
+
+func TestKeysAreSpread(t *testing.T) {
+	counts := map[string]int{}
+	for k := range 10_000 {
+		counts[Top(fmt.Sprint(k), members(10), 1)[0]]++
+	}
+	for m, n := range counts {
+		assert.Assert(t, n > 850 && n < 1150, "%s has %d of 10,000", m, n)
+	}
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,28 @@
+package retry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRetriesStayWithinTheirShare: under lasting failure retries are the stated share of
+// the load, after the burst.
+func TestRetriesStayWithinTheirShare(t *testing.T) {
+	b := NewBudget(0.1, 10)
+	n := 0
+	for range 10_000 {
+		b.Request()
+		if b.Allow() {
+			n++
+		}
+	}
+	assert.Assert(t, n >= 1000 && n <= 1011, "%d retries", n)
+}
+
+func TestBackoffGrowsAndIsBounded(t *testing.T) {
+	assert.Assert(t, Backoff(1, 0) >= BaseDelay/2)
+	assert.Assert(t, Backoff(4, 0.5) > Backoff(2, 0.5))
+	assert.Assert(t, Backoff(1000, 0.999) <= MaxDelay)
+	assert.Assert(t, Backoff(-3, 0) > 0)
+}
