--- a/core/swarm/sim_test.go
+++ b/core/swarm/sim_test.go
@@ -378,7 +378,14 @@
 			n.control += float64(20 + 3*len(list))
 		}
 		for _, w := range b.nodes {
-			if n.dead || w.dead || !n.watchers[w.id] || b.parted(n, w) {
+			if n.dead || w.dead || !n.watchers[w.id] {
+				continue
+			}
+			if b.parted(n, w) {
+				// A watch that cannot deliver breaks; it does not lose news.
+				delete(n.watchers, w.id)
+				delete(w.watching, n.id)
+				w.plan.PeerGone(n.id, b.now)
 				continue
 			}
 			for _, c := range list {
