--- a/app/entry/attach.go
+++ b/app/entry/attach.go
@@ -21,7 +21,7 @@
 	// noticeGap is the least time between two notices, so that a burst of
 	// changes becomes one.
 	noticeGap = 50 * time.Millisecond
-	// refreshEvery renews what agents know of their group while it changes.
+	// refreshEvery renews what agents know of their group while promises count.
 	refreshEvery = time.Second
 )
 
@@ -314,11 +314,12 @@
 	return out
 }
 
-// moving tells whether any member of the group is switching or about to.
+// moving tells whether any member of the group is about to stop serving: promises hold
+// on fresh rows only. A group that merely loads beside the old version needs no renewal.
 func moving(rows []peer.MemberInfo) bool {
 	for _, r := range rows {
 		for _, m := range r.Models {
-			if m.Serving != m.Desired || m.Intent != 0 {
+			if m.Intent != 0 {
 				return true
 			}
 		}
--- a/core/dispatch/fuzz_test.go
+++ b/core/dispatch/fuzz_test.go
@@ -16,7 +16,10 @@
 	"amaranthturn/internal/fixedseed"
 )
 
-func TestMain(m *testing.M) { os.Exit(fixedseed.Main(m)) }
+// checks makes more than 10,000 steps of about 30 a check.
+const checks = "400"
+
+func TestMain(m *testing.M) { os.Exit(fixedseed.MainWith(m, checks)) }
 
 // flaw breaks the decision logic on purpose, to show that the oracle sees it.
 type flaw int
--- a/core/spread/fuzz_test.go
+++ b/core/spread/fuzz_test.go
@@ -16,7 +16,7 @@
 	"amaranthturn/internal/fixedseed"
 )
 
-func TestMain(m *testing.M) { os.Exit(fixedseed.Main(m)) }
+func TestMain(m *testing.M) { os.Exit(fixedseed.MainWith(m, "400")) }
 
 func ring(t interface{ Fatal(...any) }, active keys.ID, ids ...keys.ID) *keys.Ring {
 	secrets := map[keys.ID][]byte{}
--- a/core/switchover/fuzz_test.go
+++ b/core/switchover/fuzz_test.go
@@ -14,7 +14,7 @@
 	"amaranthturn/internal/fixedseed"
 )
 
-func TestMain(m *testing.M) { os.Exit(fixedseed.Main(m)) }
+func TestMain(m *testing.M) { os.Exit(fixedseed.MainWith(m, "400")) }
 
 const (
 	oldVersion = fleet.Version("old")
--- a/internal/fixedseed/fixedseed.go
+++ b/internal/fixedseed/fixedseed.go
@@ -18,9 +18,21 @@
 // Main runs the tests of a package with the fixed seed.
 func Main(m *testing.M) int {
 	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", Seed)
-	}
+	setDefault("rapid.seed", Seed)
 	_ = flag.Set("rapid.nofailfile", "true")
 	return m.Run()
 }
+
+// MainWith is Main with another number of checks a property than the library's 100.
+func MainWith(m *testing.M, checks string) int {
+	flag.Parse()
+	setDefault("rapid.checks", checks)
+	return Main(m)
+}
+
+// setDefault sets a flag that the command line left as it was.
+func setDefault(name, value string) {
+	if f := flag.Lookup(name); f != nil && f.Value.String() == f.DefValue {
+		_ = flag.Set(name, value)
+	}
+}
