Logs: a platform out of reach is said once, and its return

Cause: a daemon that could not reach the platform said nothing but on /readyz. Change: one line when it goes out of reach and one when it answers again.

--- a/app/agent/attach.go
+++ b/app/agent/attach.go
@@ -55,6 +55,7 @@
 // firstHomes learns the entries from the platform's list, which is read once a
 // start; later changes come from the entries.
 func (t *attachments) firstHomes(ctx context.Context) {
+	lost := false
 	for ctx.Err() == nil {
 		list, err := t.a.opt.Platform.Instances(ctx, 0, 0)
 		if err == nil {
@@ -63,6 +64,10 @@
 				return
 			}
 		}
+		if err != nil && ctx.Err() == nil && !lost {
+			lost = true
+			t.a.log.members.Warn().Err(err).Msg("platform is out of reach")
+		}
 		t.a.opt.Metrics.Count("list_failures", 1)
 		node.Sleep(ctx, listRetry)
 	}
--- a/app/entry/config.go
+++ b/app/entry/config.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"amaranthturn/app/node"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/spread"
@@ -30,11 +32,27 @@
 	return e.random.Float64()
 }
 
+// reach remembers whether the platform answers, so that only a change is logged.
+type reach struct {
+	lost bool
+}
+
+func (r *reach) note(log zerolog.Logger, what string, err error) {
+	switch {
+	case err != nil && !r.lost:
+		log.Warn().Str("reading", what).Err(err).Msg("platform is out of reach")
+	case err == nil && r.lost:
+		log.Info().Str("reading", what).Msg("platform answers again")
+	}
+	r.lost = err != nil
+}
+
 // configWatcher watches the platform's configuration while it is this entry's
 // turn.
 type configWatcher struct {
-	e    *Entry
-	wait backoff
+	e     *Entry
+	wait  backoff
+	reach reach
 }
 
 func (w *configWatcher) Run(ctx context.Context) {
@@ -43,7 +61,12 @@
 			node.Sleep(ctx, platformRetry)
 			continue
 		}
-		if err := w.e.readConfig(ctx); err != nil {
+		err := w.e.readConfig(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		w.reach.note(w.e.log.config, "configuration", err)
+		if err != nil {
 			w.e.opt.Metrics.Count("platform_read_failures", 1)
 			node.Sleep(ctx, w.wait.next(w.e.jitter()))
 			continue
@@ -139,13 +162,19 @@
 
 // listWatcher follows the platform's instance list.
 type listWatcher struct {
-	e    *Entry
-	wait backoff
+	e     *Entry
+	wait  backoff
+	reach reach
 }
 
 func (w *listWatcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := w.e.readList(ctx); err != nil {
+		err := w.e.readList(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		w.reach.note(w.e.log.members, "instance list", err)
+		if err != nil {
 			node.Sleep(ctx, w.wait.next(w.e.jitter()))
 			continue
 		}
