Stops: a leaving entry answers kept connections before it closes them

The race detector found that the local mode looked at which daemons are gone without the lock. Change: after two seconds of Connection: close the listener goes, kept connections are answered for two more, then closed; the blame of a broken connection is taken back when the same run of the target answers again. Conclusion: a caller that keeps a connection idle for four seconds and uses it in the moment of its end still meets HTTP's own race.

--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -100,6 +100,7 @@
 	running  map[fleet.InstanceID]map[admit.RequestID]fleet.Fingerprint
 	offers   map[fleet.Model]offerCache
 	boots    map[fleet.InstanceID]uint64
+	accused  map[fleet.InstanceID]accusation
 	orders   int
 	inFlight sync.WaitGroup
 
@@ -134,6 +135,7 @@
 		running:  map[fleet.InstanceID]map[admit.RequestID]fleet.Fingerprint{},
 		offers:   map[fleet.Model]offerCache{},
 		boots:    map[fleet.InstanceID]uint64{},
+		accused:  map[fleet.InstanceID]accusation{},
 		jump:     clock.NewWatch(pauseLimit),
 		log: logs{
 			config: o.Logs.Of(telemetry.SubsystemConfig), members: o.Logs.Of(telemetry.SubsystemMembers),
--- a/app/entry/module.go
+++ b/app/entry/module.go
@@ -39,6 +39,9 @@
 // callers to close theirs, before its listener goes.
 const lameDuck = 2 * time.Second
 
+// quietTime is how long kept connections are still answered after that.
+const quietTime = 2 * time.Second
+
 // server is the outward side of an entry.
 type server struct {
 	e         *Entry
@@ -90,6 +93,11 @@
 func (s *server) stop(ctx context.Context) error {
 	s.e.leaving.Store(true)
 	node.Sleep(ctx, lameDuck)
+	// Without the listener callers go elsewhere, while connections that they kept are
+	// still answered, each once. Only when none is used any more are they closed: closing
+	// one from this side could meet a request that is on its way.
+	_ = s.callers.Listener.Close()
+	node.Sleep(ctx, quietTime)
 	err := s.callers.HTTP.Shutdown(ctx)
 	s.e.Leave(ctx)
 	s.loops.Stop(ctx)
--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -12,6 +12,7 @@
 	"amaranthturn/core/config"
 	"amaranthturn/core/dispatch"
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/member"
 	"amaranthturn/core/retry"
 	"amaranthturn/core/route"
 	"amaranthturn/core/suspect"
@@ -390,8 +391,25 @@
 	return dispatch.Failure{Kind: dispatch.KindLost}
 }
 
+// accusation is the blame of a connection that broke, until it is known whether the
+// target died.
+type accusation struct {
+	run  fleet.Incarnation
+	list []fleet.Fingerprint
+	at   time.Time
+}
+
+// echoTime is how long heartbeats from before a death may still come in.
+const echoTime = time.Second
+
 // blame records the crash of a target once for all requests that ran there.
 func (e *Entry) blame(on fleet.InstanceID) {
+	e.memMu.Lock()
+	var run fleet.Incarnation
+	if a, ok := e.table.Get(on); ok {
+		run = a.Incarnation
+	}
+	e.memMu.Unlock()
 	e.reqMu.Lock()
 	defer e.reqMu.Unlock()
 	var list []fleet.Fingerprint
@@ -401,5 +419,20 @@
 	delete(e.running, on)
 	if len(list) > 0 {
 		e.ledger.Crashed(list, e.now())
+		e.accused[on] = accusation{run: run, list: list, at: e.now()}
+	}
+}
+
+// absolve takes blame back when the accused run of a target answers again. reqMu is
+// held.
+func (e *Entry) absolve(r member.Report, now time.Time) {
+	a, ok := e.accused[r.Instance]
+	switch {
+	case !ok:
+	case r.Incarnation != a.run:
+		delete(e.accused, r.Instance)
+	case now.Sub(a.at) > echoTime:
+		e.ledger.Absolve(a.list, now)
+		delete(e.accused, r.Instance)
 	}
 }
--- a/app/local/fleet.go
+++ b/app/local/fleet.go
@@ -193,8 +193,10 @@
 
 // live returns the daemons that have not been stopped or killed.
 func (w *world) live() []*daemon {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	var out []*daemon
-	for _, d := range w.all() {
+	for _, d := range w.daemons {
 		if !d.gone {
 			out = append(out, d)
 		}
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -106,6 +106,22 @@
 	}
 }
 
+// Absolve takes back the blame of a crash that did not happen: the target was only out
+// of reach, and the same run of it answers again.
+func (l *Ledger) Absolve(running []fleet.Fingerprint, now time.Time) {
+	for _, f := range running {
+		e, ok := l.entries[f]
+		if !ok {
+			continue
+		}
+		e.blame = l.decayed(e, now) - 1/float64(len(running))
+		e.at = now
+		if e.blame < l.set.AloneAt {
+			delete(l.entries, f)
+		}
+	}
+}
+
 // Finished clears a request that ran to its end without a crash.
 func (l *Ledger) Finished(f fleet.Fingerprint, alone bool, now time.Time) {
 	e, ok := l.entries[f]
--- a/core/suspect/suspect_test.go
+++ b/core/suspect/suspect_test.go
@@ -30,6 +30,15 @@
 	assert.Equal(t, l.Judge(2, now.Add(2*time.Hour)), Clear, "shared blame decays")
 }
 
+func TestBlameOfALostConnectionIsTakenBack(t *testing.T) {
+	l := NewLedger(DefaultSettings)
+	l.Crashed([]fleet.Fingerprint{1}, now)
+	l.Crashed([]fleet.Fingerprint{1, 2}, now)
+	l.Absolve([]fleet.Fingerprint{1, 2}, now)
+	assert.Equal(t, l.Judge(2, now), Clear)
+	assert.Equal(t, l.Judge(1, now), Alone, "the other crash stays")
+}
+
 func TestMergeTakesTheWorse(t *testing.T) {
 	a, b := NewLedger(DefaultSettings), NewLedger(DefaultSettings)
 	a.Crashed([]fleet.Fingerprint{7}, now)
