Read over: one draw for ties, no dead code

Cause: the lowest of a row with drawn ties stood twice in the planner's choice; a stand-in's fault, a getter and a parameter were used by nothing. Change: draw serves both choices in the same order of random numbers; the unused pieces are gone. Behaviour does not change. Conclusion: nothing else in the change stood twice with the same meaning.

--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -317,7 +317,7 @@
 	})
 	switch {
 	case errors.Is(err, errAnswerEnded):
-		f.whole(on)
+		f.whole()
 		return dispatch.Failure{}, true
 	case errors.Is(err, errRefused):
 		return refusalFailure(refusal), false
@@ -369,7 +369,7 @@
 }
 
 // whole clears the request of suspicion.
-func (f *flight) whole(fleet.InstanceID) {
+func (f *flight) whole() {
 	f.e.reqMu.Lock()
 	defer f.e.reqMu.Unlock()
 	f.e.ledger.Finished(f.gen.Fingerprint, false, f.e.now())
--- a/core/hold/hold.go
+++ b/core/hold/hold.go
@@ -131,15 +131,6 @@
 // Has tells whether a version is counted.
 func (l *Ledger) Has(v fleet.Version) bool { _, ok := l.entries[v]; return ok }
 
-// RoleOf returns why a version is kept.
-func (l *Ledger) RoleOf(v fleet.Version) (Role, bool) {
-	e, ok := l.entries[v]
-	if !ok {
-		return 0, false
-	}
-	return e.role, true
-}
-
 // Used returns the bytes that are counted.
 func (l *Ledger) Used() fleet.Bytes { return l.used }
 
--- a/core/swarm/choose.go
+++ b/core/swarm/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -107,23 +108,39 @@
 	}
 }
 
+// draw finds the lowest of a row of values, each of equal ones with the same chance.
+type draw struct {
+	random *rand.Rand
+	low    int64
+	ties   int
+}
+
+func newDraw(random *rand.Rand) draw { return draw{random: random, low: math.MaxInt64} }
+
+// takes tells whether v replaces what was taken before.
+func (d *draw) takes(v int64) bool {
+	if v < d.low {
+		d.low, d.ties = v, 1
+		return true
+	}
+	if v > d.low {
+		return false
+	}
+	d.ties++
+	return d.random.IntN(d.ties) == 0
+}
+
 // rarest returns the chunk that q holds, is missing here, not in flight and held
 // by the fewest peers; ties are drawn.
 func (p *Planner) rarest(q *peer) (int, bool) {
-	best, low, ties := -1, math.MaxInt, 0
+	best := -1
+	draw := newDraw(p.random)
 	for c := range p.place {
 		if !q.has.Has(c) || p.held.Has(c) || p.inFlight(c) {
 			continue
 		}
-		n := int(p.avail[c])
-		switch {
-		case n < low:
-			best, low, ties = c, n, 1
-		case n == low:
-			ties++
-			if p.random.IntN(ties) == 0 {
-				best = c
-			}
+		if draw.takes(int64(p.avail[c])) {
+			best = c
 		}
 	}
 	return best, best >= 0
@@ -132,7 +149,7 @@
 // best returns the usable peer with the shortest expected wait; ties are drawn.
 func (p *Planner) best(now time.Time, ok func(*peer) bool) *peer {
 	var best *peer
-	low, ties := time.Duration(math.MaxInt64), 0
+	draw := newDraw(p.random)
 	for _, q := range p.sorted {
 		slots := p.set.PerPeer
 		if q.failures > 0 {
@@ -142,14 +159,8 @@
 			continue
 		}
 		wait := time.Duration(q.inFlight+1) * q.usual
-		switch {
-		case wait < low:
-			best, low, ties = q, wait, 1
-		case wait == low:
-			ties++
-			if p.random.IntN(ties) == 0 {
-				best = q
-			}
+		if draw.takes(int64(wait)) {
+			best = q
 		}
 	}
 	return best
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -71,7 +71,6 @@
 	downTil time.Time
 	die     context.CancelFunc
 	life    context.Context
-	bad     map[fleet.Version]bool
 	kv      map[string][]byte
 }
 
@@ -91,20 +90,13 @@
 func New(set Settings, rec *record.Record, known func() map[fleet.Version]string) *Engine {
 	e := &Engine{
 		set: set, rec: rec, known: known, boot: uint64(time.Now().UnixNano()), role: "mixed",
-		models: map[string]*model{}, prefix: map[uint64]time.Time{}, bad: map[fleet.Version]bool{}, kv: map[string][]byte{},
+		models: map[string]*model{}, prefix: map[uint64]time.Time{}, kv: map[string][]byte{},
 	}
 	e.turn = sync.NewCond(&e.mu)
 	e.life, e.die = context.WithCancel(context.Background())
 	return e
 }
 
-// FailVersion makes the engine refuse to load a version.
-func (e *Engine) FailVersion(v fleet.Version) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.bad[v] = true
-}
-
 // Crash makes the engine die and come back empty.
 func (e *Engine) Crash() {
 	e.mu.Lock()
@@ -219,10 +211,6 @@
 	time.Sleep(e.set.LoadTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.bad[v] {
-		http.Error(w, "weights cannot be loaded", http.StatusInternalServerError)
-		return
-	}
 	m := e.model(r.URL.Query().Get("model"))
 	slots := 1
 	if e.set.TwoSlots {
