--- /dev/null
+++ b/app/gateway/gateway.go
@@ -0,0 +1,252 @@
+// Package gateway is the entry daemon on a platform whose callers and targets speak HTTP:
+// callers send their requests to it, and it passes each on to a target of the service
+// that the operator's configuration names.
+//
+// # Usage
+//
+//	app := fx.New(fx.Supply(settings), gateway.Module)
+//
+// # Parts
+//
+// The store reader keeps the copy of the platform's metadata, from the store itself or
+// from other entries while the store does not answer. The mesh loop exchanges the list of
+// entries. A load watcher for each process beside a target follows the target's load. The
+// request path decides by the boards and queues of each service.
+//
+// # Locks
+//
+// mu guards everything that decisions read: mirror, roster, league, services. It is never
+// held while anything is sent or waited for. The configuration in force is read without
+// a lock.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"amaranthturn/app/node"
+	"amaranthturn/app/telemetry"
+	"amaranthturn/core/admit"
+	"amaranthturn/core/clock"
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/league"
+	"amaranthturn/core/load"
+	"amaranthturn/core/mirror"
+	"amaranthturn/core/retry"
+	"amaranthturn/core/roster"
+	"amaranthturn/core/routing"
+	"amaranthturn/core/suspect"
+	"amaranthturn/io/peer"
+	"amaranthturn/platform"
+)
+
+// pauseLimit is the gap between two ticks from which the process counts as paused.
+const pauseLimit = time.Second
+
+// Gateway is one entry daemon.
+type Gateway struct {
+	set     *platform.Settings
+	clock   clock.Clock
+	metrics *telemetry.Metrics
+	pool    *peer.Pool
+	store   *platform.Store
+	targets *platform.Targets
+	log     logs
+
+	doc      atomic.Pointer[routing.Document]
+	leaving  atomic.Bool
+	inFlight sync.WaitGroup
+
+	mu        sync.Mutex // guards all below
+	random    *rand.Rand
+	mirror    *mirror.Mirror
+	changed   chan struct{} // closed and replaced when the mirror changes
+	storeLost bool
+	roster    *roster.Roster
+	league    *league.League
+	named     map[fleet.Model]naming
+	loads     map[fleet.InstanceID]loadReport
+	watching  map[string]context.CancelFunc // by address of the process beside a target
+	services  map[fleet.Service]*service
+	waiters   map[admit.RequestID]chan admit.Verdict
+	nextID    admit.RequestID
+	budget    *retry.Budget
+	ledger    *suspect.Ledger
+	pause     *clock.Watch
+}
+
+// naming is a version of a model's weights that the operator wants, and since when.
+type naming struct {
+	version uint64
+	since   time.Time
+}
+
+// loadReport is the last word of the process beside a target.
+type loadReport struct {
+	peer.TargetLoad
+	heard time.Time
+}
+
+type logs struct {
+	config, members, requests, process zerolog.Logger
+}
+
+// service is what the request path keeps for one service.
+type service struct {
+	board *load.Board
+	queue *admit.Queue
+}
+
+// now returns the time by the daemon's clock.
+func (g *Gateway) now() time.Time { return g.clock.Now() }
+
+// New returns a daemon that does nothing until its loops run.
+func New(set *platform.Settings, c clock.Clock, l *telemetry.Logs, m *telemetry.Metrics, pool *peer.Pool, store *platform.Store, t *platform.Targets, seed uint64) *Gateway {
+	now := c.Now()
+	g := &Gateway{
+		set: set, clock: c, metrics: m, pool: pool, store: store, targets: t,
+		log: logs{
+			config: l.Of(telemetry.SubsystemConfig), members: l.Of(telemetry.SubsystemMembers),
+			requests: l.Of(telemetry.SubsystemRequests), process: l.Of(telemetry.SubsystemProcess),
+		},
+		random: rand.New(rand.NewPCG(seed, uint64(now.UnixNano()))),
+		mirror: mirror.New(), changed: make(chan struct{}), roster: roster.New(roster.DefaultSettings),
+		league: league.New(league.DefaultSettings, league.Row{
+			Instance: set.Instance, Incarnation: fleet.Incarnation(now.UnixNano()), Region: set.Region, Zone: set.Zone,
+			Address: set.Peers, Caller: set.Callers,
+		}),
+		named: map[fleet.Model]naming{},
+		loads: map[fleet.InstanceID]loadReport{}, watching: map[string]context.CancelFunc{},
+		services: map[fleet.Service]*service{}, waiters: map[admit.RequestID]chan admit.Verdict{},
+		ledger: suspect.NewLedger(suspect.DefaultSettings), pause: clock.NewWatch(pauseLimit),
+	}
+	g.budget = retry.NewBudget(set.Bounds.RetryShare*budgetMargin, set.Bounds.RetryExtra*budgetMargin/budgetEntries)
+	return g
+}
+
+// The retry budget is the whole system's, and entries do not ask each other before a
+// retry: each takes the share of its own requests and its part of the fixed allowance.
+const (
+	// budgetMargin keeps from the bound what windows that slide can add up to.
+	budgetMargin = 0.5
+	// budgetEntries is the number of entries that the fixed allowance is divided by.
+	budgetEntries = 8
+)
+
+// Leaving implements platform.Gateway.
+func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+
+// Limits implements platform.Gateway.
+func (g *Gateway) Limits() routing.Limits {
+	if d := g.doc.Load(); d != nil {
+		return d.Limits
+	}
+	return routing.Limits{}
+}
+
+// Ready implements platform.Directory: a configuration is known and the daemon stays.
+func (g *Gateway) Ready() bool { return !g.leaving.Load() && g.doc.Load() != nil }
+
+// directoryKeep is how long callers keep an answer. Some keep it three times as long, and
+// a stopping entry has to be out of use within its grace.
+const directoryKeep = time.Second
+
+// maxOffered bounds the entries of one answer.
+const maxOffered = 64
+
+// Entries implements platform.Directory: the entries of the caller's zone, or all when
+// there are fewer than two.
+func (g *Gateway) Entries(zone fleet.Zone, _ string) ([]string, time.Duration) {
+	now := g.now()
+	g.mu.Lock()
+	rows := g.league.Live(now)
+	g.mu.Unlock()
+	if !g.leaving.Load() {
+		rows = append(rows, league.Row{Instance: g.set.Instance, Zone: g.set.Zone, Caller: g.set.Callers})
+	}
+	var near, all []string
+	for _, r := range rows {
+		all = append(all, r.Caller)
+		if r.Zone == zone {
+			near = append(near, r.Caller)
+		}
+	}
+	if len(near) >= minNear {
+		all = near
+	}
+	return all[:min(len(all), maxOffered)], directoryKeep
+}
+
+// minNear is the number of near entries from which callers are offered only these.
+const minNear = 2
+
+// service returns the state of a service. mu is held.
+func (g *Gateway) service(name fleet.Service) *service {
+	s, ok := g.services[name]
+	if !ok {
+		b := load.NewBoard(load.DefaultSettings, g.random)
+		s = &service{board: b, queue: admit.NewQueue(load.Room{Board: b, Now: g.now}, func(fleet.Workspace) admit.Limits {
+			return admit.Limits{Weight: 1, Queue: workspaceQueue}
+		})}
+		g.services[name] = s
+	}
+	return s
+}
+
+// workspaceQueue bounds the waiting requests of one workspace at one entry; the wait is
+// bounded by time before that.
+const workspaceQueue = 64
+
+// wake tells waiting requests their turn. mu is held.
+func (g *Gateway) wake(admitted, refused []admit.Request) {
+	for _, r := range admitted {
+		g.tell(r.ID, admit.Admitted)
+	}
+	for _, r := range refused {
+		g.tell(r.ID, admit.Refused)
+	}
+}
+
+func (g *Gateway) tell(id admit.RequestID, v admit.Verdict) {
+	if turn, ok := g.waiters[id]; ok {
+		turn <- v
+		delete(g.waiters, id)
+	}
+}
+
+// ticker does what is due without an event.
+type ticker struct{ g *Gateway }
+
+// tickEvery bounds how late a waiting request learns that it is refused.
+const tickEvery = 20 * time.Millisecond
+
+// Run implements node.Runner.
+func (t *ticker) Run(ctx context.Context) {
+	for node.Sleep(ctx, tickEvery) {
+		t.g.tick()
+	}
+}
+
+func (g *Gateway) tick() {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.pause.Jumped(now) {
+		g.log.process.Warn().Msg("process was paused")
+		g.metrics.Count("pauses", 1)
+		g.league.Woke(now)
+		g.loads = map[fleet.InstanceID]loadReport{}
+	}
+	if gone := g.roster.Expire(now); len(gone) > 0 {
+		g.log.members.Info().Int("targets", len(gone)).Msg("lapsed targets did not come back")
+		g.refreshBoards(now)
+	}
+	for _, s := range g.services {
+		g.wake(s.queue.Tick(now))
+	}
+}
--- /dev/null
+++ b/app/gateway/mesh.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"amaranthturn/app/node"
+	"amaranthturn/core/roster"
+	"amaranthturn/io/peer"
+	"amaranthturn/platform"
+)
+
+// Timing of the mesh.
+const (
+	// exchangeEvery is how often an entry tells one other of the entries that it knows.
+	exchangeEvery = 500 * time.Millisecond
+	// nearPeriod and farPeriod bound how often the load of a target is told: near targets
+	// get most requests, and messages between regions are dear.
+	nearPeriod = 150 * time.Millisecond
+	farPeriod  = 500 * time.Millisecond
+	// rewatchPause is the wait before a broken load watch is made anew.
+	rewatchPause = 400 * time.Millisecond
+	// catchUpTimeout bounds a look at what another entry has read.
+	catchUpTimeout = 1500 * time.Millisecond
+	// blamedRows is how many blamed requests one message names.
+	blamedRows = 16
+)
+
+// mesher exchanges the list of entries, and what the store holds with entries that have
+// read more.
+type mesher struct{ g *Gateway }
+
+// Run implements node.Runner.
+func (m *mesher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.exchange(ctx)
+		m.g.watchTargets(ctx)
+		node.Sleep(ctx, m.g.spread(exchangeEvery))
+	}
+}
+
+func (m *mesher) exchange(ctx context.Context) {
+	g := m.g
+	now := g.now()
+	g.mu.Lock()
+	addr, ok := g.league.Partner(g.set.Seeds, g.random.Float64(), now)
+	news := g.news(now)
+	at := g.mirror.At()
+	g.mu.Unlock()
+	if !ok {
+		return
+	}
+	got, err := g.pool.Exchange(ctx, addr, news)
+	if err != nil {
+		g.metrics.Count("exchange_failures", 1)
+		return
+	}
+	g.mu.Lock()
+	g.hear(got, g.now())
+	lost := g.storeLost
+	g.mu.Unlock()
+	if got.At > at && lost || got.At > at+aheadSlack {
+		g.catchUp(ctx, addr)
+	}
+}
+
+// aheadSlack is how many revisions another entry may be ahead before its news are taken;
+// the own watch brings them within moments.
+const aheadSlack = 3
+
+// catchUp takes what the entry at addr has read.
+func (g *Gateway) catchUp(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	g.mu.Lock()
+	at := g.mirror.At()
+	g.mu.Unlock()
+	// The stream is ended after its first message, so its error says nothing.
+	_ = g.pool.Follow(ctx, addr, at, func(n peer.StoreNews) {
+		cancel()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		events := g.mirror.Apply(n.Events, n.At, g.now().Add(-n.Age))
+		if len(events) > 0 {
+			g.metrics.Count("store_news_from_entries", int64(len(events)))
+			g.take(events)
+		}
+	})
+}
+
+// news returns what to tell another entry. mu is held.
+func (g *Gateway) news(now time.Time) peer.EntryNews {
+	return peer.EntryNews{Rows: g.league.Rows(now), Blamed: g.ledger.Worst(blamedRows, now), At: g.mirror.At()}
+}
+
+// hear takes what another entry told. mu is held.
+func (g *Gateway) hear(n peer.EntryNews, now time.Time) {
+	g.league.Merge(n.Rows, now)
+	g.ledger.Merge(n.Blamed, now)
+}
+
+// watchTargets keeps a load watch on the process beside each model's target.
+func (g *Gateway) watchTargets(ctx context.Context) {
+	doc := g.doc.Load()
+	if doc == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	wanted := map[string]roster.Target{}
+	for _, t := range g.roster.All() {
+		if s, ok := doc.Service(t.Service); ok && s.Engine != nil {
+			wanted[t.Address] = t
+		}
+	}
+	for addr, cancel := range g.watching {
+		if _, ok := wanted[addr]; !ok {
+			cancel()
+			delete(g.watching, addr)
+		}
+	}
+	for addr, t := range wanted {
+		if _, ok := g.watching[addr]; ok {
+			continue
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		g.watching[addr] = cancel
+		w := &loadWatch{g: g, target: addr, period: farPeriod}
+		if t.Zone == g.set.Zone {
+			w.period = nearPeriod
+		}
+		go w.run(ctx)
+	}
+}
+
+// loadWatch follows the load of the target at one address.
+type loadWatch struct {
+	g      *Gateway
+	target string
+	period time.Duration
+}
+
+// run watches anew whenever the stream ends.
+func (w *loadWatch) run(ctx context.Context) {
+	addr := net.JoinHostPort(platform.HostOf(w.target), strconv.Itoa(w.g.set.FirstPort))
+	for ctx.Err() == nil {
+		// The reason of the end is the connection's; requests show whether the target works.
+		_ = w.g.pool.WatchLoad(ctx, addr, w.period, w.heard)
+		w.forget()
+		node.Sleep(ctx, w.g.spread(rewatchPause))
+	}
+}
+
+// id returns the target that is listed at the address. mu is held.
+func (w *loadWatch) id() (roster.Target, bool) {
+	for _, t := range w.g.roster.All() {
+		if t.Address == w.target {
+			return t, true
+		}
+	}
+	return roster.Target{}, false
+}
+
+func (w *loadWatch) heard(l peer.TargetLoad) {
+	g := w.g
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t, ok := w.id()
+	if !ok || l.Born != t.Born && l.Born != 0 {
+		return
+	}
+	old, had := g.loads[t.ID]
+	l.Born = t.Born
+	g.loads[t.ID] = loadReport{TargetLoad: l, heard: now}
+	if !had || old.Version != l.Version || old.Accepting != l.Accepting {
+		g.log.members.Info().Str("target", string(t.ID)).Uint64("serving", l.Version).Bool("accepting", l.Accepting).Msg("target changed")
+		g.refreshBoards(now)
+	}
+	s := g.service(t.Service)
+	s.board.Reported(t.ID, l.Running+l.Queued, now)
+	g.wake(s.queue.Tick(now))
+}
+
+func (w *loadWatch) forget() {
+	w.g.mu.Lock()
+	defer w.g.mu.Unlock()
+	if t, ok := w.id(); ok {
+		delete(w.g.loads, t.ID)
+		w.g.refreshBoards(w.g.now())
+	}
+}
+
+var _ peer.MeshHandler = (*Gateway)(nil)
--- /dev/null
+++ b/app/gateway/requests.go
@@ -0,0 +1,482 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthturn/app/node"
+	"amaranthturn/core/admit"
+	"amaranthturn/core/dispatch"
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/forward"
+	"amaranthturn/core/load"
+	"amaranthturn/core/roster"
+	"amaranthturn/core/routing"
+	"amaranthturn/core/suspect"
+	"amaranthturn/io/target"
+	"amaranthturn/platform"
+)
+
+// Constants of the request path.
+const (
+	// waitShare is the part of a route's objective that a request may wait for a slot: the
+	// rest is needed to read its prompt beside the requests that run.
+	waitShare = 0.35
+	// returnAfter and returnSpread are when a refused caller is asked to come back: not
+	// all at once, and after a second in which added targets can begin to serve.
+	returnAfter  = 800 * time.Millisecond
+	returnSpread = 800 * time.Millisecond
+	// maxRefusals is how many targets without room one request is offered to.
+	maxRefusals = 2
+	// maxAnswer bounds an answer that is read whole before it is passed back.
+	maxAnswer = 32 << 20
+	// firstEvent and nextEvent bound a stream's silence before it goes on elsewhere. They
+	// are several objectives long: a slower answer is late and still of use.
+	firstEvent = 2 * time.Second
+	nextEvent  = 1500 * time.Millisecond
+)
+
+// errCut tells that an answer was begun and cannot be completed.
+var errCut = errors.New("answer is broken off")
+
+// flight is one request under way.
+type flight struct {
+	g         *Gateway
+	call      *forward.Call
+	out       forward.Responder
+	doc       *routing.Document
+	route     *routing.Route
+	svc       fleet.Service
+	workspace fleet.Workspace
+	class     fleet.Class
+	state     *dispatch.Request
+	stream    *forward.Stream
+	print     fleet.Fingerprint
+	begun     time.Time
+	deadline  time.Time
+	waited    time.Duration
+	first     time.Duration // to the first event or the answer
+	answered  bool          // the head of an answer was given
+	attempts  int
+	target    fleet.InstanceID
+	held      *platform.Sent // a failure of a target that is passed back when nothing else works
+	heldBody  []byte
+}
+
+// Serve implements platform.Gateway.
+func (g *Gateway) Serve(ctx context.Context, c *forward.Call, out forward.Responder) error {
+	g.inFlight.Add(1)
+	defer g.inFlight.Done()
+	f := &flight{g: g, call: c, out: out, begun: g.now()}
+	refusal := f.prepare()
+	if refusal == nil {
+		ctx, cancel := context.WithDeadline(ctx, f.deadline)
+		defer cancel()
+		refusal = f.admitAndRun(ctx)
+	}
+	f.note(refusal)
+	switch {
+	case refusal == nil:
+		return nil
+	case f.answered:
+		return errCut
+	}
+	out.Refuse(*refusal)
+	return nil
+}
+
+// prepare finds out what the request is, by the configuration in force.
+func (f *flight) prepare() *fleet.Refusal {
+	f.doc = f.g.doc.Load()
+	if f.doc == nil {
+		return fleet.NotRun(fleet.ReasonNoConfiguration, returnAfter)
+	}
+	r, ok := f.doc.Match(f.call.Host, f.call.Path)
+	if !ok {
+		return fleet.NotRun(fleet.ReasonUnknownRoute, 0)
+	}
+	f.route = r
+	priority := r.Priority
+	if f.doc.NeedsKey(r) {
+		w, ok := f.doc.Workspace(f.call.Key)
+		if !ok {
+			return fleet.NotRun(fleet.ReasonUnknownKey, 0)
+		}
+		f.workspace, priority = w.Name, w.Priority
+	}
+	if f.call.ID == "" {
+		return fleet.NotRun(fleet.ReasonBadRequest, 0)
+	}
+	f.g.mu.Lock()
+	draw := f.g.random.Float64()
+	f.g.mu.Unlock()
+	if f.svc, ok = r.Pick(draw); !ok {
+		return fleet.NotRun(fleet.ReasonUnknownService, returnAfter)
+	}
+	f.class = classOf(priority)
+	f.deadline = f.begun.Add(forward.Budget(r, f.call))
+	f.stream = forward.NewStream(f.call.LastEvent)
+	f.print = fingerprint(f.workspace, f.call)
+	f.state = dispatch.NewRequest(dispatch.Settings{
+		MaxAttempts: max(1, r.MaxAttempts), MaxRefusals: maxRefusals,
+		AtMostOnce: !r.Repeatable(), RefusalsCost: true,
+	}, f.deadline)
+	return nil
+}
+
+// classOf maps a priority, of which 0 is the highest.
+func classOf(priority int) fleet.Class {
+	return fleet.Classes[min(max(priority, 0), len(fleet.Classes)-1)]
+}
+
+// fingerprint names a request by what it asks, so that it is known when it comes again.
+func fingerprint(w fleet.Workspace, c *forward.Call) fleet.Fingerprint {
+	d := xxhash.New()
+	for _, s := range []string{string(w), c.Method, c.Host, c.URI} {
+		_, _ = d.WriteString(s + "\x00") // a hash never fails
+	}
+	_, _ = d.Write(c.Body)
+	return fleet.Fingerprint(d.Sum64())
+}
+
+// admitAndRun waits for a slot and runs the request in it.
+func (f *flight) admitAndRun(ctx context.Context) *fleet.Refusal {
+	g := f.g
+	now := g.now()
+	wait := now.Add(time.Duration(waitShare * float64(f.route.Objective)))
+	if f.deadline.Before(wait) {
+		wait = f.deadline
+	}
+	req := admit.Request{Workspace: f.workspace, Class: f.class, Deadline: wait, Cost: f.cost()}
+	g.mu.Lock()
+	if g.ledger.Judge(f.print, now) == suspect.Stop {
+		g.mu.Unlock()
+		return fleet.NotRun(fleet.ReasonCrashing, 0)
+	}
+	g.nextID++
+	req.ID = g.nextID
+	g.budget.Request()
+	s := g.service(f.svc)
+	d := s.queue.Offer(req, now)
+	var turn chan admit.Verdict
+	if d.Verdict == admit.Queued {
+		turn = make(chan admit.Verdict, 1)
+		g.waiters[req.ID] = turn
+	}
+	g.mu.Unlock()
+	switch d.Verdict {
+	case admit.Refused:
+		return fleet.NotRun(fleet.ReasonQueueFull, f.returnTime())
+	case admit.Queued:
+		if refusal := f.await(ctx, s, req, turn); refusal != nil {
+			return refusal
+		}
+	}
+	f.waited = g.now().Sub(now)
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.wake(s.queue.Release(req, req.Cost, g.now()))
+	}()
+	return f.run(ctx, s)
+}
+
+// cost estimates the work of a request, in tokens of which reading one is the unit.
+func (f *flight) cost() float64 {
+	const writing = 10 // the work of writing a token, in read ones
+	answer := f.call.AnswerTokens
+	if f.call.AnswerHint > 0 {
+		answer = min(max(answer, 1), f.call.AnswerHint)
+	}
+	return float64(max(1, f.call.PromptTokens+writing*answer))
+}
+
+func (f *flight) returnTime() time.Duration { return returnAfter + f.g.spread(returnSpread) }
+
+func (f *flight) await(ctx context.Context, s *service, req admit.Request, turn chan admit.Verdict) *fleet.Refusal {
+	select {
+	case v := <-turn:
+		if v == admit.Admitted {
+			return nil
+		}
+		return fleet.NotRun(fleet.ReasonTooLate, f.returnTime())
+	case <-ctx.Done():
+	}
+	g := f.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiters, req.ID)
+	if !s.queue.Cancel(req) {
+		select {
+		case v := <-turn:
+			if v == admit.Admitted {
+				g.wake(s.queue.Release(req, 0, g.now()))
+			}
+		default:
+		}
+	}
+	return fleet.NotRun(fleet.ReasonDeadline, 0)
+}
+
+// run tries targets until the answer is whole or the request has to end.
+func (f *flight) run(ctx context.Context, s *service) *fleet.Refusal {
+	defer f.dropHeld()
+	for {
+		failure, done := f.attempt(ctx, s)
+		if done {
+			return nil
+		}
+		f.g.mu.Lock()
+		step := f.state.Failed(failure, f.g.budget.Allow, f.g.random.Float64(), f.g.now())
+		f.g.mu.Unlock()
+		if !step.Retry {
+			if f.held != nil && !f.answered {
+				f.out.Whole(f.held.Status, f.held.Header, f.heldBody)
+				return nil
+			}
+			return step.Refusal
+		}
+		f.g.metrics.Count("retries", 1)
+		if !node.Sleep(ctx, step.Wait) {
+			continue // the next attempt ends with the context's reason
+		}
+	}
+}
+
+func (f *flight) dropHeld() {
+	if f.held != nil {
+		f.held.Close()
+	}
+}
+
+func (f *flight) ended(ctx context.Context) dispatch.Kind {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return dispatch.KindDeadline
+	}
+	return dispatch.KindCallerGone
+}
+
+// attempt runs the request on one target and tells whether the answer is whole.
+func (f *flight) attempt(ctx context.Context, s *service) (dispatch.Failure, bool) {
+	g := f.g
+	if ctx.Err() != nil {
+		return dispatch.Failure{Kind: f.ended(ctx)}, false
+	}
+	g.mu.Lock()
+	t, ok := f.choose(s)
+	if ok {
+		s.board.Started(t.ID, f.call.PromptTokens)
+	}
+	g.mu.Unlock()
+	if !ok {
+		f.state.Began("")
+		return dispatch.Failure{Kind: dispatch.KindNoTarget}, false
+	}
+	f.attempts++
+	f.target = t.ID
+	f.state.Began(t.ID)
+	x := &exchange{f: f, s: s, unread: f.call.PromptTokens}
+	failure, done := x.run(ctx, t)
+	g.mu.Lock()
+	s.board.Ended(t.ID, x.unread, x.result, g.now())
+	if x.crashed {
+		g.ledger.Crashed([]fleet.Fingerprint{f.print}, g.now())
+	}
+	if done {
+		g.ledger.Finished(f.print, false, g.now())
+	}
+	g.mu.Unlock()
+	return failure, done
+}
+
+// choose picks the target. mu is held.
+func (f *flight) choose(s *service) (roster.Target, bool) {
+	now := f.g.now()
+	q := load.Query{Avoid: f.state.Avoid()}
+	id, ok := s.board.Choose(q, now)
+	if !ok {
+		q.Beyond = true // the slot was admitted by a view that has changed since
+		if id, ok = s.board.Choose(q, now); !ok {
+			return roster.Target{}, false
+		}
+	}
+	return f.g.roster.Get(id)
+}
+
+// exchange is one attempt on one target.
+type exchange struct {
+	f       *flight
+	s       *service
+	result  load.Result
+	unread  int
+	crashed bool
+}
+
+func (x *exchange) run(parent context.Context, t roster.Target) (dispatch.Failure, bool) {
+	f := x.f
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	streaming := f.route.Kind == routing.KindStreaming
+	var silence *time.Timer
+	if streaming && f.route.Repeatable() {
+		silence = time.AfterFunc(firstEvent, cancel)
+		defer silence.Stop()
+	}
+	sent, err := f.g.targets.Send(ctx, forward.Attempt{
+		Call: f.call, Target: t.ID, Address: t.Address, Workspace: f.workspace, Left: f.deadline.Sub(f.g.now()),
+		LastEvent: f.stream.Last(), Version: f.stream.Version(), Fresh: f.route.Kind == routing.KindNonIdempotent,
+	})
+	if err != nil {
+		return x.lost(parent, err), false
+	}
+	switch forward.Judge(sent.Reply) {
+	case forward.VerdictFull, forward.VerdictMoved:
+		defer sent.Close()
+		_, _ = io.Copy(io.Discard, io.LimitReader(sent.Body, maxSmall)) // keeps the connection
+		x.result = load.ResultFull
+		return dispatch.Failure{Kind: dispatch.KindRefused, Refusal: fleet.NotRun(fleet.ReasonBusy, f.returnTime())}, false
+	case forward.VerdictFailed:
+		x.result = load.ResultFailed
+		return x.failed(parent, sent), false
+	}
+	if streaming && sent.Status/100 == 2 {
+		defer sent.Close()
+		f.stream.SetVersion(sent.Version)
+		return x.events(parent, sent, silence)
+	}
+	return x.whole(parent, sent)
+}
+
+// maxSmall bounds the body of a rejection.
+const maxSmall = 64 << 10
+
+// failed keeps a target's own failure, to pass it back when the request may not be or is
+// not repeated.
+func (x *exchange) failed(parent context.Context, sent *platform.Sent) dispatch.Failure {
+	f := x.f
+	body, err := io.ReadAll(io.LimitReader(sent.Body, maxAnswer))
+	if err == nil && sent.Signed && sent.Status/100 == 5 && sent.Status != 503 && f.held == nil {
+		f.held, f.heldBody = sent, body
+	} else {
+		sent.Close()
+	}
+	if parent.Err() != nil {
+		return dispatch.Failure{Kind: f.ended(parent)}
+	}
+	return dispatch.Failure{Kind: dispatch.KindLost}
+}
+
+// whole passes an answer back that is read to its end before.
+func (x *exchange) whole(parent context.Context, sent *platform.Sent) (dispatch.Failure, bool) {
+	defer sent.Close()
+	body, err := io.ReadAll(io.LimitReader(sent.Body, maxAnswer))
+	if err != nil {
+		return x.lost(parent, err), false
+	}
+	x.began()
+	x.f.answered = true
+	x.f.out.Whole(sent.Status, sent.Header, body)
+	return dispatch.Failure{}, true
+}
+
+// events passes a stream's events back as they come.
+func (x *exchange) events(parent context.Context, sent *platform.Sent, silence *time.Timer) (dispatch.Failure, bool) {
+	f := x.f
+	rd := target.NewEvents(sent.Body)
+	for {
+		ev, err := rd.Next()
+		if errors.Is(err, io.EOF) {
+			if !f.answered {
+				return x.lost(parent, err), false
+			}
+			return dispatch.Failure{}, true
+		}
+		if err != nil {
+			return x.lost(parent, err), false
+		}
+		if silence != nil {
+			silence.Reset(nextEvent)
+		}
+		if !f.stream.Accept(ev.ID) {
+			f.g.metrics.Count("events_out_of_order", 1)
+			x.result = load.ResultFailed
+			return dispatch.Failure{Kind: dispatch.KindBroken}, false
+		}
+		if !f.answered {
+			f.answered = true
+			f.out.Begin(sent.Status, sent.Header)
+		}
+		x.began()
+		// The index only counts: the ids were checked above.
+		_ = f.state.Token(dispatch.Event{Version: pinned, Index: f.state.Sent(), CanResume: f.route.Resumable})
+		if err := f.out.Part(ev.Raw); err != nil {
+			x.result = load.ResultUnknown
+			return dispatch.Failure{Kind: dispatch.KindCallerGone}, false
+		}
+	}
+}
+
+// pinned stands for the version in the request's state; the number is kept by the stream
+// and checked by the target.
+const pinned fleet.Version = "pinned"
+
+// began notes the first sign of an answer.
+func (x *exchange) began() {
+	f := x.f
+	if f.first == 0 {
+		f.first = f.g.now().Sub(f.begun)
+	}
+	if x.unread == 0 {
+		return
+	}
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	x.s.board.Began(f.target, x.unread)
+	x.unread = 0
+}
+
+// lost translates the end of an attempt without a whole answer.
+func (x *exchange) lost(parent context.Context, err error) dispatch.Failure {
+	var notSent *target.NotSentError
+	switch {
+	case parent.Err() != nil:
+		x.result = load.ResultUnknown
+		return dispatch.Failure{Kind: x.f.ended(parent)}
+	case errors.As(err, &notSent):
+		x.result = load.ResultFailed
+		return dispatch.Failure{Kind: dispatch.KindNotSent}
+	}
+	x.result = load.ResultFailed
+	x.crashed = !errors.Is(err, context.Canceled)
+	return dispatch.Failure{Kind: dispatch.KindLost}
+}
+
+// note writes the line of a request and counts it.
+func (f *flight) note(refusal *fleet.Refusal) {
+	m := f.g.metrics.Requests(f.workspace, f.class)
+	ev := f.g.log.requests.Info()
+	if refusal == nil {
+		m.Outcome(fleet.OutcomeDone)
+		m.Latency("first_answer", f.first)
+	} else {
+		m.Outcome(refusal.Outcome)
+		ev.Str("reason", string(refusal.Reason)).Dur("retry_after", refusal.RetryAfter)
+	}
+	outcome := fleet.OutcomeDone
+	if refusal != nil {
+		outcome = refusal.Outcome
+	}
+	if f.route != nil {
+		ev.Str("route", f.route.Name)
+	}
+	if f.doc != nil {
+		ev.Uint64("config_version", f.doc.Version)
+	}
+	ev.Str("request", string(f.call.ID)).Str("outcome", outcome.String()).Str("workspace", string(f.workspace)).
+		Str("target", string(f.target)).Int("attempts", f.attempts).Dur("waited", f.waited).Dur("first", f.first).
+		Dur("took", f.g.now().Sub(f.begun)).Bool("begun", f.answered).Msg("request")
+}
--- /dev/null
+++ b/app/gateway/store.go
@@ -0,0 +1,279 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"amaranthturn/app/node"
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/load"
+	"amaranthturn/core/mirror"
+	"amaranthturn/core/roster"
+	"amaranthturn/io/peer"
+	"amaranthturn/platform"
+)
+
+// Timing of reads of the store.
+const (
+	// watchWait is how long a watch waits for a change. Each watch costs a call; one that
+	// fell silent is noticed after it.
+	watchWait = 4 * time.Second
+	// watchSlack is what a watch may take beyond its wait.
+	watchSlack = time.Second
+	// rangeTimeout bounds the first read.
+	rangeTimeout = 2 * time.Second
+	// batchPause gathers changes that come shortly after one another into one call.
+	batchPause = 150 * time.Millisecond
+	// storeRetry and storeRetryMax bound the wait between failed reads.
+	storeRetry    = 100 * time.Millisecond
+	storeRetryMax = 800 * time.Millisecond
+)
+
+// storeReader follows the platform's store.
+type storeReader struct {
+	g    *Gateway
+	wait time.Duration
+}
+
+// Run implements node.Runner.
+func (s *storeReader) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := s.read(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		s.g.reached(err)
+		if err == nil {
+			s.wait = 0
+			node.Sleep(ctx, batchPause)
+			continue
+		}
+		s.wait = min(max(storeRetry, 2*s.wait), storeRetryMax)
+		node.Sleep(ctx, s.g.spread(s.wait))
+	}
+}
+
+// read makes one call and takes what it brought.
+func (s *storeReader) read(ctx context.Context) error {
+	g := s.g
+	g.mu.Lock()
+	at := g.mirror.At()
+	g.mu.Unlock()
+	if at == 0 {
+		return s.readAll(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	g.metrics.Count("store_calls", 1)
+	events, now, err := g.store.Watch(ctx, at, watchWait)
+	var se *platform.StoreError
+	if errors.As(err, &se) && se.Compacted() {
+		g.log.config.Warn().Uint64("revision", uint64(at)).Msg("store forgot its history: reading everything anew")
+		return s.readAll(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.take(g.mirror.Apply(events, now, g.now()))
+	return nil
+}
+
+func (s *storeReader) readAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, rangeTimeout)
+	defer cancel()
+	g := s.g
+	var first mirror.Revision
+	for _, prefix := range platform.Prefixes {
+		g.metrics.Count("store_calls", 1)
+		items, at, err := g.store.Range(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		// The watch goes on from the earliest read, so that no change between two reads
+		// is missed.
+		if first == 0 || at < first {
+			first = at
+		}
+		g.mu.Lock()
+		g.take(g.mirror.Load(prefix, items, first, g.now()))
+		g.mu.Unlock()
+	}
+	return nil
+}
+
+// reached notes whether the store answers.
+func (g *Gateway) reached(err error) {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case err != nil && !g.storeLost:
+		g.log.config.Warn().Err(err).Msg("store is out of reach")
+		g.roster.StoreLost()
+	case err == nil && g.storeLost:
+		g.log.config.Info().Uint64("revision", uint64(g.mirror.At())).Msg("store answers again")
+		g.roster.StoreBack(now)
+	}
+	g.storeLost = err != nil
+	if err != nil {
+		g.metrics.Count("store_failures", 1)
+	}
+}
+
+// spread returns a wait drawn around d.
+func (g *Gateway) spread(d time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return d/2 + time.Duration(g.random.Float64()*float64(d))
+}
+
+// take acts on changes of the mirror. mu is held.
+func (g *Gateway) take(events []mirror.Event) {
+	now := g.now()
+	targets := false
+	for _, e := range events {
+		c, err := platform.Decode(e)
+		if err != nil {
+			g.log.members.Warn().Err(err).Uint64("revision", uint64(e.Revision)).Msg("entry of the store is not usable")
+		}
+		switch {
+		case c.Document != nil:
+			old := g.doc.Load()
+			if old != nil && old.Version >= c.Document.Version {
+				continue
+			}
+			g.doc.Store(c.Document)
+			g.metrics.Gauge("config_version", float64(c.Document.Version))
+			g.log.config.Info().Uint64("version", c.Document.Version).Uint64("revision", uint64(e.Revision)).
+				Int("routes", c.Document.Routes()).Msg("configuration in force")
+			targets = true
+		case c.Named != nil:
+			if old := g.named[c.Named.Model]; old.version < c.Named.Version {
+				g.named[c.Named.Model] = naming{version: c.Named.Version, since: now}
+				g.log.config.Info().Str("model", string(c.Named.Model)).Uint64("version", c.Named.Version).Msg("weights are named")
+			}
+			targets = true
+		case c.Target != nil:
+			g.heard(*c.Target)
+			targets = true
+		case c.Gone != "":
+			g.log.members.Info().Str("target", string(c.Gone)).Bool("at_once", g.roster.Removed(c.Gone, now)).Msg("entry of a target is gone")
+			targets = true
+		}
+	}
+	if targets {
+		g.refreshBoards(now)
+	}
+	if len(events) > 0 {
+		close(g.changed)
+		g.changed = make(chan struct{})
+	}
+}
+
+func (g *Gateway) heard(t roster.Target) {
+	old, ok := g.roster.Get(t.ID)
+	if !ok || old.State != t.State || old.Born != t.Born {
+		g.log.members.Info().Str("target", string(t.ID)).Str("service", string(t.Service)).Str("address", t.Address).
+			Str("state", t.State.String()).Uint64("born", uint64(t.Born)).Msg("target")
+	}
+	g.roster.Heard(t)
+}
+
+// refreshBoards tells the boards which targets there are. mu is held.
+func (g *Gateway) refreshBoards(now time.Time) {
+	doc := g.doc.Load()
+	if doc == nil {
+		return
+	}
+	bySvc := map[fleet.Service][]load.Target{}
+	for _, t := range g.roster.All() {
+		if t.State != roster.StateReady {
+			continue
+		}
+		svc, ok := doc.Service(t.Service)
+		if !ok {
+			continue
+		}
+		row := load.Target{ID: t.ID, Born: t.Born, Slots: max(1, t.Slots), Near: t.Zone == g.set.Zone}
+		if svc.Engine != nil {
+			row.Closed = !g.serves(t, now)
+		}
+		bySvc[t.Service] = append(bySvc[t.Service], row)
+	}
+	for name, s := range g.services {
+		if _, ok := bySvc[name]; !ok {
+			s.board.SetTargets(nil)
+		}
+	}
+	for name, rows := range bySvc {
+		s := g.service(name)
+		s.board.SetTargets(rows)
+		g.wake(s.queue.Tick(now))
+	}
+}
+
+// versionMargin is kept from the time in which a new version has to be in use, for the
+// way of the news and of the request.
+const versionMargin = 1500 * time.Millisecond
+
+// serves tells whether a model's target may get requests: it has loaded weights, and not
+// older ones than the time for a change allows. mu is held.
+func (g *Gateway) serves(t roster.Target, now time.Time) bool {
+	held := t.Held
+	accepting := true
+	if r, ok := g.loads[t.ID]; ok && r.Born == t.Born {
+		held = []roster.Held{{Model: r.Model, Version: r.Version}}
+		accepting = r.Accepting
+	}
+	if !accepting {
+		return false
+	}
+	for _, h := range held {
+		if h.Version == 0 {
+			continue
+		}
+		n, ok := g.named[h.Model]
+		if !ok || h.Version >= n.version || now.Sub(n.since) < g.set.Bounds.VersionTime-versionMargin {
+			return true
+		}
+	}
+	return false
+}
+
+// Exchange implements peer.MeshHandler.
+func (g *Gateway) Exchange(n peer.EntryNews) peer.EntryNews {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hear(n, now)
+	return g.news(now)
+}
+
+// Follow implements peer.MeshHandler.
+func (g *Gateway) Follow(ctx context.Context, after mirror.Revision, send func(peer.StoreNews) error) error {
+	for {
+		g.mu.Lock()
+		events, at, _ := g.mirror.Since(after)
+		n := peer.StoreNews{Events: events, At: at, Age: g.now().Sub(g.mirror.Seen()), Lost: g.storeLost}
+		changed := g.changed
+		g.mu.Unlock()
+		if at > 0 {
+			if err := send(n); err != nil {
+				return err
+			}
+			after = at
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-time.After(followBeat):
+		}
+	}
+}
+
+// followBeat is the longest silence of a stream of store news.
+const followBeat = time.Second
--- /dev/null
+++ b/app/sidecar/engine.go
@@ -0,0 +1,182 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"amaranthturn/app/node"
+	"amaranthturn/core/clock"
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/upgrade"
+	"amaranthturn/io/peer"
+	"amaranthturn/platform"
+)
+
+// Timing of the engine's loop.
+const (
+	// reportEvery is how often the engine is asked; the answer is fresh and free here.
+	reportEvery = 100 * time.Millisecond
+	// callTimeout bounds a call to the engine on the same machine.
+	callTimeout = time.Second
+	// runningTime is how long the requests that run at an order may go on.
+	runningTime = 3 * time.Second
+	// pauseLimit is the gap between two looks from which the process counts as paused.
+	pauseLimit = 2 * time.Second
+)
+
+// driver asks the engine, tells the entries, and orders loads.
+type driver struct {
+	s     *Sidecar
+	pause *clock.Watch
+}
+
+// Run implements node.Runner.
+func (d *driver) Run(ctx context.Context) {
+	for node.Sleep(ctx, reportEvery) {
+		if d.pause.Jumped(d.s.now()) {
+			d.s.log.process.Warn().Msg("process was paused: looking at the engine anew")
+		}
+		d.ask(ctx)
+		d.drive(ctx)
+	}
+}
+
+func (d *driver) ask(ctx context.Context) {
+	s := d.s
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := s.engine.Report(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	up := err == nil
+	if up != s.up {
+		s.log.engine.Info().Bool("up", up).AnErr("error", err).Msg("engine")
+	}
+	if up && s.report.Born != r.Born {
+		s.log.engine.Info().Uint64("born", uint64(r.Born)).Uint64("before", uint64(s.report.Born)).Msg("engine started")
+	}
+	if up != s.up || !sameReport(s.report, r) {
+		close(s.load)
+		s.load = make(chan struct{})
+	}
+	s.up, s.report = up, r
+}
+
+func sameReport(a, b platform.Report) bool {
+	return a.Running == b.Running && a.Queued == b.Queued && a.Busy == b.Busy && a.Born == b.Born && slices.Equal(a.Held, b.Held)
+}
+
+// drive orders a load when it is this engine's turn.
+func (d *driver) drive(ctx context.Context) {
+	s := d.s
+	now := s.now()
+	s.mu.Lock()
+	m, e, ok := s.model()
+	if !ok || !s.up {
+		s.mu.Unlock()
+		return
+	}
+	w := s.wanted(m.Name)
+	in := upgrade.Input{
+		Wanted: w.version, Serving: s.serving(m.Name, e), Busy: s.report.Busy,
+		Staged: s.weights != nil && s.weights.version == w.version && s.weights.whole(), Named: w.since,
+		Window: upgrade.Window(s.set.Bounds.VersionTime, m.LoadTime, runningTime),
+	}
+	in.Place, in.Count = s.place()
+	orders, held := s.report.Orders, s.weights
+	s.mu.Unlock()
+	if upgrade.Decide(in, now) != upgrade.ActionLoad {
+		return
+	}
+	if !d.verifyStaged(ctx, m.Name, held) {
+		return
+	}
+	d.order(ctx, m.Name, w.version, orders)
+}
+
+func (d *driver) order(ctx context.Context, m fleet.Model, version, orders uint64) {
+	s := d.s
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := s.engine.Load(ctx, m, version, orders)
+	s.metrics.Count("engine_orders", 1)
+	ev := s.log.engine.Info()
+	if err != nil {
+		ev = s.log.engine.Warn().Err(err)
+	}
+	ev.Str("model", string(m)).Uint64("version", version).Uint64("after_orders", orders).Msg("load ordered")
+	if errors.Is(err, platform.ErrConflict) {
+		node.Sleep(ctx, reportEvery) // the next look shows the state that it did not fit
+	}
+}
+
+// verifyStaged reads every staged piece again right before the order, since pieces may
+// turn bad where they lie, and stages those anew that did.
+func (d *driver) verifyStaged(ctx context.Context, m fleet.Model, w *weights) bool {
+	ok := true
+	for i := range w.manifest.Chunks {
+		data, err := d.s.engine.Staged(ctx, m, i)
+		if err == nil && w.manifest.Verify(i, data) {
+			continue
+		}
+		if err == nil {
+			d.s.log.weights.Warn().Int("piece", i).Uint64("version", w.version).Msg("staged piece is not the wanted one")
+		}
+		if err := d.s.engine.Put(ctx, m, i, w.piece(i)); err != nil {
+			d.s.log.weights.Warn().Int("piece", i).Err(err).Msg("piece cannot be staged")
+			ok = false
+		}
+	}
+	return ok
+}
+
+// place returns this engine's position in its group. mu is held.
+func (s *Sidecar) place() (int, int) {
+	list := s.roster.Usable(s.set.TargetService)
+	for i, t := range list {
+		if t.Address == s.set.TargetAddress {
+			return i, len(list)
+		}
+	}
+	return 0, len(list)
+}
+
+// WatchLoad implements peer.BesideHandler.
+func (s *Sidecar) WatchLoad(ctx context.Context, period time.Duration, send func(peer.TargetLoad) error) error {
+	for {
+		s.mu.Lock()
+		l := s.loadNow()
+		changed := s.load
+		s.mu.Unlock()
+		if err := send(l); err != nil {
+			return err
+		}
+		if !node.Sleep(ctx, period) {
+			return ctx.Err()
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-time.After(loadBeat):
+		}
+	}
+}
+
+// loadBeat is the longest silence of a load stream.
+const loadBeat = time.Second
+
+// loadNow returns the load for the entries. mu is held.
+func (s *Sidecar) loadNow() peer.TargetLoad {
+	r := s.report
+	l := peer.TargetLoad{
+		Born: r.Born, Running: r.Running, Queued: r.Queued, CacheUsed: r.CacheUsed, CacheTotal: r.CacheTotal, Pace: r.Pace,
+	}
+	if m, e, ok := s.model(); ok {
+		l.Model, l.Version = m.Name, s.serving(m.Name, e)
+	}
+	l.Accepting = s.up && !r.Busy && l.Version != 0
+	return l
+}
--- /dev/null
+++ b/app/sidecar/module.go
@@ -0,0 +1,77 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/fx"
+	"google.golang.org/grpc"
+
+	"amaranthturn/app/node"
+	"amaranthturn/app/telemetry"
+	"amaranthturn/core/clock"
+	"amaranthturn/io/peer"
+	"amaranthturn/platform"
+)
+
+// Module builds the agent daemon from *platform.Settings, *telemetry.Logs and
+// *telemetry.Metrics.
+var Module = fx.Module("sidecar", fx.Provide(newSidecar), fx.Invoke(serve))
+
+func newSidecar(set *platform.Settings, l *telemetry.Logs, m *telemetry.Metrics) *Sidecar {
+	client := node.Overrides{}.WithDefaults().HTTPClient()
+	return New(set, clock.System{}, l, m, peer.NewPool(peer.DialOptions{}),
+		platform.NewEngine(set.TargetAddress, client), platform.NewOrigin(client), uint64(time.Now().UnixNano()))
+}
+
+// MetricsPort serves the metrics; it lies outside the ports that a platform hands out.
+const MetricsPort = "9464"
+
+type server struct {
+	s       *Sidecar
+	loops   *node.Loops
+	peers   *node.Server
+	metrics *node.Server
+}
+
+func serve(lc fx.Lifecycle, s *Sidecar) {
+	x := &server{s: s, loops: node.NewLoops()}
+	lc.Append(fx.Hook{OnStart: x.start, OnStop: x.stop})
+}
+
+func (x *server) start(context.Context) error {
+	o := node.Overrides{}.WithDefaults()
+	peers, err := o.ListenOn("peers", x.s.set.Peers)
+	if err != nil {
+		return err
+	}
+	metrics, err := o.ListenOn("metrics", net.JoinHostPort(x.s.set.IP, MetricsPort))
+	if err != nil {
+		return err
+	}
+	rpc := grpc.NewServer(peer.ServerOptions(nil)...)
+	peer.RegisterChunks(rpc, x.s)
+	peer.RegisterBeside(rpc, x.s)
+	x.peers = &node.Server{Listener: peers, GRPC: rpc}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", x.s.metrics.Handler())
+	x.metrics = node.NewHTTP(metrics, mux)
+	x.peers.Start()
+	x.metrics.Start()
+	for _, r := range []node.Runner{&entryWatch{x.s}, &follower{x.s}, &driver{s: x.s, pause: clock.NewWatch(pauseLimit)}, &keeper{x.s}} {
+		x.loops.Go(r)
+	}
+	x.s.log.process.Info().Str("peers", x.s.set.Peers).Str("engine", x.s.set.TargetAddress).Msg("sidecar started")
+	return nil
+}
+
+func (x *server) stop(ctx context.Context) error {
+	x.loops.Stop(ctx)
+	x.peers.GRPC.Stop()
+	_ = x.metrics.HTTP.Close() // the process ends
+	x.s.pool.Close()
+	x.s.log.process.Info().Msg("sidecar stopped")
+	return nil
+}
--- /dev/null
+++ b/app/sidecar/sidecar.go
@@ -0,0 +1,270 @@
+// Package sidecar is the agent daemon on a platform whose engines speak HTTP: the one
+// process beside a model's target. It fetches the named weights from other agents and the
+// origin, verifies and stages them, orders the engine to load them, and tells the entries
+// how loaded the engine is. Requests do not pass through it.
+//
+// # Usage
+//
+//	app := fx.New(fx.Supply(settings), sidecar.Module)
+//
+// # Locks
+//
+// mu guards the view and the weights at hand. It is not held while anything is sent.
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"amaranthturn/app/node"
+	"amaranthturn/app/telemetry"
+	"amaranthturn/core/clock"
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/league"
+	"amaranthturn/core/mirror"
+	"amaranthturn/core/roster"
+	"amaranthturn/core/routing"
+	"amaranthturn/io/peer"
+	"amaranthturn/platform"
+)
+
+// Sidecar is one agent daemon.
+type Sidecar struct {
+	set     *platform.Settings
+	clock   clock.Clock
+	metrics *telemetry.Metrics
+	pool    *peer.Pool
+	engine  *platform.Engine
+	origin  *platform.Origin
+	log     logs
+
+	mu      sync.Mutex // guards all below
+	random  *rand.Rand
+	mirror  *mirror.Mirror
+	roster  *roster.Roster
+	league  *league.League
+	doc     *routing.Document
+	named   map[fleet.Model]naming
+	report  platform.Report
+	up      bool          // the engine answered the last question
+	load    chan struct{} // closed and replaced when the report changes
+	weights *weights
+	uploads chan struct{}
+}
+
+type naming struct {
+	version uint64
+	since   time.Time // zero when it was named before this process knew the store
+}
+
+type logs struct {
+	config, members, weights, engine, process zerolog.Logger
+}
+
+// uploadSlots bounds the chunks that are sent at once, so that the events of live streams
+// on the same link wait for few of them.
+const uploadSlots = 2
+
+// New returns a daemon that does nothing until its loops run.
+func New(set *platform.Settings, c clock.Clock, l *telemetry.Logs, m *telemetry.Metrics, pool *peer.Pool, e *platform.Engine, o *platform.Origin, seed uint64) *Sidecar {
+	return &Sidecar{
+		set: set, clock: c, metrics: m, pool: pool, engine: e, origin: o,
+		log: logs{
+			config: l.Of(telemetry.SubsystemConfig), members: l.Of(telemetry.SubsystemMembers), weights: l.Of(telemetry.SubsystemWeights),
+			engine: l.Of(telemetry.SubsystemEngine), process: l.Of(telemetry.SubsystemProcess),
+		},
+		random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), mirror: mirror.New(), roster: roster.New(roster.DefaultSettings),
+		// The list holds entries; this process is none and tells nobody of itself.
+		league: league.New(league.DefaultSettings, league.Row{}), named: map[fleet.Model]naming{},
+		load: make(chan struct{}), uploads: make(chan struct{}, uploadSlots),
+	}
+}
+
+func (s *Sidecar) now() time.Time { return s.clock.Now() }
+
+// Timing of what is heard from entries.
+const (
+	exchangeEvery = 2 * time.Second
+	// followSilence ends a stream of store news that should beat every second.
+	followSilence = 2500 * time.Millisecond
+	followPause   = 200 * time.Millisecond
+)
+
+// entryWatch learns the entries.
+type entryWatch struct{ s *Sidecar }
+
+// Run implements node.Runner.
+func (w *entryWatch) Run(ctx context.Context) {
+	s := w.s
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		addr, ok := s.league.Partner(s.set.Seeds, s.random.Float64(), s.now())
+		known := len(s.league.Live(s.now()))
+		s.mu.Unlock()
+		if ok {
+			news, err := s.pool.Exchange(ctx, addr, peer.EntryNews{})
+			if err != nil {
+				s.metrics.Count("exchange_failures", 1)
+			}
+			s.mu.Lock()
+			s.league.Merge(news.Rows, s.now())
+			s.mu.Unlock()
+		}
+		pause := exchangeEvery
+		if known == 0 {
+			pause = followPause
+		}
+		node.Sleep(ctx, pause)
+	}
+}
+
+// follower follows one entry's copy of the store.
+type follower struct{ s *Sidecar }
+
+// Run implements node.Runner.
+func (f *follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if addr, ok := f.s.nextEntry(); ok {
+			f.follow(ctx, addr)
+		}
+		node.Sleep(ctx, followPause)
+	}
+}
+
+// nextEntry draws an entry, one of the own zone when there is any.
+func (s *Sidecar) nextEntry() (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := s.league.Live(s.now())
+	var near []league.Row
+	for _, r := range rows {
+		if r.Zone == s.set.Zone {
+			near = append(near, r)
+		}
+	}
+	// One draw in four goes to any entry: the near ones may all be cut off from the store.
+	if len(near) > 0 && s.random.IntN(4) > 0 {
+		rows = near
+	}
+	if len(rows) == 0 {
+		return "", false
+	}
+	return rows[s.random.IntN(len(rows))].Address, true
+}
+
+func (f *follower) follow(ctx context.Context, addr string) {
+	s := f.s
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(followSilence, cancel)
+	defer silence.Stop()
+	s.mu.Lock()
+	at := s.mirror.At()
+	s.mu.Unlock()
+	err := s.pool.Follow(ctx, addr, at, func(n peer.StoreNews) {
+		silence.Reset(followSilence)
+		if n.Lost || n.Age > staleAfter {
+			cancel() // another entry may reach the store
+		}
+		s.take(n)
+	})
+	if ctx.Err() == nil {
+		s.log.members.Info().Str("entry", addr).Err(err).Msg("stream of store news ended")
+	}
+}
+
+// staleAfter is the age of an entry's copy from which another entry is followed.
+const staleAfter = 7 * time.Second
+
+func (s *Sidecar) take(n peer.StoreNews) {
+	now := s.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := s.mirror.At() == 0
+	for _, e := range s.mirror.Apply(n.Events, n.At, now.Add(-n.Age)) {
+		c, err := platform.Decode(e)
+		if err != nil {
+			s.metrics.Count("unusable_entries", 1) // the entries log them
+		}
+		switch {
+		case c.Document != nil && (s.doc == nil || c.Document.Version > s.doc.Version):
+			s.doc = c.Document
+			s.log.config.Info().Uint64("version", c.Document.Version).Msg("configuration known")
+		case c.Named != nil && s.named[c.Named.Model].version < c.Named.Version:
+			x := naming{version: c.Named.Version, since: now}
+			if first {
+				x.since = time.Time{}
+			}
+			s.named[c.Named.Model] = x
+			s.log.weights.Info().Str("model", string(c.Named.Model)).Uint64("version", c.Named.Version).Msg("weights are named")
+		case c.Target != nil:
+			s.roster.Heard(*c.Target)
+		case c.Gone != "":
+			s.roster.Removed(c.Gone, now)
+		}
+	}
+}
+
+// model returns the model that the engine beside this process serves, with its service.
+// mu is held.
+func (s *Sidecar) model() (routing.EngineModel, *routing.Engine, bool) {
+	if s.doc == nil {
+		return routing.EngineModel{}, nil, false
+	}
+	svc, ok := s.doc.Service(s.set.TargetService)
+	if !ok || svc.Engine == nil || len(svc.Engine.Models) == 0 {
+		return routing.EngineModel{}, nil, false
+	}
+	return svc.Engine.Models[0], svc.Engine, true
+}
+
+// firstVersion is the version that is wanted before any is named.
+const firstVersion = 1
+
+// wanted returns the version that is to serve. mu is held.
+func (s *Sidecar) wanted(m fleet.Model) naming {
+	if n, ok := s.named[m]; ok {
+		return n
+	}
+	return naming{version: firstVersion}
+}
+
+// serving returns the version that the engine serves, 0 for none. mu is held.
+func (s *Sidecar) serving(m fleet.Model, e *routing.Engine) uint64 {
+	for _, h := range s.report.Held {
+		if h.Model == m && (h.Layers == 0 || e.Layers == 0 || h.Layers >= e.Layers) {
+			return h.Version
+		}
+	}
+	return 0
+}
+
+// mates returns the other agents of the group by the target beside them. mu is held.
+func (s *Sidecar) mates() map[fleet.InstanceID]roster.Target {
+	out := map[fleet.InstanceID]roster.Target{}
+	for _, t := range s.roster.Usable(s.set.TargetService) {
+		out[t.ID] = t
+	}
+	return out
+}
+
+// self returns the target beside this process. mu is held.
+func (s *Sidecar) self() (roster.Target, bool) {
+	for _, t := range s.roster.All() {
+		if t.Address == s.set.TargetAddress {
+			return t, true
+		}
+	}
+	return roster.Target{}, false
+}
+
+// peerAddress returns where the process beside a target is reached.
+func (s *Sidecar) peerAddress(t roster.Target) string {
+	return net.JoinHostPort(platform.HostOf(t.Address), strconv.Itoa(s.set.FirstPort))
+}
--- /dev/null
+++ b/app/sidecar/weights.go
@@ -0,0 +1,525 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"amaranthturn/app/node"
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/routing"
+	"amaranthturn/core/swarm"
+	"amaranthturn/io/peer"
+	"amaranthturn/platform"
+)
+
+// Timing of the weights' loop.
+const (
+	planEvery    = 40 * time.Millisecond
+	manifestWait = 200 * time.Millisecond // between two tries to get a manifest
+	heldBatch    = 60 * time.Millisecond  // news of pieces are sent together
+	slotWait     = 300 * time.Millisecond // an upload waits for a slot that long
+	// pieceTimeout bounds one piece: thirty times what it takes on the machine's own link.
+	pieceTimeout = 3 * time.Second
+)
+
+// planSettings adapt the planner to pieces that take tens of milliseconds on a link of a
+// few Mbit/s.
+func planSettings(self fleet.InstanceID, region, origin fleet.Region) swarm.Settings {
+	set := swarm.DefaultSettings(self, region)
+	set.OriginRegion = origin
+	set.PeerFetches, set.RemoteFetches, set.OriginFetches, set.PerPeer = 4, 2, 2, 2
+	set.FirstTimeout, set.MinStall = 1500*time.Millisecond, 700*time.Millisecond
+	return set
+}
+
+// weights is one version, whole or on its way.
+type weights struct {
+	s        *Sidecar
+	model    fleet.Model
+	version  uint64
+	name     fleet.Version
+	manifest *swarm.Manifest
+	origin   string
+	cancel   context.CancelFunc
+	kicked   chan struct{}
+
+	mu       sync.Mutex // guards all below; taken after Sidecar.mu
+	data     [][]byte
+	planner  *swarm.Planner
+	addrs    map[fleet.InstanceID]string
+	cancels  map[swarm.Fetch]context.CancelFunc
+	watching map[fleet.InstanceID]context.CancelFunc
+	changed  chan struct{} // closed and replaced when a piece comes
+}
+
+// versionName is how agents name a version to each other.
+func versionName(m fleet.Model, v uint64) fleet.Version {
+	return fleet.Version(fmt.Sprintf("%s@%d", m, v))
+}
+
+// keeper holds the wanted version.
+type keeper struct{ s *Sidecar }
+
+// Run implements node.Runner.
+func (k *keeper) Run(ctx context.Context) {
+	s := k.s
+	for node.Sleep(ctx, planEvery) {
+		s.mu.Lock()
+		m, e, ok := s.model()
+		var want uint64
+		var originAddr string
+		var originZone fleet.Zone
+		if ok {
+			want = s.wanted(m.Name).version
+			if o, found := s.doc.Origin(); found {
+				originAddr, originZone = o.Origin, o.Zone
+			}
+		}
+		have := s.weights
+		s.mu.Unlock()
+		if !ok || have != nil && have.version == want {
+			continue
+		}
+		man, err := s.fetchManifest(ctx, originAddr, m.Name, want, e)
+		if err != nil {
+			s.log.weights.Warn().Uint64("version", want).Err(err).Msg("no manifest")
+			node.Sleep(ctx, manifestWait)
+			continue
+		}
+		k.begin(ctx, m.Name, want, man, originAddr, s.set.Regions[originZone])
+	}
+}
+
+func (k *keeper) begin(ctx context.Context, m fleet.Model, version uint64, man *swarm.Manifest, originAddr string, originRegion fleet.Region) {
+	s := k.s
+	ctx, cancel := context.WithCancel(ctx)
+	s.mu.Lock()
+	self := s.set.Instance
+	if t, ok := s.self(); ok {
+		self = t.ID
+	}
+	random := rand.New(rand.NewPCG(s.random.Uint64(), s.random.Uint64()))
+	w := &weights{
+		s: s, model: m, version: version, name: man.Version, manifest: man, origin: originAddr, cancel: cancel,
+		kicked: make(chan struct{}, 1), data: make([][]byte, len(man.Chunks)),
+		planner: swarm.NewPlanner(planSettings(self, s.set.Region, originRegion), man, random, s.now()),
+		addrs:   map[fleet.InstanceID]string{}, cancels: map[swarm.Fetch]context.CancelFunc{},
+		watching: map[fleet.InstanceID]context.CancelFunc{}, changed: make(chan struct{}),
+	}
+	old := s.weights
+	s.weights = w
+	s.mu.Unlock()
+	if old != nil {
+		old.cancel()
+	}
+	s.log.weights.Info().Uint64("version", version).Int("pieces", len(man.Chunks)).Msg("fetching weights")
+	go w.run(ctx)
+}
+
+// wireManifest is how agents hand a manifest on.
+type wireManifest struct {
+	Digests []string `json:"digests"`
+	Bytes   int64    `json:"chunk_bytes"`
+}
+
+// fetchManifest asks the origin, and the other agents when it does not answer.
+func (s *Sidecar) fetchManifest(ctx context.Context, origin string, m fleet.Model, version uint64, e *routing.Engine) (*swarm.Manifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
+	defer cancel()
+	sums, err := s.origin.Manifest(ctx, origin, m, version)
+	if err == nil {
+		return newManifest(m, version, sums, e.ChunkBytes), nil
+	}
+	s.mu.Lock()
+	mates := s.mates()
+	s.mu.Unlock()
+	for _, t := range mates { // the order of a map is a draw
+		body, perr := s.pool.Manifest(ctx, s.peerAddress(t), versionName(m, version))
+		if perr != nil {
+			continue
+		}
+		var w wireManifest
+		if jerr := json.Unmarshal(body, &w); jerr != nil {
+			continue
+		}
+		man := &swarm.Manifest{Version: versionName(m, version), Model: m}
+		for _, d := range w.Digests {
+			man.Chunks = append(man.Chunks, swarm.Chunk{Digest: fleet.Digest(d), Size: fleet.Bytes(w.Bytes)})
+		}
+		return man, nil
+	}
+	return nil, err
+}
+
+func newManifest(m fleet.Model, version uint64, sums [][]byte, size fleet.Bytes) *swarm.Manifest {
+	man := &swarm.Manifest{Version: versionName(m, version), Model: m}
+	for _, sum := range sums {
+		man.Chunks = append(man.Chunks, swarm.Chunk{Digest: fleet.Digest("sha256:" + hex.EncodeToString(sum)), Size: size})
+	}
+	return man
+}
+
+// run brings the pieces in: what is staged already, then from others.
+func (w *weights) run(ctx context.Context) {
+	began := w.s.now()
+	w.readStaged(ctx)
+	tick := time.NewTicker(planEvery)
+	defer tick.Stop()
+	for !w.whole() {
+		w.step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		case <-w.kicked:
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, cancel := range w.watching {
+		cancel()
+		delete(w.watching, id)
+	}
+	for f, cancel := range w.cancels {
+		cancel()
+		delete(w.cancels, f)
+	}
+	if ctx.Err() == nil {
+		w.s.metrics.Duration("distribution", w.s.now().Sub(began))
+		w.s.log.weights.Info().Uint64("version", w.version).Dur("took", w.s.now().Sub(began)).Msg("weights are whole")
+	}
+}
+
+// readStaged takes the pieces that lie at the engine and are those of this version.
+func (w *weights) readStaged(ctx context.Context) {
+	for i := range w.manifest.Chunks {
+		data, err := w.s.engine.Staged(ctx, w.model, i)
+		if errors.Is(err, platform.ErrNotStaged) && i == 0 {
+			return // a new engine has nothing
+		}
+		if err != nil || !w.manifest.Verify(i, data) {
+			if i == 0 {
+				return // another version lies there
+			}
+			continue
+		}
+		w.hold(i, data)
+	}
+}
+
+func (w *weights) hold(i int, data []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.data[i] = data
+	w.planner.Hold(i, w.s.now())
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *weights) whole() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.planner.Missing() == 0
+}
+
+func (w *weights) piece(i int) []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.data[i]
+}
+
+func (w *weights) kick() {
+	select {
+	case w.kicked <- struct{}{}:
+	default:
+	}
+}
+
+// step follows the group and begins the fetches that the planner wants.
+func (w *weights) step(ctx context.Context) {
+	now := w.s.now()
+	w.s.mu.Lock()
+	mates := w.s.mates()
+	regions := w.s.set.Regions
+	w.s.mu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	addrs := map[fleet.InstanceID]string{}
+	var members []swarm.Member
+	for id, t := range mates {
+		addrs[id] = w.s.peerAddress(t)
+		members = append(members, swarm.Member{ID: id, Region: regions[t.Zone]})
+	}
+	if !sameAddrs(addrs, w.addrs) {
+		w.addrs = addrs
+		w.planner.SetMembers(members, now)
+	}
+	w.watch(ctx, now)
+	for _, f := range w.planner.Overdue(now) {
+		w.end(f)
+		w.planner.Failed(f, swarm.CauseStalled, 0, now)
+		w.s.metrics.Count("fetches_stalled", 1)
+	}
+	for _, f := range w.planner.Next(now) {
+		fctx, cancel := context.WithTimeout(ctx, pieceTimeout)
+		w.cancels[f] = cancel
+		t := &pieceFetch{w: w, f: f, addr: w.addrs[f.Source.Peer]}
+		go t.run(fctx)
+	}
+}
+
+func sameAddrs(a, b map[fleet.InstanceID]string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for k, v := range a {
+		if b[k] != v {
+			return false
+		}
+	}
+	return true
+}
+
+// end forgets a fetch. mu is held.
+func (w *weights) end(f swarm.Fetch) {
+	if cancel, ok := w.cancels[f]; ok {
+		cancel()
+		delete(w.cancels, f)
+	}
+}
+
+// watch keeps a watch on each agent that the planner wants. mu is held.
+func (w *weights) watch(ctx context.Context, now time.Time) {
+	want := map[fleet.InstanceID]bool{}
+	for _, id := range w.planner.Wanted(now) {
+		want[id] = true
+		if _, ok := w.watching[id]; ok || w.addrs[id] == "" {
+			continue
+		}
+		wctx, cancel := context.WithCancel(ctx)
+		w.watching[id] = cancel
+		x := &pieceWatch{w: w, id: id, addr: w.addrs[id]}
+		go x.run(wctx)
+	}
+	for id, cancel := range w.watching {
+		if !want[id] {
+			cancel()
+			delete(w.watching, id)
+		}
+	}
+}
+
+// pieceWatch follows what one agent holds.
+type pieceWatch struct {
+	w    *weights
+	id   fleet.InstanceID
+	addr string
+}
+
+func (x *pieceWatch) run(ctx context.Context) {
+	w := x.w
+	err := w.s.pool.WatchChunks(ctx, x.addr, w.name, x.heard)
+	if ctx.Err() != nil {
+		return
+	}
+	w.s.log.weights.Debug().Str("agent", string(x.id)).Err(err).Msg("watch of pieces ended")
+	w.mu.Lock()
+	if cancel, ok := w.watching[x.id]; ok {
+		cancel()
+	}
+	delete(w.watching, x.id)
+	w.planner.PeerGone(x.id, w.s.now())
+	w.mu.Unlock()
+	w.kick()
+}
+
+func (x *pieceWatch) heard(h peer.Held) {
+	now := x.w.s.now()
+	x.w.mu.Lock()
+	if h.Added == nil || h.Bitmap != nil {
+		x.w.planner.PeerHas(x.id, h.Bitmap, now)
+	}
+	for _, c := range h.Added {
+		x.w.planner.PeerAdded(x.id, c, now)
+	}
+	x.w.mu.Unlock()
+	x.w.kick()
+}
+
+// pieceFetch gets one piece from one source.
+type pieceFetch struct {
+	w    *weights
+	f    swarm.Fetch
+	addr string
+}
+
+func (t *pieceFetch) run(ctx context.Context) {
+	w := t.w
+	data, err := t.get(ctx)
+	now := w.s.now()
+	if err == nil && !w.manifest.Verify(t.f.Chunk, data) {
+		w.s.metrics.Count("pieces_corrupt", 1)
+		w.s.log.weights.Warn().Int("piece", t.f.Chunk).Str("source", t.f.Source.Kind.String()).Str("agent", string(t.f.Source.Peer)).Msg("corrupt piece")
+		t.failed(ctx, swarm.CauseCorrupt, now)
+		return
+	}
+	switch {
+	case errors.Is(err, peer.ErrBusy):
+		t.failed(ctx, swarm.CauseBusy, now)
+		return
+	case errors.Is(err, peer.ErrMissing):
+		t.failed(ctx, swarm.CauseMissing, now)
+		return
+	case err != nil:
+		t.failed(ctx, swarm.CauseGone, now)
+		return
+	}
+	if t.f.Source.Kind == swarm.SourceOrigin {
+		w.s.metrics.Count("origin_bytes", int64(len(data)))
+	}
+	if err := w.s.engine.Put(ctx, w.model, t.f.Chunk, data); err != nil {
+		w.s.log.weights.Warn().Int("piece", t.f.Chunk).Err(err).Msg("piece cannot be staged now") // staged before the load
+	}
+	w.mu.Lock()
+	w.end(t.f)
+	for _, extra := range w.planner.Done(t.f, now) {
+		w.end(extra)
+		w.planner.Failed(extra, swarm.CauseCanceled, 0, now)
+	}
+	w.mu.Unlock()
+	w.hold(t.f.Chunk, data)
+	w.kick()
+}
+
+func (t *pieceFetch) get(ctx context.Context) ([]byte, error) {
+	w := t.w
+	if t.f.Source.Kind == swarm.SourceOrigin {
+		return w.s.origin.Piece(ctx, w.origin, w.model, w.version, t.f.Chunk)
+	}
+	return w.s.pool.Chunk(ctx, t.addr, peer.ChunkRef{Version: w.name, Index: t.f.Chunk, Digest: w.manifest.Chunks[t.f.Chunk].Digest}, func(int) {})
+}
+
+func (t *pieceFetch) failed(ctx context.Context, why swarm.Cause, now time.Time) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return // given up before
+	}
+	w := t.w
+	w.mu.Lock()
+	w.end(t.f)
+	w.planner.Failed(t.f, why, 0, now)
+	w.mu.Unlock()
+	w.kick()
+}
+
+// at returns the weights at hand of a version.
+func (s *Sidecar) at(v fleet.Version) (*weights, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.weights == nil || s.weights.name != v {
+		return nil, false
+	}
+	return s.weights, true
+}
+
+// Manifest implements peer.ChunkHandler.
+func (s *Sidecar) Manifest(v fleet.Version) ([]byte, bool) {
+	w, ok := s.at(v)
+	if !ok {
+		return nil, false
+	}
+	out := wireManifest{}
+	for _, c := range w.manifest.Chunks {
+		out.Digests = append(out.Digests, string(c.Digest))
+		out.Bytes = int64(c.Size)
+	}
+	body, err := json.Marshal(out)
+	return body, err == nil
+}
+
+// Chunk implements peer.ChunkHandler.
+func (s *Sidecar) Chunk(ctx context.Context, ref peer.ChunkRef, send func([]byte) error) error {
+	w, ok := s.at(ref.Version)
+	if !ok || ref.Index < 0 || ref.Index >= len(w.manifest.Chunks) {
+		return peer.ErrMissing
+	}
+	wait := time.NewTimer(slotWait)
+	defer wait.Stop()
+	select {
+	case s.uploads <- struct{}{}:
+		defer func() { <-s.uploads }()
+	case <-wait.C:
+		return peer.ErrBusy
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	data := w.piece(ref.Index)
+	if data == nil {
+		return peer.ErrMissing
+	}
+	s.metrics.Count("weight_bytes_sent", int64(len(data)))
+	return send(data)
+}
+
+// WatchChunks implements peer.ChunkHandler.
+func (s *Sidecar) WatchChunks(ctx context.Context, v fleet.Version, send func(peer.Held) error) error {
+	for {
+		w, ok := s.at(v)
+		if ok {
+			return w.tell(ctx, send)
+		}
+		// The version may be named here a moment later than there.
+		if err := send(peer.Held{Bitmap: swarm.NewBitmap(1)}); err != nil {
+			return err
+		}
+		if !node.Sleep(ctx, slotWait) {
+			return ctx.Err()
+		}
+	}
+}
+
+// tell sends what is held and then what comes.
+func (w *weights) tell(ctx context.Context, send func(peer.Held) error) error {
+	var told swarm.Bitmap
+	for {
+		w.mu.Lock()
+		held, changed := w.planner.Held(), w.changed
+		w.mu.Unlock()
+		h := peer.Held{Bitmap: held}
+		if told != nil {
+			h = peer.Held{Added: added(told, held)}
+		}
+		if told == nil || len(h.Added) > 0 {
+			if err := send(h); err != nil {
+				return err
+			}
+		}
+		told = held
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+		if !node.Sleep(ctx, heldBatch) {
+			return ctx.Err()
+		}
+	}
+}
+
+// added returns what is in now and not in before.
+func added(before, now swarm.Bitmap) []int {
+	var out []int
+	for c := range 8 * len(now) {
+		if now.Has(c) && !before.Has(c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/app/telemetry/writer.go
@@ -0,0 +1,60 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// bufferedLines bounds the log lines that wait to be written.
+const bufferedLines = 2048
+
+// Writer writes log lines without making the daemon wait: when the reader of the output is
+// slow, lines are dropped and counted.
+type Writer struct {
+	to      io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// NewWriter returns a writer to w; Close must be called.
+func NewWriter(w io.Writer) *Writer {
+	x := &Writer{to: w, lines: make(chan []byte, bufferedLines), done: make(chan struct{})}
+	go x.run()
+	return x
+}
+
+// Write implements io.Writer for one line; it never blocks.
+func (x *Writer) Write(p []byte) (int, error) {
+	line := make([]byte, len(p))
+	copy(line, p)
+	select {
+	case x.lines <- line:
+	default:
+		x.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// run writes what waits, many lines with one call.
+func (x *Writer) run() {
+	defer close(x.done)
+	for line := range x.lines {
+		for range len(x.lines) {
+			line = append(line, <-x.lines...)
+		}
+		if n := x.dropped.Swap(0); n > 0 {
+			line = fmt.Appendf(line, "{\"level\":\"warn\",\"subsystem\":\"process\",\"lines\":%d,\"message\":\"log lines were dropped\"}\n", n)
+		}
+		_, _ = x.to.Write(line) // there is nowhere else to report a broken output
+	}
+}
+
+// Close writes what waits. No Write may follow.
+func (x *Writer) Close() {
+	x.once.Do(func() { close(x.lines) })
+	<-x.done
+}
--- a/cmd/amaranthturn/cmds/cmds.go
+++ b/cmd/amaranthturn/cmds/cmds.go
@@ -57,6 +57,8 @@
 			long: "Answers callers and routes their requests and orders to targets. Stops on SIGTERM after the requests in progress."},
 		{name: "agent", short: "run the process in a target instance's slot", options: &agentCommand{},
 			long: "Fetches and verifies weights, gives the engine its orders, lets requests through and drains. Stops on SIGTERM after the requests in progress."},
+		{name: "serve", short: "run a daemon on a machine of the users' platform", options: &serveCommand{},
+			long: "serve entry answers callers; serve agent runs beside a model's target. The platform's settings file says where. Logs go to standard output as JSON lines."},
 		{name: "status", aliases: []string{"st"}, short: "show whether the fleet has converged", options: &statusCommand{},
 			long: "Asks one entry for the state of the whole fleet. Exits 0 when converged, 1 when not, 2 when the entry does not answer."},
 		{name: "explain", short: "show why an instance does what it does", options: &explainCommand{},
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -96,9 +96,17 @@
 	lastUsed time.Time
 }
 
+// Limiter says how many requests may be in flight.
+type Limiter interface {
+	// Value returns the present limit.
+	Value() int
+	// Observe takes the delay of a first token, measured while inFlight requests ran.
+	Observe(delay time.Duration, inFlight int, now time.Time)
+}
+
 // Queue admits requests. It is not safe for concurrent use.
 type Queue struct {
-	limit     *Limit
+	limit     Limiter
 	limitsFor func(fleet.Workspace) Limits
 	accounts  map[fleet.Workspace]*account
 	active    accountHeap
@@ -113,7 +121,7 @@
 
 // NewQueue returns an empty queue. limitsFor is asked at each offer, so a change
 // of configuration holds for the next request.
-func NewQueue(limit *Limit, limitsFor func(fleet.Workspace) Limits) *Queue {
+func NewQueue(limit Limiter, limitsFor func(fleet.Workspace) Limits) *Queue {
 	return &Queue{limit: limit, limitsFor: limitsFor, accounts: map[fleet.Workspace]*account{}}
 }
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -51,6 +51,10 @@
 	MaxAttempts int
 	// MaxRefusals bounds the attempts that targets refused without doing work.
 	MaxRefusals int
+	// AtMostOnce ends a request after the first attempt that may have done work.
+	AtMostOnce bool
+	// RefusalsCost takes a retry out of the budget after a refusal without work, too.
+	RefusalsCost bool
 	// CrashWait is the wait after an engine died, in which the news of what it
 	// ran reaches the entries.
 	CrashWait time.Duration
@@ -140,7 +144,9 @@
 		return r.end(f.Refusal.Reason, f.Refusal.RetryAfter)
 	case r.refusals >= r.set.MaxRefusals || r.attempts >= r.set.MaxAttempts:
 		return r.end(r.reason(f), retry.MaxDelay)
-	case r.worked(f) && !allow():
+	case r.set.AtMostOnce && r.mayRun:
+		return r.end(r.reason(f), 0)
+	case (r.worked(f) || r.set.RefusalsCost && f.Kind == KindRefused) && !allow():
 		return r.end(r.reason(f), retry.MaxDelay)
 	}
 	return r.again(f, jitter, now)
--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -35,6 +35,9 @@
 	ReasonAnswerLost      Reason = "answer_not_known"
 	ReasonStopped         Reason = "stopped_before_it_began"
 	ReasonRunning         Reason = "still_running"
+	ReasonUnknownRoute    Reason = "unknown_route"
+	ReasonUnknownKey      Reason = "unknown_key"
+	ReasonTooLarge        Reason = "body_too_large"
 	ReasonRestarted       Reason = "target_restarted"
 )
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -40,6 +40,11 @@
 	Call(ctx context.Context, c Call) Reply
 	RunOrder(ctx context.Context, ticket string, c Call) (fleet.Outcome, Reply)
 	StopOrder(ctx context.Context, ticket string) (fleet.Outcome, Reply)
+	ChunkHandler
+}
+
+// ChunkHandler hands weights to other agents.
+type ChunkHandler interface {
 	WatchChunks(ctx context.Context, v fleet.Version, send func(Held) error) error
 	// Chunk hands a chunk to send, which is called with each part and waits
 	// until the link has room.
@@ -54,7 +59,12 @@
 
 // RegisterAgent serves h on s.
 func RegisterAgent(s *grpc.Server, h AgentHandler) {
-	peerpb.RegisterAgentServer(s, &agentServer{h: h})
+	peerpb.RegisterAgentServer(s, &agentServer{chunkServer: chunkServer{chunks: h}, h: h})
+}
+
+// RegisterChunks serves the weights of h on s, for an agent that lets no requests through.
+func RegisterChunks(s *grpc.Server, h ChunkHandler) {
+	peerpb.RegisterAgentServer(s, &chunkServer{chunks: h})
 }
 
 type entryServer struct {
@@ -141,8 +151,14 @@
 	return s.h.Relay(st.Context(), generateFromWire(p), sender(st))
 }
 
-type agentServer struct {
+// chunkServer serves the calls about weights and none else.
+type chunkServer struct {
 	peerpb.UnimplementedAgentServer
+	chunks ChunkHandler
+}
+
+type agentServer struct {
+	chunkServer
 	h AgentHandler
 }
 
@@ -175,8 +191,8 @@
 }
 
 // WatchChunks implements peerpb.AgentServer.
-func (s *agentServer) WatchChunks(p *peerpb.WatchChunksRequest, st grpc.ServerStreamingServer[peerpb.ChunksHeld]) error {
-	return s.h.WatchChunks(st.Context(), fleet.Version(p.GetVersion()), func(h Held) error {
+func (s *chunkServer) WatchChunks(p *peerpb.WatchChunksRequest, st grpc.ServerStreamingServer[peerpb.ChunksHeld]) error {
+	return s.chunks.WatchChunks(st.Context(), fleet.Version(p.GetVersion()), func(h Held) error {
 		return st.Send(heldToWire(h))
 	})
 }
@@ -185,8 +201,8 @@
 const PartBytes = 64 << 10
 
 // FetchChunk implements peerpb.AgentServer.
-func (s *agentServer) FetchChunk(p *peerpb.FetchChunkRequest, st grpc.ServerStreamingServer[peerpb.ChunkPart]) error {
-	err := s.h.Chunk(st.Context(), ChunkRef{
+func (s *chunkServer) FetchChunk(p *peerpb.FetchChunkRequest, st grpc.ServerStreamingServer[peerpb.ChunkPart]) error {
+	err := s.chunks.Chunk(st.Context(), ChunkRef{
 		Version: fleet.Version(p.GetVersion()), Index: int(p.GetIndex()),
 		Digest: fleet.Digest(p.GetDigest()), By: fleet.InstanceID(p.GetInstance()),
 	}, func(part []byte) error { return st.Send(&peerpb.ChunkPart{Data: part}) })
@@ -200,8 +216,8 @@
 }
 
 // FetchManifest implements peerpb.AgentServer.
-func (s *agentServer) FetchManifest(_ context.Context, p *peerpb.FetchManifestRequest) (*peerpb.ManifestReply, error) {
-	body, ok := s.h.Manifest(fleet.Version(p.GetVersion()))
+func (s *chunkServer) FetchManifest(_ context.Context, p *peerpb.FetchManifestRequest) (*peerpb.ManifestReply, error) {
+	body, ok := s.chunks.Manifest(fleet.Version(p.GetVersion()))
 	if !ok {
 		return nil, status.Error(codes.NotFound, "manifest is not held")
 	}
