Weights: fetches and loads of a version are spread over its time

Change: one upload and few fetches at a time; a schedule by place in the group for fetches and loads; at the first start an agent waits for its engine, which has the first version staged. Ruled out: shortage of slots (runners served 87 in 100 of their time, refusals 1).

--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -217,7 +217,7 @@
 
 // versionMargin is kept from the time in which a new version has to be in use, for the
 // way of the news and of the request.
-const versionMargin = 1500 * time.Millisecond
+const versionMargin = 600 * time.Millisecond
 
 // serves tells whether a model's target may get requests: it has loaded weights, and not
 // older ones than the time for a change allows. mu is held.
--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -1,14 +1,20 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"amaranthturn/app/node"
 	"amaranthturn/core/clock"
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/rank"
+	"amaranthturn/core/roster"
+	"amaranthturn/core/routing"
 	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
@@ -20,8 +26,6 @@
 	reportEvery = 100 * time.Millisecond
 	// callTimeout bounds a call to the engine on the same machine.
 	callTimeout = time.Second
-	// runningTime is how long the requests that run at an order may go on.
-	runningTime = 3 * time.Second
 	// pauseLimit is the gap between two looks from which the process counts as paused.
 	pauseLimit = 2 * time.Second
 )
@@ -79,12 +83,12 @@
 		return
 	}
 	w := s.wanted(m.Name)
+	serving := s.serving(m.Name, e)
 	in := upgrade.Input{
-		Wanted: w.version, Serving: s.serving(m.Name, e), Busy: s.report.Busy,
-		Staged: s.weights != nil && s.weights.version == w.version && s.weights.whole(), Named: w.since,
-		Window: upgrade.Window(s.set.Bounds.VersionTime, m.LoadTime, runningTime),
+		Wanted: w.version, Serving: serving, Busy: s.report.Busy,
+		Staged: s.weights != nil && s.weights.version == w.version && s.weights.whole(),
+		Named:  s.namedAfter(m.Name, serving), Place: s.placeOf(s.set.TargetAddress, w.version), Schedule: s.schedule(e),
 	}
-	in.Place, in.Count = s.place()
 	orders, held := s.report.Orders, s.weights
 	s.mu.Unlock()
 	if upgrade.Decide(in, now) != upgrade.ActionLoad {
@@ -132,15 +136,56 @@
 	return ok
 }
 
-// place returns this engine's position in its group. mu is held.
-func (s *Sidecar) place() (int, int) {
-	list := s.roster.Usable(s.set.TargetService)
+// schedule returns how a change of version is spread. mu is held.
+func (s *Sidecar) schedule(e *routing.Engine) upgrade.Schedule {
+	bytes := float64(e.Chunks) * float64(e.ChunkBytes)
+	return upgrade.Schedule{
+		Limit: s.set.Bounds.VersionTime, Fetch: time.Duration(fetchSlack * bytes / s.set.LinkBytes * float64(time.Second)),
+	}
+}
+
+// fetchSlack is the time of a fetch in multiples of what the bare link needs; live
+// streams have the rest of the link.
+const fetchSlack = 1.2
+
+// groupOrder returns the group in the order in which it changes to a version: by regions in
+// turn, so that each region has one that begins. mu is held.
+func (s *Sidecar) groupOrder(version uint64) []roster.Target {
+	byRegion := map[fleet.Region][]roster.Target{}
+	for _, t := range s.roster.Usable(s.set.TargetService) {
+		r := s.set.Regions[t.Zone]
+		byRegion[r] = append(byRegion[r], t)
+	}
+	regions := slices.Sorted(maps.Keys(byRegion))
+	key := strconv.FormatUint(version, 10)
+	for _, r := range regions {
+		slices.SortFunc(byRegion[r], func(a, b roster.Target) int {
+			return cmp.Compare(rank.Score(key, string(a.ID)), rank.Score(key, string(b.ID)))
+		})
+	}
+	var out []roster.Target
+	for i := 0; ; i++ {
+		n := len(out)
+		for _, r := range regions {
+			if i < len(byRegion[r]) {
+				out = append(out, byRegion[r][i])
+			}
+		}
+		if len(out) == n {
+			return out
+		}
+	}
+}
+
+// placeOf returns the position of the engine at an address. mu is held.
+func (s *Sidecar) placeOf(addr string, version uint64) upgrade.Place {
+	list := s.groupOrder(version)
 	for i, t := range list {
-		if t.Address == s.set.TargetAddress {
-			return i, len(list)
+		if t.Address == addr {
+			return upgrade.Place{Index: i, Count: len(list)}
 		}
 	}
-	return 0, len(list)
+	return upgrade.Place{Count: len(list)}
 }
 
 // WatchLoad implements peer.BesideHandler.
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -50,7 +50,7 @@
 	roster  *roster.Roster
 	league  *league.League
 	doc     *routing.Document
-	named   map[fleet.Model]naming
+	named   map[fleet.Model][]naming // in the order of versions
 	report  platform.Report
 	up      bool          // the engine answered the last question
 	load    chan struct{} // closed and replaced when the report changes
@@ -69,7 +69,7 @@
 
 // uploadSlots bounds the chunks that are sent at once, so that the events of live streams
 // on the same link wait for few of them.
-const uploadSlots = 2
+const uploadSlots = 1
 
 // New returns a daemon that does nothing until its loops run.
 func New(set *platform.Settings, c clock.Clock, l *telemetry.Logs, m *telemetry.Metrics, pool *peer.Pool, e *platform.Engine, o *platform.Origin, seed uint64) *Sidecar {
@@ -81,7 +81,7 @@
 		},
 		random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), mirror: mirror.New(), roster: roster.New(roster.DefaultSettings),
 		// The list holds entries; this process is none and tells nobody of itself.
-		league: league.New(league.DefaultSettings, league.Row{}), named: map[fleet.Model]naming{},
+		league: league.New(league.DefaultSettings, league.Row{}), named: map[fleet.Model][]naming{},
 		load: make(chan struct{}), uploads: make(chan struct{}, uploadSlots),
 	}
 }
@@ -196,12 +196,12 @@
 		case c.Document != nil && (s.doc == nil || c.Document.Version > s.doc.Version):
 			s.doc = c.Document
 			s.log.config.Info().Uint64("version", c.Document.Version).Msg("configuration known")
-		case c.Named != nil && s.named[c.Named.Model].version < c.Named.Version:
+		case c.Named != nil && s.wanted(c.Named.Model).version < c.Named.Version:
 			x := naming{version: c.Named.Version, since: now}
 			if first {
 				x.since = time.Time{}
 			}
-			s.named[c.Named.Model] = x
+			s.named[c.Named.Model] = append(s.named[c.Named.Model], x)
 			s.log.weights.Info().Str("model", string(c.Named.Model)).Uint64("version", c.Named.Version).Msg("weights are named")
 		case c.Target != nil:
 			s.roster.Heard(*c.Target)
@@ -229,12 +229,23 @@
 
 // wanted returns the version that is to serve. mu is held.
 func (s *Sidecar) wanted(m fleet.Model) naming {
-	if n, ok := s.named[m]; ok {
-		return n
+	if list := s.named[m]; len(list) > 0 {
+		return list[len(list)-1]
 	}
 	return naming{version: firstVersion}
 }
 
+// namedAfter returns when the first version after one was named: it bounds the time for
+// the change also when another version is named meanwhile. mu is held.
+func (s *Sidecar) namedAfter(m fleet.Model, version uint64) time.Time {
+	for _, n := range s.named[m] {
+		if n.version > version {
+			return n.since
+		}
+	}
+	return time.Time{}
+}
+
 // serving returns the version that the engine serves, 0 for none. mu is held.
 func (s *Sidecar) serving(m fleet.Model, e *routing.Engine) uint64 {
 	for _, h := range s.report.Held {
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -33,7 +33,7 @@
 func planSettings(self fleet.InstanceID, region, origin fleet.Region) swarm.Settings {
 	set := swarm.DefaultSettings(self, region)
 	set.OriginRegion = origin
-	set.PeerFetches, set.RemoteFetches, set.OriginFetches, set.PerPeer = 4, 2, 2, 2
+	set.PeerFetches, set.RemoteFetches, set.OriginFetches, set.PerPeer = 2, 1, 1, 1
 	set.FirstTimeout, set.MinStall = 1500*time.Millisecond, 700*time.Millisecond
 	return set
 }
@@ -165,10 +165,32 @@
 	return man
 }
 
+// engineWait is how long an agent that starts with the whole system waits for its engine,
+// which then has the first version staged, before it fetches from others.
+const engineWait = 3 * time.Second
+
+// awaitEngine waits until the engine answers, or ctx ends.
+func (w *weights) awaitEngine(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, engineWait)
+	defer cancel()
+	for {
+		w.s.mu.Lock()
+		up := w.s.up
+		w.s.mu.Unlock()
+		if up || !node.Sleep(ctx, planEvery) {
+			return
+		}
+	}
+}
+
 // run brings the pieces in: what is staged already, then from others.
 func (w *weights) run(ctx context.Context) {
 	began := w.s.now()
+	if w.s.set.FirstStart {
+		w.awaitEngine(ctx)
+	}
 	w.readStaged(ctx)
+	w.awaitTurn(ctx)
 	tick := time.NewTicker(planEvery)
 	defer tick.Stop()
 	for !w.whole() {
@@ -198,6 +220,30 @@
 	}
 }
 
+// awaitTurn waits until this agent's fetch is due. An engine that serves nothing is
+// fetched for at once.
+func (w *weights) awaitTurn(ctx context.Context) {
+	for !w.due(w.s.set.TargetAddress) && node.Sleep(ctx, planEvery) {
+	}
+}
+
+// due tells whether the agent beside the engine at addr fetches by now.
+func (w *weights) due(addr string) bool {
+	s := w.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, e, ok := s.model()
+	if !ok || m.Name != w.model {
+		return true
+	}
+	serving := s.serving(m.Name, e)
+	named := s.namedAfter(w.model, serving)
+	if serving == 0 || named.IsZero() {
+		return true
+	}
+	return s.now().Sub(named) >= s.schedule(e).FetchAfter(s.placeOf(addr, w.version))
+}
+
 // readStaged takes the pieces that lie at the engine and are those of this version.
 func (w *weights) readStaged(ctx context.Context) {
 	for i := range w.manifest.Chunks {
@@ -250,14 +296,17 @@
 	mates := w.s.mates()
 	regions := w.s.set.Regions
 	w.s.mu.Unlock()
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	addrs := map[fleet.InstanceID]string{}
 	var members []swarm.Member
 	for id, t := range mates {
+		if !w.due(t.Address) {
+			continue // it holds nothing yet and must not be waited for
+		}
 		addrs[id] = w.s.peerAddress(t)
 		members = append(members, swarm.Member{ID: id, Region: regions[t.Zone]})
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if !sameAddrs(addrs, w.addrs) {
 		w.addrs = addrs
 		w.planner.SetMembers(members, now)
--- a/core/upgrade/upgrade.go
+++ b/core/upgrade/upgrade.go
@@ -35,12 +35,50 @@
 	Serving uint64 // 0 when the engine serves nothing
 	Busy    bool   // an order is in progress
 	Staged  bool   // every piece of the wanted version is at hand
-	// Named is when the version was named, zero when it was before this process knew.
-	Named time.Time
-	// Place is the engine's position among the Count engines of its group.
-	Place, Count int
-	// Window is the time from the naming in which all engines begin to change.
-	Window time.Duration
+	// Named is when the first version that the engine lacks was named, zero when it was
+	// before this process knew.
+	Named    time.Time
+	Place    Place
+	Schedule Schedule
+}
+
+// Place is an engine's position among the engines of its group.
+type Place struct{ Index, Count int }
+
+func (p Place) share() float64 {
+	if p.Count < 2 {
+		return 0
+	}
+	return float64(p.Index) / float64(p.Count)
+}
+
+// Schedule spreads a change of version over the time that it may take.
+type Schedule struct {
+	// Limit is the time from the naming after which no request may begin on older weights.
+	Limit time.Duration
+	// Fetch is the time in which an engine's weights arrive over its own link.
+	Fetch time.Duration
+}
+
+const (
+	// margin is kept from the limit for the way of the news and of the order.
+	margin = 700 * time.Millisecond
+	// firstShare of the engines fetch at once; the others fetch from them, later, so that
+	// the first ones have their links for themselves.
+	firstShare = 0.25
+)
+
+// spread is the time from the first load to the last.
+func (s Schedule) spread() time.Duration { return max(0, s.Limit-margin-s.Fetch) }
+
+// FetchAfter returns how long after the naming an engine begins to fetch.
+func (s Schedule) FetchAfter(p Place) time.Duration {
+	return time.Duration(max(0, p.share()-firstShare) * float64(s.spread()))
+}
+
+// LoadAfter returns how long after the naming an engine begins to load.
+func (s Schedule) LoadAfter(p Place) time.Duration {
+	return s.Fetch + time.Duration(p.share()*float64(s.spread()))
 }
 
 // Decide returns what to do.
@@ -50,22 +88,8 @@
 		return ActionNone
 	case in.Serving == 0 || in.Named.IsZero():
 		return ActionLoad
-	case now.Before(turn(in)):
+	case now.Before(in.Named.Add(in.Schedule.LoadAfter(in.Place))):
 		return ActionNone
 	}
 	return ActionLoad
 }
-
-func turn(in Input) time.Time {
-	if in.Count < 2 {
-		return in.Named
-	}
-	return in.Named.Add(in.Window * time.Duration(in.Place) / time.Duration(in.Count))
-}
-
-// Window returns the time in which engines begin to change, of the time in which all
-// requests have to begin on the new version: what is left is for the running requests to
-// end and the weights to load.
-func Window(limit, loadTime, runningTime time.Duration) time.Duration {
-	return max(0, limit-loadTime-runningTime)
-}
