--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -20,9 +20,9 @@
 
 // Timing of the weights' loop.
 const (
-	planEvery    = 40 * time.Millisecond
+	planEvery    = 25 * time.Millisecond
 	manifestWait = 200 * time.Millisecond // between two tries to get a manifest
-	heldBatch    = 60 * time.Millisecond  // news of pieces are sent together
+	heldBatch    = 30 * time.Millisecond  // news of pieces are sent together
 	slotWait     = 300 * time.Millisecond // an upload waits for a slot that long
 	// pieceTimeout bounds one piece: thirty times what it takes on the machine's own link.
 	pieceTimeout = 3 * time.Second
@@ -33,7 +33,7 @@
 func planSettings(self fleet.InstanceID, region, origin fleet.Region) swarm.Settings {
 	set := swarm.DefaultSettings(self, region)
 	set.OriginRegion = origin
-	set.PeerFetches, set.RemoteFetches, set.OriginFetches, set.PerPeer = 2, 1, 1, 1
+	set.PeerFetches, set.RemoteFetches, set.OriginFetches, set.PerPeer = 2, 2, 2, 1
 	set.FirstTimeout, set.MinStall = 1500*time.Millisecond, 700*time.Millisecond
 	return set
 }
