--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -82,8 +82,9 @@
 
 // naming is a version of a model's weights that the operator wants, and since when.
 type naming struct {
-	version uint64
-	since   time.Time
+	version  uint64
+	since    time.Time
+	enforced bool // engines with older weights are closed
 }
 
 // loadReport is the last word of the process beside a target.
@@ -246,6 +247,14 @@
 		g.log.members.Info().Int("targets", len(gone)).Msg("lapsed targets did not come back")
 		g.refreshBoards(now)
 	}
+	for m, n := range g.named {
+		// From here on engines with older weights are closed, without any news of them.
+		if !n.enforced && now.Sub(n.since) >= g.oldWeightsTime() {
+			n.enforced = true
+			g.named[m] = n
+			g.refreshBoards(now)
+		}
+	}
 	for _, s := range g.services {
 		g.wake(s.queue.Tick(now))
 	}
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -217,7 +217,10 @@
 
 // versionMargin is kept from the time in which a new version has to be in use, for the
 // way of the news and of the request.
-const versionMargin = 600 * time.Millisecond
+const versionMargin = 900 * time.Millisecond
+
+// oldWeightsTime is how long after a naming older weights may answer.
+func (g *Gateway) oldWeightsTime() time.Duration { return g.set.Bounds.VersionTime - versionMargin }
 
 // serves tells whether a model's target may get requests: it has loaded weights, and not
 // older ones than the time for a change allows. mu is held.
@@ -236,7 +239,7 @@
 			continue
 		}
 		n, ok := g.named[h.Model]
-		if !ok || h.Version >= n.version || now.Sub(n.since) < g.set.Bounds.VersionTime-versionMargin {
+		if !ok || h.Version >= n.version || now.Sub(n.since) < g.oldWeightsTime() {
 			return true
 		}
 	}
