Weights: an older version named just before is finished first; none begins on weights that are too old

Change: each naming keeps its own limit; the last two versions are kept at hand; a request that waits in an engine's queue is called back before the limit.

--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -41,6 +41,7 @@
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routing"
 	"amaranthturn/core/suspect"
+	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
@@ -69,7 +70,7 @@
 	storeLost bool
 	roster    *roster.Roster
 	league    *league.League
-	named     map[fleet.Model]naming
+	named     map[fleet.Model]*naming
 	loads     map[fleet.InstanceID]loadReport
 	watching  map[string]context.CancelFunc // by address of the process beside a target
 	services  map[fleet.Service]*service
@@ -80,11 +81,11 @@
 	pause     *clock.Watch
 }
 
-// naming is a version of a model's weights that the operator wants, and since when.
+// naming is the versions of a model's weights that the operator wants.
 type naming struct {
-	version  uint64
-	since    time.Time
-	enforced bool // engines with older weights are closed
+	upgrade.Namings
+	// floor is the oldest version that the boards were last made for.
+	floor uint64
 }
 
 // loadReport is the last word of the process beside a target.
@@ -121,7 +122,7 @@
 			Instance: set.Instance, Incarnation: fleet.Incarnation(now.UnixNano()), Region: set.Region, Zone: set.Zone,
 			Address: set.Peers, Caller: set.Callers,
 		}),
-		named: map[fleet.Model]naming{},
+		named: map[fleet.Model]*naming{},
 		loads: map[fleet.InstanceID]loadReport{}, watching: map[string]context.CancelFunc{},
 		services: map[fleet.Service]*service{}, waiters: map[admit.RequestID]chan admit.Verdict{},
 		ledger: suspect.NewLedger(suspect.DefaultSettings), pause: clock.NewWatch(pauseLimit),
@@ -247,11 +248,11 @@
 		g.log.members.Info().Int("targets", len(gone)).Msg("lapsed targets did not come back")
 		g.refreshBoards(now)
 	}
-	for m, n := range g.named {
+	for _, n := range g.named {
 		// From here on engines with older weights are closed, without any news of them.
-		if !n.enforced && now.Sub(n.since) >= g.oldWeightsTime() {
-			n.enforced = true
-			g.named[m] = n
+		if f := n.Floor(g.oldWeightsTime(), now); f > n.floor {
+			n.floor = f
+			g.log.members.Info().Uint64("version", f).Msg("older weights may not answer any more")
 			g.refreshBoards(now)
 		}
 	}
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -314,6 +315,8 @@
 	result  load.Result
 	unread  int
 	crashed bool
+	begun   bool        // guarded by the gateway's mu
+	gaveUp  atomic.Bool // this entry ended the attempt for the target's silence
 }
 
 func (x *exchange) run(parent context.Context, t roster.Target) (dispatch.Failure, bool) {
@@ -323,9 +326,18 @@
 	streaming := f.route.Kind == routing.KindStreaming
 	var silence *time.Timer
 	if streaming && f.route.Repeatable() {
-		silence = time.AfterFunc(firstEvent, cancel)
+		silence = time.AfterFunc(firstEvent, func() {
+			x.gaveUp.Store(true)
+			cancel()
+		})
 		defer silence.Stop()
 	}
+	if d, ok := f.g.oldSoon(t); ok && streaming {
+		// A request that still waits in the engine's queue then would begin on weights that
+		// are too old.
+		old := time.AfterFunc(d, x.cancelUnbegun(cancel))
+		defer old.Stop()
+	}
 	sent, err := f.g.targets.Send(ctx, forward.Attempt{
 		Call: f.call, Target: t.ID, Address: t.Address, Workspace: f.workspace, Left: f.deadline.Sub(f.g.now()),
 		LastEvent: f.stream.Last(), Version: f.stream.Version(), Fresh: f.route.Kind == routing.KindNonIdempotent,
@@ -351,6 +363,19 @@
 	return x.whole(parent, sent)
 }
 
+// cancelUnbegun returns a function that ends the attempt unless its answer has begun.
+func (x *exchange) cancelUnbegun(cancel context.CancelFunc) func() {
+	return func() {
+		x.f.g.mu.Lock()
+		begun := x.begun
+		x.f.g.mu.Unlock()
+		if !begun {
+			x.gaveUp.Store(true)
+			cancel()
+		}
+	}
+}
+
 // maxSmall bounds the body of a rejection.
 const maxSmall = 64 << 10
 
@@ -430,11 +455,12 @@
 	if f.first == 0 {
 		f.first = f.g.now().Sub(f.begun)
 	}
-	if x.unread == 0 {
+	if x.begun {
 		return
 	}
 	f.g.mu.Lock()
 	defer f.g.mu.Unlock()
+	x.begun = true
 	x.s.board.Began(f.target, x.unread)
 	x.unread = 0
 }
@@ -451,7 +477,7 @@
 		return dispatch.Failure{Kind: dispatch.KindNotSent}
 	}
 	x.result = load.ResultFailed
-	x.crashed = !errors.Is(err, context.Canceled)
+	x.crashed = !x.gaveUp.Load()
 	return dispatch.Failure{Kind: dispatch.KindLost}
 }
 
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -151,8 +151,12 @@
 				Int("routes", c.Document.Routes()).Msg("configuration in force")
 			targets = true
 		case c.Named != nil:
-			if old := g.named[c.Named.Model]; old.version < c.Named.Version {
-				g.named[c.Named.Model] = naming{version: c.Named.Version, since: now}
+			n, ok := g.named[c.Named.Model]
+			if !ok {
+				n = &naming{}
+				g.named[c.Named.Model] = n
+			}
+			if n.Add(c.Named.Version, now) {
 				g.log.config.Info().Str("model", string(c.Named.Model)).Uint64("version", c.Named.Version).Msg("weights are named")
 			}
 			targets = true
@@ -217,29 +221,49 @@
 
 // versionMargin is kept from the time in which a new version has to be in use, for the
 // way of the news and of the request.
-const versionMargin = 900 * time.Millisecond
+const versionMargin = 500 * time.Millisecond
 
 // oldWeightsTime is how long after a naming older weights may answer.
 func (g *Gateway) oldWeightsTime() time.Duration { return g.set.Bounds.VersionTime - versionMargin }
 
+// beginMargin is kept from the time at which older weights may not begin an answer, for
+// the way of the end of a request.
+const beginMargin = 250 * time.Millisecond
+
+// oldSoon returns after which time a target's weights are too old to begin an answer.
+func (g *Gateway) oldSoon(t roster.Target) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, h := range g.holds(t) {
+		if n, ok := g.named[h.Model]; ok {
+			if at, ok := n.Until(h.Version, g.set.Bounds.VersionTime-beginMargin); ok {
+				return at.Sub(g.now()), true
+			}
+		}
+	}
+	return 0, false
+}
+
+// holds returns what a target serves, by its process's word or else its entry. mu is held.
+func (g *Gateway) holds(t roster.Target) []roster.Held {
+	if r, ok := g.loads[t.ID]; ok && r.Born == t.Born {
+		return []roster.Held{{Model: r.Model, Version: r.Version}}
+	}
+	return t.Held
+}
+
 // serves tells whether a model's target may get requests: it has loaded weights, and not
 // older ones than the time for a change allows. mu is held.
 func (g *Gateway) serves(t roster.Target, now time.Time) bool {
-	held := t.Held
-	accepting := true
-	if r, ok := g.loads[t.ID]; ok && r.Born == t.Born {
-		held = []roster.Held{{Model: r.Model, Version: r.Version}}
-		accepting = r.Accepting
-	}
-	if !accepting {
+	if r, ok := g.loads[t.ID]; ok && r.Born == t.Born && !r.Accepting {
 		return false
 	}
-	for _, h := range held {
+	for _, h := range g.holds(t) {
 		if h.Version == 0 {
 			continue
 		}
 		n, ok := g.named[h.Model]
-		if !ok || h.Version >= n.version || now.Sub(n.since) < g.oldWeightsTime() {
+		if !ok || h.Version >= n.Floor(g.oldWeightsTime(), now) {
 			return true
 		}
 	}
--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -82,14 +82,13 @@
 		s.mu.Unlock()
 		return
 	}
-	w := s.wanted(m.Name)
 	serving := s.serving(m.Name, e)
-	in := upgrade.Input{
-		Wanted: w.version, Serving: serving, Busy: s.report.Busy,
-		Staged: s.weights != nil && s.weights.version == w.version && s.weights.whole(),
-		Named:  s.namedAfter(m.Name, serving), Place: s.placeOf(s.set.TargetAddress, w.version), Schedule: s.schedule(e),
+	held := s.newestWhole()
+	in := upgrade.Input{Serving: serving, Busy: s.report.Busy, Staged: held != nil, Named: s.namings(m.Name).After(serving), Schedule: s.schedule(e)}
+	if held != nil {
+		in.Wanted, in.Place = held.version, s.placeOf(s.set.TargetAddress, held.version)
 	}
-	orders, held := s.report.Orders, s.weights
+	orders := s.report.Orders
 	s.mu.Unlock()
 	if upgrade.Decide(in, now) != upgrade.ActionLoad {
 		return
@@ -97,7 +96,7 @@
 	if !d.verifyStaged(ctx, m.Name, held) {
 		return
 	}
-	d.order(ctx, m.Name, w.version, orders)
+	d.order(ctx, m.Name, held.version, orders)
 }
 
 func (d *driver) order(ctx context.Context, m fleet.Model, version, orders uint64) {
@@ -136,6 +135,17 @@
 	return ok
 }
 
+// newestWhole returns the newest version that is whole, nil when none is. mu is held.
+func (s *Sidecar) newestWhole() *weights {
+	var best *weights
+	for _, w := range s.weights {
+		if w.whole() && (best == nil || w.version > best.version) {
+			best = w
+		}
+	}
+	return best
+}
+
 // schedule returns how a change of version is spread. mu is held.
 func (s *Sidecar) schedule(e *routing.Engine) upgrade.Schedule {
 	bytes := float64(e.Chunks) * float64(e.ChunkBytes)
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -30,6 +30,7 @@
 	"amaranthturn/core/mirror"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routing"
+	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
@@ -50,19 +51,14 @@
 	roster  *roster.Roster
 	league  *league.League
 	doc     *routing.Document
-	named   map[fleet.Model][]naming // in the order of versions
+	named   map[fleet.Model]*upgrade.Namings
 	report  platform.Report
-	up      bool          // the engine answered the last question
-	load    chan struct{} // closed and replaced when the report changes
-	weights *weights
+	up      bool                // the engine answered the last question
+	load    chan struct{}       // closed and replaced when the report changes
+	weights map[uint64]*weights // by version
 	uploads chan struct{}
 }
 
-type naming struct {
-	version uint64
-	since   time.Time // zero when it was named before this process knew the store
-}
-
 type logs struct {
 	config, members, weights, engine, process zerolog.Logger
 }
@@ -81,8 +77,8 @@
 		},
 		random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), mirror: mirror.New(), roster: roster.New(roster.DefaultSettings),
 		// The list holds entries; this process is none and tells nobody of itself.
-		league: league.New(league.DefaultSettings, league.Row{}), named: map[fleet.Model][]naming{},
-		load: make(chan struct{}), uploads: make(chan struct{}, uploadSlots),
+		league: league.New(league.DefaultSettings, league.Row{}), named: map[fleet.Model]*upgrade.Namings{},
+		load: make(chan struct{}), weights: map[uint64]*weights{}, uploads: make(chan struct{}, uploadSlots),
 	}
 }
 
@@ -196,13 +192,14 @@
 		case c.Document != nil && (s.doc == nil || c.Document.Version > s.doc.Version):
 			s.doc = c.Document
 			s.log.config.Info().Uint64("version", c.Document.Version).Msg("configuration known")
-		case c.Named != nil && s.wanted(c.Named.Model).version < c.Named.Version:
-			x := naming{version: c.Named.Version, since: now}
+		case c.Named != nil:
+			since := now
 			if first {
-				x.since = time.Time{}
+				since = time.Time{}
+			}
+			if s.namings(c.Named.Model).Add(c.Named.Version, since) {
+				s.log.weights.Info().Str("model", string(c.Named.Model)).Uint64("version", c.Named.Version).Msg("weights are named")
 			}
-			s.named[c.Named.Model] = append(s.named[c.Named.Model], x)
-			s.log.weights.Info().Str("model", string(c.Named.Model)).Uint64("version", c.Named.Version).Msg("weights are named")
 		case c.Target != nil:
 			s.roster.Heard(*c.Target)
 		case c.Gone != "":
@@ -227,23 +224,30 @@
 // firstVersion is the version that is wanted before any is named.
 const firstVersion = 1
 
-// wanted returns the version that is to serve. mu is held.
-func (s *Sidecar) wanted(m fleet.Model) naming {
-	if list := s.named[m]; len(list) > 0 {
-		return list[len(list)-1]
+// namings returns the versions of a model. mu is held.
+func (s *Sidecar) namings(m fleet.Model) *upgrade.Namings {
+	n, ok := s.named[m]
+	if !ok {
+		n = &upgrade.Namings{}
+		s.named[m] = n
 	}
-	return naming{version: firstVersion}
+	return n
 }
 
-// namedAfter returns when the first version after one was named: it bounds the time for
-// the change also when another version is named meanwhile. mu is held.
-func (s *Sidecar) namedAfter(m fleet.Model, version uint64) time.Time {
-	for _, n := range s.named[m] {
-		if n.version > version {
-			return n.since
-		}
+// kept returns the versions that are kept at hand for others, oldest first. mu is held.
+func (s *Sidecar) kept(m fleet.Model) []uint64 {
+	n := s.namings(m)
+	if n.Newest() == 0 {
+		return []uint64{firstVersion}
 	}
-	return time.Time{}
+	return n.Missing(0)
+}
+
+// fetches tells whether a kept version is fetched when it is not at hand. An engine that
+// serves nothing takes the newest at once. mu is held.
+func (s *Sidecar) fetches(m fleet.Model, version, serving uint64) bool {
+	newest := max(firstVersion, s.namings(m).Newest())
+	return version == newest || serving > 0 && version > serving
 }
 
 // serving returns the version that the engine serves, 0 for none. mu is held.
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +35,7 @@
 	set := swarm.DefaultSettings(self, region)
 	set.OriginRegion = origin
 	set.PeerFetches, set.RemoteFetches, set.OriginFetches, set.PerPeer = 2, 2, 2, 1
+	set.OriginBackoff, set.OriginDoubles = 150*time.Millisecond, 1
 	set.FirstTimeout, set.MinStall = 1500*time.Millisecond, 700*time.Millisecond
 	return set
 }
@@ -63,36 +65,52 @@
 	return fleet.Version(fmt.Sprintf("%s@%d", m, v))
 }
 
-// keeper holds the wanted version.
+// keeper holds the wanted versions.
 type keeper struct{ s *Sidecar }
 
 // Run implements node.Runner.
 func (k *keeper) Run(ctx context.Context) {
-	s := k.s
 	for node.Sleep(ctx, planEvery) {
-		s.mu.Lock()
-		m, e, ok := s.model()
-		var want uint64
-		var originAddr string
-		var originZone fleet.Zone
-		if ok {
-			want = s.wanted(m.Name).version
-			if o, found := s.doc.Origin(); found {
-				originAddr, originZone = o.Origin, o.Zone
-			}
-		}
-		have := s.weights
+		k.look(ctx)
+	}
+}
+
+// look begins the versions that are missing and drops those that are not wanted.
+func (k *keeper) look(ctx context.Context) {
+	s := k.s
+	s.mu.Lock()
+	m, e, ok := s.model()
+	if !ok {
 		s.mu.Unlock()
-		if !ok || have != nil && have.version == want {
-			continue
+		return
+	}
+	o, ok := s.doc.Origin()
+	if !ok {
+		s.mu.Unlock()
+		return
+	}
+	wanted, serving := s.kept(m.Name), s.serving(m.Name, e)
+	var lacking []uint64
+	for _, v := range wanted {
+		if s.weights[v] == nil && s.fetches(m.Name, v, serving) {
+			lacking = append(lacking, v)
+		}
+	}
+	for v, w := range s.weights {
+		if !slices.Contains(wanted, v) {
+			w.cancel()
+			delete(s.weights, v)
 		}
-		man, err := s.fetchManifest(ctx, originAddr, m.Name, want, e)
+	}
+	s.mu.Unlock()
+	for _, v := range lacking {
+		man, err := s.fetchManifest(ctx, o.Origin, m.Name, v, e)
 		if err != nil {
-			s.log.weights.Warn().Uint64("version", want).Err(err).Msg("no manifest")
+			s.log.weights.Warn().Uint64("version", v).Err(err).Msg("no manifest")
 			node.Sleep(ctx, manifestWait)
 			continue
 		}
-		k.begin(ctx, m.Name, want, man, originAddr, s.set.Regions[originZone])
+		k.begin(ctx, m.Name, v, man, o.Origin, s.set.Regions[o.Zone])
 	}
 }
 
@@ -112,12 +130,8 @@
 		addrs:   map[fleet.InstanceID]string{}, cancels: map[swarm.Fetch]context.CancelFunc{},
 		watching: map[fleet.InstanceID]context.CancelFunc{}, changed: make(chan struct{}),
 	}
-	old := s.weights
-	s.weights = w
+	s.weights[version] = w
 	s.mu.Unlock()
-	if old != nil {
-		old.cancel()
-	}
 	s.log.weights.Info().Uint64("version", version).Int("pieces", len(man.Chunks)).Msg("fetching weights")
 	go w.run(ctx)
 }
@@ -227,6 +241,10 @@
 	}
 }
 
+// olderWait is how long a version waits for the one before it, which was named just
+// before and may be nearly here.
+const olderWait = 3 * time.Second
+
 // due tells whether the agent beside the engine at addr fetches by now.
 func (w *weights) due(addr string) bool {
 	s := w.s
@@ -236,12 +254,18 @@
 	if !ok || m.Name != w.model {
 		return true
 	}
+	now := s.now()
+	for v, o := range s.weights {
+		if v < w.version && !o.whole() && now.Sub(s.namings(w.model).After(w.version-1)) < olderWait {
+			return false
+		}
+	}
 	serving := s.serving(m.Name, e)
-	named := s.namedAfter(w.model, serving)
+	named := s.namings(w.model).After(serving)
 	if serving == 0 || named.IsZero() {
 		return true
 	}
-	return s.now().Sub(named) >= s.schedule(e).FetchAfter(s.placeOf(addr, w.version))
+	return now.Sub(named) >= s.schedule(e).FetchAfter(s.placeOf(addr, w.version))
 }
 
 // readStaged takes the pieces that lie at the engine and are those of this version.
@@ -434,9 +458,6 @@
 	if t.f.Source.Kind == swarm.SourceOrigin {
 		w.s.metrics.Count("origin_bytes", int64(len(data)))
 	}
-	if err := w.s.engine.Put(ctx, w.model, t.f.Chunk, data); err != nil {
-		w.s.log.weights.Warn().Int("piece", t.f.Chunk).Err(err).Msg("piece cannot be staged now") // staged before the load
-	}
 	w.mu.Lock()
 	w.end(t.f)
 	for _, extra := range w.planner.Done(t.f, now) {
@@ -472,10 +493,12 @@
 func (s *Sidecar) at(v fleet.Version) (*weights, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.weights == nil || s.weights.name != v {
-		return nil, false
+	for _, w := range s.weights {
+		if w.name == v {
+			return w, true
+		}
 	}
-	return s.weights, true
+	return nil, false
 }
 
 // Manifest implements peer.ChunkHandler.
--- a/core/swarm/planner.go
+++ b/core/swarm/planner.go
@@ -90,6 +90,10 @@
 	// OriginDelay is how long nothing is asked of the origin at first, so that the
 	// instances come to know of each other's part.
 	OriginDelay time.Duration
+	// OriginBackoff is the wait after a failure of the origin; it doubles at most
+	// OriginDoubles times.
+	OriginBackoff time.Duration
+	OriginDoubles int
 	// MinStall is the shortest wait before the next in order takes over.
 	MinStall time.Duration
 }
@@ -101,30 +105,28 @@
 		PeerFetches: 8, RemoteFetches: 4, OriginFetches: 3, PerPeer: 2,
 		Neighbours: 24, RemotePerRegion: 4,
 		FirstTimeout: 10 * time.Second, MinStall: 2 * time.Second,
-		OriginDelay: 100 * time.Millisecond,
+		OriginDelay: 100 * time.Millisecond, OriginBackoff: 500 * time.Millisecond, OriginDoubles: 3,
 	}
 }
 
 // Limits of the reaction to failures.
 const (
-	lateDeviations   = 4                // a fetch is late after the usual time and these
-	stallFactor      = 10               // gaps between new chunks until a takeover
-	peerPenalty      = 2 * time.Second  // first pause of a failing peer
-	maxStall         = time.Minute      // longest wait before the next in order takes over
-	maxPenalty       = 30 * time.Second // longest pause of a failing peer
-	maxOutage        = 8 * time.Second  // longest wait until a lost peer is tried again
-	corruptLimit     = 2                // corrupt chunks until a peer is banned
-	endgameChunks    = 16               // missing chunks from which a second peer is asked
-	endgameFactor    = 2                // usual times until a second peer is asked
-	sharedPatience   = 6                // first timeouts that a fetch over a shared link is given
-	sharedLate       = 5                // first timeouts after which such a fetch may count as stalled
-	sharedFlights    = 32               // chunks that all members together have in flight over one
-	originMaxDoubles = 3                // of the backoff
-	originBackoff    = 500 * time.Millisecond
-	maxFirst         = 8 // members watched only because this one is next to them
-	despair          = 8 // waits after which the bound on takeovers is lifted
-	patience         = 4 // takeovers' waits that a member that gets on is given
-	originAttempts   = 3 // corrupt answers of the origin until it is reported
+	lateDeviations = 4                // a fetch is late after the usual time and these
+	stallFactor    = 10               // gaps between new chunks until a takeover
+	peerPenalty    = 2 * time.Second  // first pause of a failing peer
+	maxStall       = time.Minute      // longest wait before the next in order takes over
+	maxPenalty     = 30 * time.Second // longest pause of a failing peer
+	maxOutage      = 8 * time.Second  // longest wait until a lost peer is tried again
+	corruptLimit   = 2                // corrupt chunks until a peer is banned
+	endgameChunks  = 16               // missing chunks from which a second peer is asked
+	endgameFactor  = 2                // usual times until a second peer is asked
+	sharedPatience = 6                // first timeouts that a fetch over a shared link is given
+	sharedLate     = 5                // first timeouts after which such a fetch may count as stalled
+	sharedFlights  = 32               // chunks that all members together have in flight over one
+	maxFirst       = 8                // members watched only because this one is next to them
+	despair        = 8                // waits after which the bound on takeovers is lifted
+	patience       = 4                // takeovers' waits that a member that gets on is given
+	originAttempts = 3                // corrupt answers of the origin until it is reported
 )
 
 // Member is an instance that should get the version.
@@ -314,7 +316,7 @@
 	if why == CauseCorrupt {
 		p.corrupt[f.Chunk]++
 	}
-	wait := originBackoff << min(p.originNo-1, originMaxDoubles)
+	wait := p.set.OriginBackoff << min(p.originNo-1, p.set.OriginDoubles)
 	wait += time.Duration(p.random.Int64N(int64(wait)))
 	p.originAt = now.Add(max(wait, retryAfter))
 }
