--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -68,6 +68,7 @@
 	mirror    *mirror.Mirror
 	changed   chan struct{} // closed and replaced when the mirror changes
 	storeLost bool
+	knows     bool // everything was read once
 	roster    *roster.Roster
 	league    *league.League
 	named     map[fleet.Model]*naming
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -16,11 +16,12 @@
 
 // Timing of reads of the store.
 const (
-	// watchWait is how long a watch waits for a change. Each watch costs a call; one that
-	// fell silent is noticed after it.
-	watchWait = 4 * time.Second
+	// watchWait is how long a watch waits for a change. Each watch costs a call; but a watch
+	// may fall silent without an end, and a configuration has to be in force two seconds
+	// after its acknowledgement.
+	watchWait = 1100 * time.Millisecond
 	// watchSlack is what a watch may take beyond its wait.
-	watchSlack = time.Second
+	watchSlack = 400 * time.Millisecond
 	// rangeTimeout bounds the first read.
 	rangeTimeout = 2 * time.Second
 	// batchPause gathers changes that come shortly after one another into one call.
@@ -101,6 +102,9 @@
 		g.take(g.mirror.Load(prefix, items, first, g.now()))
 		g.mu.Unlock()
 	}
+	g.mu.Lock()
+	g.knows = true
+	g.mu.Unlock()
 	return nil
 }
 
@@ -156,7 +160,13 @@
 				n = &naming{}
 				g.named[c.Named.Model] = n
 			}
-			if n.Add(c.Named.Version, now) {
+			since := now
+			if !g.knows {
+				// Named before this process started: older weights are only used while a
+				// process that has just started is not held to the limit.
+				since = now.Add(g.set.Bounds.Stable - g.set.Bounds.VersionTime)
+			}
+			if n.Add(c.Named.Version, since) {
 				g.log.config.Info().Str("model", string(c.Named.Model)).Uint64("version", c.Named.Version).Msg("weights are named")
 			}
 			targets = true
