--- /dev/null
+++ b/core/forward/forward_test.go
@@ -0,0 +1,70 @@
+package forward_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"amaranthturn/core/forward"
+	"amaranthturn/core/routing"
+)
+
+func TestJudge(t *testing.T) {
+	for _, c := range []struct {
+		r    forward.Reply
+		want forward.Verdict
+	}{
+		{forward.Reply{Status: 200, Signed: true}, forward.VerdictPass},
+		{forward.Reply{Status: 200}, forward.VerdictFailed},
+		{forward.Reply{Status: 404, Signed: true}, forward.VerdictPass},
+		{forward.Reply{Status: 503, NotRun: true}, forward.VerdictFull},
+		{forward.Reply{Status: 429, NotRun: true}, forward.VerdictFull},
+		{forward.Reply{Status: 421, WrongTarget: true}, forward.VerdictMoved},
+		// Without the target's word these must not reach a caller: they would promise
+		// that the request has not run.
+		{forward.Reply{Status: 503, Signed: true}, forward.VerdictFailed},
+		{forward.Reply{Status: 429, Signed: true}, forward.VerdictFailed},
+		{forward.Reply{Status: 408, Signed: true}, forward.VerdictFailed},
+		{forward.Reply{Status: 500, Signed: true}, forward.VerdictFailed},
+		// A success that claims not to have run is a success only by its signature.
+		{forward.Reply{Status: 200, NotRun: true, Signed: true}, forward.VerdictPass},
+	} {
+		assert.Equal(t, forward.Judge(c.r), c.want, "%+v", c.r)
+	}
+}
+
+func TestBudget(t *testing.T) {
+	r := &routing.Route{Timeout: 3 * time.Second}
+	assert.Equal(t, forward.Budget(r, &forward.Call{Wait: time.Second}), time.Second)
+	assert.Equal(t, forward.Budget(r, &forward.Call{Wait: time.Minute}), 3*time.Second)
+	assert.Equal(t, forward.Budget(r, &forward.Call{}), 3*time.Second)
+}
+
+// Events of several targets, some repeated, missing or foreign, reach the caller in order
+// and once.
+func TestStreamGivesEachEventOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := forward.NewStream("")
+		next := 0
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			id := rapid.IntRange(1, 30).Draw(t, "id")
+			ok := s.Accept(strconv.Itoa(id))
+			assert.Equal(t, ok, next == 0 || id == next)
+			if ok {
+				next = id + 1
+			}
+		}
+		assert.Assert(t, !s.Accept("x"))
+		assert.Assert(t, !s.Accept(""))
+	})
+}
+
+func TestStreamGoesOnAfterTheCallersEvent(t *testing.T) {
+	s := forward.NewStream("12")
+	assert.Assert(t, !s.Accept("12"))
+	assert.Assert(t, s.Accept("13"))
+	assert.Equal(t, s.Last(), "13")
+}
--- /dev/null
+++ b/core/league/league_test.go
@@ -0,0 +1,78 @@
+package league_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/league"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+func row(i int) league.Row {
+	return league.Row{Instance: fleet.InstanceID(fmt.Sprintf("e%d", i)), Incarnation: 1, Address: fmt.Sprintf("10.0.0.%d:1", i)}
+}
+
+// Entries that know only a seed, which may be down, all come to know each other within
+// seconds, and forget one that died.
+func TestEntriesFindEachOther(t *testing.T) {
+	const n = 8
+	random := rand.New(rand.NewPCG(3, 4))
+	all := make([]*league.League, n)
+	byAddr := map[string]int{}
+	for i := range n {
+		all[i] = league.New(league.DefaultSettings, row(i))
+		byAddr[row(i).Address] = i
+	}
+	seeds := []string{row(0).Address, "10.9.9.9:1"}
+	now, dead := t0, map[int]bool{}
+	round := func() {
+		now = now.Add(500 * time.Millisecond)
+		for i, l := range all {
+			if dead[i] {
+				continue
+			}
+			addr, ok := l.Partner(seeds, random.Float64(), now)
+			j, known := byAddr[addr]
+			if !ok || !known || dead[j] {
+				continue
+			}
+			all[j].Merge(l.Rows(now), now)
+			l.Merge(all[j].Rows(now), now)
+		}
+	}
+	for range 16 {
+		round()
+	}
+	for _, l := range all {
+		assert.Equal(t, len(l.Live(now)), n-1)
+	}
+	dead[5] = true
+	for range 22 {
+		round()
+	}
+	for i, l := range all {
+		if !dead[i] {
+			assert.Equal(t, len(l.Live(now)), n-2)
+		}
+	}
+}
+
+func TestLeavingIsNotLive(t *testing.T) {
+	l := league.New(league.DefaultSettings, row(0))
+	r := row(1)
+	r.Leaving = true
+	l.Merge([]league.Row{r}, t0)
+	assert.Equal(t, len(l.Live(t0)), 0)
+	again := row(1)
+	again.Incarnation = 2
+	l.Merge([]league.Row{again}, t0)
+	assert.Equal(t, len(l.Live(t0)), 1)
+	l.Merge([]league.Row{r}, t0)
+	assert.Equal(t, len(l.Live(t0)), 1, "news of an older incarnation do not count")
+}
--- /dev/null
+++ b/core/mirror/mirror_test.go
@@ -0,0 +1,62 @@
+package mirror_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"amaranthturn/core/mirror"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+func put(key string, rev mirror.Revision) mirror.Event {
+	return mirror.Event{Key: key, Value: []byte{byte(rev)}, Revision: rev}
+}
+
+// A whole read that began before a write must not undo what a watch told meanwhile.
+func TestLoadKeepsNewerItems(t *testing.T) {
+	m := mirror.New()
+	m.Apply([]mirror.Event{put("servers/a", 9)}, 9, t0)
+	m.Load("servers/", []mirror.Event{put("servers/a", 5), put("servers/b", 6)}, 7, t0)
+	a, ok := m.Get("servers/a")
+	assert.Assert(t, ok)
+	assert.Equal(t, a.Revision, mirror.Revision(9))
+	m.Load("servers/", []mirror.Event{put("servers/b", 6)}, 12, t0)
+	_, ok = m.Get("servers/a")
+	assert.Assert(t, !ok, "an item that a later whole read lacks is deleted")
+}
+
+func TestDeletedStaysDeleted(t *testing.T) {
+	m := mirror.New()
+	m.Apply([]mirror.Event{put("k", 3)}, 3, t0)
+	m.Apply([]mirror.Event{{Key: "k", Revision: 5, Deleted: true}}, 5, t0)
+	assert.Equal(t, len(m.Apply([]mirror.Event{put("k", 3), put("k", 4)}, 5, t0)), 0)
+	_, ok := m.Get("k")
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(m.Apply([]mirror.Event{put("k", 6)}, 6, t0)), 1)
+}
+
+// Whatever part of the changes a copy has, what another copy sends after its revision makes
+// the two equal; also when the log was cut.
+func TestSinceBringsCopiesTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := mirror.New(), mirror.New()
+		n := rapid.IntRange(1, 9000).Draw(t, "changes")
+		half := mirror.Revision(rapid.IntRange(0, n).Draw(t, "heard"))
+		for i := 1; i <= n; i++ {
+			e := put(string(rune('a'+i%7)), mirror.Revision(i))
+			e.Deleted = i%11 == 0
+			a.Apply([]mirror.Event{e}, e.Revision, t0)
+			if e.Revision <= half {
+				b.Apply([]mirror.Event{e}, e.Revision, t0)
+			}
+		}
+		events, at, _ := a.Since(b.At())
+		b.Apply(events, at, t0)
+		assert.Equal(t, b.At(), a.At())
+		assert.DeepEqual(t, b.Under(""), a.Under(""))
+	})
+}
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,52 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/roster"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+func ready(id fleet.InstanceID) roster.Target {
+	return roster.Target{ID: id, Service: "s", Address: "10.0.0.1:1", State: roster.StateReady}
+}
+
+// Entries lapse while the store is away: living targets are used until the grace after its
+// return, and one that is still missing then is gone.
+func TestLapsedEntries(t *testing.T) {
+	r := roster.New(roster.DefaultSettings)
+	r.Heard(ready("back"))
+	r.Heard(ready("gone"))
+	r.StoreLost()
+	r.StoreBack(t0)
+	assert.Assert(t, !r.Removed("back", t0.Add(10*time.Millisecond)))
+	assert.Assert(t, !r.Removed("gone", t0.Add(10*time.Millisecond)))
+	assert.Equal(t, len(r.Usable("s")), 2)
+	r.Heard(ready("back"))
+	assert.Equal(t, len(r.Expire(t0.Add(time.Second))), 0)
+	assert.DeepEqual(t, r.Expire(t0.Add(roster.DefaultSettings.LapseGrace)), []fleet.InstanceID{"gone"})
+	assert.Equal(t, len(r.Usable("s")), 1)
+}
+
+func TestRemovedWhileTheStoreAnswersIsGone(t *testing.T) {
+	r := roster.New(roster.DefaultSettings)
+	r.Heard(ready("a"))
+	assert.Assert(t, r.Removed("a", t0))
+	assert.Equal(t, len(r.Usable("s")), 0)
+}
+
+// A target that said that it leaves does not lapse: its entry ends because it left.
+func TestDrainingDoesNotLapse(t *testing.T) {
+	r := roster.New(roster.DefaultSettings)
+	x := ready("a")
+	x.State = roster.StateDraining
+	r.Heard(x)
+	r.StoreLost()
+	assert.Equal(t, len(r.Usable("s")), 0)
+	assert.Assert(t, r.Removed("a", t0))
+}
--- /dev/null
+++ b/core/routing/routing_test.go
@@ -0,0 +1,63 @@
+package routing_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/routing"
+)
+
+func document() *routing.Document {
+	return routing.New(3, []routing.Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"}, {Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/", Public: true},
+	}, nil, routing.Limits{}, []routing.Workspace{{Name: "w", Keys: []string{"k1", "k2"}}})
+}
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	d := document()
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "long"}, {"A.Example:80", "/x/z", "short"}, {"a.example", "/x/y", "short"},
+		{"b.example", "/x/y/z", "other"}, {"a.example", "/xx/", ""}, {"c.example", "/x/", ""}, {"a.example", "/x", ""},
+	} {
+		r, ok := d.Match(c.host, c.path)
+		assert.Equal(t, ok, c.want != "", c.host+c.path)
+		if ok {
+			assert.Equal(t, r.Name, c.want)
+		}
+	}
+}
+
+func TestKeys(t *testing.T) {
+	d := document()
+	w, ok := d.Workspace("k2")
+	assert.Assert(t, ok)
+	assert.Equal(t, w.Name, fleet.Workspace("w"))
+	_, ok = d.Workspace("")
+	assert.Assert(t, !ok)
+	r, _ := d.Match("b.example", "/x/")
+	assert.Assert(t, !d.NeedsKey(r))
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	r := routing.Route{Services: []routing.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	n := 0
+	for i := range 1000 {
+		s, ok := r.Pick(float64(i) / 1000)
+		assert.Assert(t, ok)
+		if s == "a" {
+			n++
+		}
+	}
+	assert.Equal(t, n, 900)
+	_, ok := (&routing.Route{}).Pick(0)
+	assert.Assert(t, !ok)
+}
+
+func TestRepeatable(t *testing.T) {
+	assert.Assert(t, !(&routing.Route{Kind: routing.KindStreaming}).Repeatable())
+	assert.Assert(t, (&routing.Route{Kind: routing.KindStreaming, Resumable: true}).Repeatable())
+	assert.Assert(t, !(&routing.Route{}).Repeatable(), "an unknown kind may not be repeated")
+}
--- /dev/null
+++ b/core/upgrade/upgrade_test.go
@@ -0,0 +1,80 @@
+package upgrade_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"amaranthturn/core/upgrade"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+var schedule = upgrade.Schedule{Limit: 8 * time.Second, Fetch: 2650 * time.Millisecond}
+
+// Replays a version change of 24 full engines: each is away for its running requests and
+// its load. With all fetches and loads at once, 24 engines are away together; spread, the
+// rest must be able to carry the load that 24 engines of a calm day carry, 70 in 100.
+func TestChangeKeepsCapacity(t *testing.T) {
+	const n, away = 24, 1500 * time.Millisecond
+	most := 0
+	for at := time.Duration(0); at < 12*time.Second; at += 50 * time.Millisecond {
+		out := 0
+		for i := range n {
+			from := schedule.LoadAfter(upgrade.Place{Index: i, Count: n})
+			if at >= from && at < from+away {
+				out++
+			}
+		}
+		most = max(most, out)
+	}
+	assert.Assert(t, most <= n*3/10+1, "%d of %d engines are away at once", most, n)
+}
+
+func TestScheduleEndsInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := upgrade.Place{Count: rapid.IntRange(1, 300).Draw(t, "count")}
+		p.Index = rapid.IntRange(0, p.Count-1).Draw(t, "index")
+		s := upgrade.Schedule{
+			Limit: time.Duration(rapid.IntRange(1, 20).Draw(t, "limit")) * time.Second,
+			Fetch: time.Duration(rapid.IntRange(1, 900).Draw(t, "fetch")) * time.Millisecond,
+		}
+		assert.Assert(t, s.LoadAfter(p) < s.Limit)
+		assert.Assert(t, s.FetchAfter(p)+s.Fetch <= s.LoadAfter(p), "weights arrive before their turn")
+	})
+}
+
+func TestDecide(t *testing.T) {
+	in := upgrade.Input{
+		Wanted: 2, Serving: 1, Staged: true, Named: t0, Schedule: schedule, Place: upgrade.Place{Index: 12, Count: 24},
+	}
+	turn := t0.Add(schedule.LoadAfter(in.Place))
+	assert.Equal(t, upgrade.Decide(in, turn.Add(-time.Millisecond)), upgrade.ActionNone)
+	assert.Equal(t, upgrade.Decide(in, turn), upgrade.ActionLoad)
+	busy, missing, done, empty := in, in, in, in
+	busy.Busy, missing.Staged, done.Serving, empty.Serving = true, false, 2, 0
+	for _, x := range []upgrade.Input{busy, missing, done} {
+		assert.Equal(t, upgrade.Decide(x, turn), upgrade.ActionNone)
+	}
+	assert.Equal(t, upgrade.Decide(empty, t0), upgrade.ActionLoad, "an engine that serves nothing does not wait")
+}
+
+// Two versions are named two seconds apart: the limit of the first holds although the second
+// is named meanwhile.
+func TestEachNamingHasItsLimit(t *testing.T) {
+	var n upgrade.Namings
+	assert.Assert(t, n.Add(2, t0))
+	assert.Assert(t, n.Add(3, t0.Add(2*time.Second)))
+	assert.Assert(t, !n.Add(2, t0.Add(3*time.Second)), "a version is named once")
+	limit := 8 * time.Second
+	assert.Equal(t, n.Floor(limit, t0.Add(7*time.Second)), uint64(0))
+	assert.Equal(t, n.Floor(limit, t0.Add(8*time.Second)), uint64(2))
+	assert.Equal(t, n.Floor(limit, t0.Add(10*time.Second)), uint64(3))
+	at, ok := n.Until(1, limit)
+	assert.Assert(t, ok)
+	assert.Equal(t, at, t0.Add(limit))
+	assert.DeepEqual(t, n.Missing(1), []uint64{2, 3})
+	assert.Equal(t, n.After(2), t0.Add(2*time.Second))
+}
