Recovery: agents read the store at their start and staged pieces when their engine is up; one target an address

Cause: after the loss of power agents waited 1.2 s for an entry whose connection was in back-off, fetched what lay staged because their engine was not up yet when they looked, and entries sent requests to targets whose entries had not lapsed (421).

--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -110,8 +110,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	wanted := map[string]roster.Target{}
-	for _, t := range g.roster.All() {
-		if s, ok := doc.Service(t.Service); ok && s.Engine != nil {
+	for _, s := range doc.Services() {
+		if s.Engine == nil {
+			continue
+		}
+		for _, t := range g.roster.Usable(s.Name) {
 			wanted[t.Address] = t
 		}
 	}
@@ -153,14 +156,17 @@
 	}
 }
 
-// id returns the target that is listed at the address. mu is held.
+// id returns the target that is listed at the address, the last one to start where there
+// are several. mu is held.
 func (w *loadWatch) id() (roster.Target, bool) {
+	var last roster.Target
+	found := false
 	for _, t := range w.g.roster.All() {
-		if t.Address == w.target {
-			return t, true
+		if t.Address == w.target && (!found || t.Born > last.Born) {
+			last, found = t, true
 		}
 	}
-	return roster.Target{}, false
+	return last, found
 }
 
 func (w *loadWatch) heard(l peer.TargetLoad) {
--- a/app/gateway/module.go
+++ b/app/gateway/module.go
@@ -22,13 +22,17 @@
 var Module = fx.Module("gateway", fx.Provide(newGateway), fx.Invoke(serve))
 
 func newGateway(set *platform.Settings, l *telemetry.Logs, m *telemetry.Metrics) *Gateway {
-	return New(set, clock.System{}, l, m, peer.NewPool(peer.DialOptions{}),
+	return New(set, clock.System{}, l, m, peer.NewPool(peer.DialOptions{ReconnectWait: reconnectWait}),
 		platform.NewStore(set.StoreAddress, newHTTPClient()), platform.NewTargets(target.NewPool()),
 		uint64(time.Now().UnixNano()))
 }
 
 func newHTTPClient() *http.Client { return node.Overrides{}.WithDefaults().HTTPClient() }
 
+// reconnectWait is the longest pause between two connections to a process that does not
+// answer: after a loss of power all start again within moments.
+const reconnectWait = 300 * time.Millisecond
+
 // MetricsPort serves the metrics; it lies outside the ports that a platform hands out.
 const MetricsPort = "9464"
 
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -265,6 +265,7 @@
 func (f *flight) attempt(ctx context.Context, s *service) (dispatch.Failure, bool) {
 	g := f.g
 	if ctx.Err() != nil {
+		f.state.Began("") // nothing is sent any more
 		return dispatch.Failure{Kind: f.ended(ctx)}, false
 	}
 	g.mu.Lock()
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -203,19 +203,14 @@
 		return
 	}
 	bySvc := map[fleet.Service][]load.Target{}
-	for _, t := range g.roster.All() {
-		if t.State != roster.StateReady {
-			continue
-		}
-		svc, ok := doc.Service(t.Service)
-		if !ok {
-			continue
-		}
-		row := load.Target{ID: t.ID, Born: t.Born, Slots: max(1, t.Slots), Near: t.Zone == g.set.Zone}
-		if svc.Engine != nil {
-			row.Closed = !g.serves(t, now)
+	for _, svc := range doc.Services() {
+		for _, t := range g.roster.Usable(svc.Name) {
+			row := load.Target{ID: t.ID, Born: t.Born, Slots: max(1, t.Slots), Near: t.Zone == g.set.Zone}
+			if svc.Engine != nil {
+				row.Closed = !g.serves(t, now)
+			}
+			bySvc[t.Service] = append(bySvc[t.Service], row)
 		}
-		bySvc[t.Service] = append(bySvc[t.Service], row)
 	}
 	for name, s := range g.services {
 		if _, ok := bySvc[name]; !ok {
--- a/app/sidecar/module.go
+++ b/app/sidecar/module.go
@@ -22,10 +22,14 @@
 
 func newSidecar(set *platform.Settings, l *telemetry.Logs, m *telemetry.Metrics) *Sidecar {
 	client := node.Overrides{}.WithDefaults().HTTPClient()
-	return New(set, clock.System{}, l, m, peer.NewPool(peer.DialOptions{}),
-		platform.NewEngine(set.TargetAddress, client), platform.NewOrigin(client), uint64(time.Now().UnixNano()))
+	return New(set, clock.System{}, l, m, peer.NewPool(peer.DialOptions{ReconnectWait: reconnectWait}),
+		platform.NewEngine(set.TargetAddress, client), platform.NewOrigin(client), platform.NewStore(set.StoreAddress, client), uint64(time.Now().UnixNano()))
 }
 
+// reconnectWait is the longest pause between two connections to a process that does not
+// answer: after a loss of power all start again within moments.
+const reconnectWait = 300 * time.Millisecond
+
 // MetricsPort serves the metrics; it lies outside the ports that a platform hands out.
 const MetricsPort = "9464"
 
@@ -60,7 +64,7 @@
 	x.metrics = node.NewHTTP(metrics, mux)
 	x.peers.Start()
 	x.metrics.Start()
-	for _, r := range []node.Runner{&entryWatch{x.s}, &follower{x.s}, &driver{s: x.s, pause: clock.NewWatch(pauseLimit)}, &keeper{x.s}} {
+	for _, r := range []node.Runner{&firstRead{x.s}, &entryWatch{x.s}, &follower{x.s}, &driver{s: x.s, pause: clock.NewWatch(pauseLimit)}, &keeper{x.s}} {
 		x.loops.Go(r)
 	}
 	x.s.log.process.Info().Str("peers", x.s.set.Peers).Str("engine", x.s.set.TargetAddress).Msg("sidecar started")
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -43,6 +43,7 @@
 	pool    *peer.Pool
 	engine  *platform.Engine
 	origin  *platform.Origin
+	store   *platform.Store
 	log     logs
 
 	mu      sync.Mutex // guards all below
@@ -68,9 +69,9 @@
 const uploadSlots = 1
 
 // New returns a daemon that does nothing until its loops run.
-func New(set *platform.Settings, c clock.Clock, l *telemetry.Logs, m *telemetry.Metrics, pool *peer.Pool, e *platform.Engine, o *platform.Origin, seed uint64) *Sidecar {
+func New(set *platform.Settings, c clock.Clock, l *telemetry.Logs, m *telemetry.Metrics, pool *peer.Pool, e *platform.Engine, o *platform.Origin, st *platform.Store, seed uint64) *Sidecar {
 	return &Sidecar{
-		set: set, clock: c, metrics: m, pool: pool, engine: e, origin: o,
+		set: set, clock: c, metrics: m, pool: pool, engine: e, origin: o, store: st,
 		log: logs{
 			config: l.Of(telemetry.SubsystemConfig), members: l.Of(telemetry.SubsystemMembers), weights: l.Of(telemetry.SubsystemWeights),
 			engine: l.Of(telemetry.SubsystemEngine), process: l.Of(telemetry.SubsystemProcess),
@@ -120,6 +121,34 @@
 	}
 }
 
+// firstRead reads the store once at the start, when the entries may just be starting too;
+// from then on the entries tell what changes.
+type firstRead struct{ s *Sidecar }
+
+// firstReadTimeout bounds the read; without it the entries' copy serves as well.
+const firstReadTimeout = time.Second
+
+// Run implements node.Runner.
+func (r *firstRead) Run(ctx context.Context) {
+	s := r.s
+	ctx, cancel := context.WithTimeout(ctx, firstReadTimeout)
+	defer cancel()
+	var news peer.StoreNews
+	for i, prefix := range platform.Prefixes {
+		s.metrics.Count("store_calls", 1)
+		items, at, err := s.store.Range(ctx, prefix)
+		if err != nil {
+			s.log.config.Info().Err(err).Msg("store is not read at the start: waiting for an entry")
+			return
+		}
+		news.Events = append(news.Events, items...)
+		if i == 0 {
+			news.At = at
+		}
+	}
+	s.take(news)
+}
+
 // follower follows one entry's copy of the store.
 type follower struct{ s *Sidecar }
 
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -197,27 +197,36 @@
 	}
 }
 
-// run brings the pieces in: what is staged already, then from others.
+// run brings the pieces in: what is staged already, and from others.
 func (w *weights) run(ctx context.Context) {
 	began := w.s.now()
 	if w.s.set.FirstStart {
 		w.awaitEngine(ctx)
 	}
-	w.readStaged(ctx)
+	read := w.readStaged(ctx)
 	w.awaitTurn(ctx)
 	tick := time.NewTicker(planEvery)
 	defer tick.Stop()
-	for !w.whole() {
+	for !w.whole() && ctx.Err() == nil {
+		if !read {
+			read = w.readStaged(ctx)
+		}
 		w.step(ctx)
 		select {
 		case <-ctx.Done():
 		case <-tick.C:
 		case <-w.kicked:
 		}
-		if ctx.Err() != nil {
-			break
-		}
 	}
+	w.stop()
+	if ctx.Err() == nil {
+		w.s.metrics.Duration("distribution", w.s.now().Sub(began))
+		w.s.log.weights.Info().Uint64("version", w.version).Dur("took", w.s.now().Sub(began)).Msg("weights are whole")
+	}
+}
+
+// stop ends every watch and fetch.
+func (w *weights) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, cancel := range w.watching {
@@ -228,10 +237,6 @@
 		cancel()
 		delete(w.cancels, f)
 	}
-	if ctx.Err() == nil {
-		w.s.metrics.Duration("distribution", w.s.now().Sub(began))
-		w.s.log.weights.Info().Uint64("version", w.version).Dur("took", w.s.now().Sub(began)).Msg("weights are whole")
-	}
 }
 
 // awaitTurn waits until this agent's fetch is due. An engine that serves nothing is
@@ -268,21 +273,29 @@
 	return now.Sub(named) >= s.schedule(e).FetchAfter(s.placeOf(addr, w.version))
 }
 
-// readStaged takes the pieces that lie at the engine and are those of this version.
-func (w *weights) readStaged(ctx context.Context) {
+// readStaged takes the pieces that lie at the engine and are those of this version. It
+// tells whether the engine answered.
+func (w *weights) readStaged(ctx context.Context) bool {
+	w.s.mu.Lock()
+	up := w.s.up
+	w.s.mu.Unlock()
+	if !up {
+		return false
+	}
 	for i := range w.manifest.Chunks {
 		data, err := w.s.engine.Staged(ctx, w.model, i)
 		if errors.Is(err, platform.ErrNotStaged) && i == 0 {
-			return // a new engine has nothing
+			return true // a new engine has nothing
 		}
 		if err != nil || !w.manifest.Verify(i, data) {
 			if i == 0 {
-				return // another version lies there
+				return true // another version lies there
 			}
 			continue
 		}
 		w.hold(i, data)
 	}
+	return true
 }
 
 func (w *weights) hold(i int, data []byte) {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -146,12 +146,17 @@
 		return r.end(r.reason(f), retry.MaxDelay)
 	case r.set.AtMostOnce && r.mayRun:
 		return r.end(r.reason(f), 0)
-	case (r.worked(f) || r.set.RefusalsCost && f.Kind == KindRefused) && !allow():
+	case r.costs(f) && !allow():
 		return r.end(r.reason(f), retry.MaxDelay)
 	}
 	return r.again(f, jitter, now)
 }
 
+// costs tells whether another attempt takes a retry out of the budget.
+func (r *Request) costs(f Failure) bool {
+	return r.worked(f) || r.set.RefusalsCost && f.Kind == KindRefused
+}
+
 // again returns the step of another attempt, when there is time for one.
 func (r *Request) again(f Failure, jitter float64, now time.Time) Step {
 	wait := retry.Backoff(r.attempts+r.refusals, jitter)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -154,11 +154,17 @@
 	return out
 }
 
-// Usable returns the targets of a service that may be sent work, sorted by id.
+// Usable returns the targets of a service that may be sent work, sorted by id. Where
+// several entries name one address, only the target that started last can be there: the
+// entries of those before have not lapsed yet.
 func (r *Roster) Usable(s fleet.Service) []Target {
+	last := map[string]fleet.Incarnation{}
+	for _, x := range r.rows {
+		last[x.Address] = max(last[x.Address], x.Born)
+	}
 	var out []Target
 	for _, x := range r.rows {
-		if x.Service == s && x.State == StateReady {
+		if x.Service == s && x.State == StateReady && x.Born >= last[x.Address] {
 			out = append(out, x.Target)
 		}
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -50,3 +50,16 @@
 	assert.Equal(t, len(r.Usable("s")), 0)
 	assert.Assert(t, r.Removed("a", t0))
 }
+
+// After a loss of power the store still lists the targets of before beside those that
+// started at the same addresses.
+func TestOneTargetAnAddress(t *testing.T) {
+	r := roster.New(roster.DefaultSettings)
+	before, after := ready("before"), ready("after")
+	before.Born, after.Born = 1, 2
+	r.Heard(after)
+	r.Heard(before)
+	list := r.Usable("s")
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].ID, fleet.InstanceID("after"))
+}
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -178,6 +178,15 @@
 	return s, ok
 }
 
+// Services returns every service, in no order.
+func (d *Document) Services() []*Service {
+	out := make([]*Service, 0, len(d.services))
+	for _, s := range d.services {
+		out = append(out, s)
+	}
+	return out
+}
+
 // Origin returns the service that hands out weights.
 func (d *Document) Origin() (*Service, bool) {
 	for _, s := range d.services {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -29,6 +29,8 @@
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Credentials are for mutual TLS; nil means none.
 	Credentials credentials.TransportCredentials
+	// ReconnectWait bounds the pause between two connections; 0 means maxReconnectWait.
+	ReconnectWait time.Duration
 }
 
 // Timing of connections.
@@ -54,6 +56,10 @@
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
+	wait := o.ReconnectWait
+	if wait == 0 {
+		wait = maxReconnectWait
+	}
 	opts := []grpc.DialOption{
 		grpc.WithTransportCredentials(creds),
 		// No call may be sent twice behind the back of the layer that counts.
@@ -62,7 +68,7 @@
 		grpc.WithNoProxy(),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingEvery, Timeout: pingTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.3, MaxDelay: maxReconnectWait},
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.3, MaxDelay: wait},
 			MinConnectTimeout: connectTimeout,
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
