Weights: an agent has one name over restarts of its target

Cause: the planner named an agent by its target's id, which changes when the target starts again; an agent that did not know of its own target's start counted itself twice and waited for itself.

--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -118,20 +118,19 @@
 // verifyStaged reads every staged piece again right before the order, since pieces may
 // turn bad where they lie, and stages those anew that did.
 func (d *driver) verifyStaged(ctx context.Context, m fleet.Model, w *weights) bool {
-	ok := true
+	ok, replaced := true, 0
 	for i := range w.manifest.Chunks {
 		data, err := d.s.engine.Staged(ctx, m, i)
 		if err == nil && w.manifest.Verify(i, data) {
 			continue
 		}
-		if err == nil {
-			d.s.log.weights.Warn().Int("piece", i).Uint64("version", w.version).Msg("staged piece is not the wanted one")
-		}
+		replaced++
 		if err := d.s.engine.Put(ctx, m, i, w.piece(i)); err != nil {
 			d.s.log.weights.Warn().Int("piece", i).Err(err).Msg("piece cannot be staged")
 			ok = false
 		}
 	}
+	d.s.log.weights.Info().Uint64("version", w.version).Int("replaced", replaced).Bool("whole", ok).Msg("staged pieces are verified")
 	return ok
 }
 
@@ -170,7 +169,7 @@
 	key := strconv.FormatUint(version, 10)
 	for _, r := range regions {
 		slices.SortFunc(byRegion[r], func(a, b roster.Target) int {
-			return cmp.Compare(rank.Score(key, string(a.ID)), rank.Score(key, string(b.ID)))
+			return cmp.Compare(rank.Score(key, a.Address), rank.Score(key, b.Address))
 		})
 	}
 	var out []roster.Target
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -289,25 +289,17 @@
 	return 0
 }
 
-// mates returns the other agents of the group by the target beside them. mu is held.
+// mates returns the agents of the group by the address of the target beside them. The
+// address stays when a target starts again under another id, so that agents that know of
+// the start and others agree on who brings in what. mu is held.
 func (s *Sidecar) mates() map[fleet.InstanceID]roster.Target {
 	out := map[fleet.InstanceID]roster.Target{}
 	for _, t := range s.roster.Usable(s.set.TargetService) {
-		out[t.ID] = t
+		out[fleet.InstanceID(t.Address)] = t
 	}
 	return out
 }
 
-// self returns the target beside this process. mu is held.
-func (s *Sidecar) self() (roster.Target, bool) {
-	for _, t := range s.roster.All() {
-		if t.Address == s.set.TargetAddress {
-			return t, true
-		}
-	}
-	return roster.Target{}, false
-}
-
 // peerAddress returns where the process beside a target is reached.
 func (s *Sidecar) peerAddress(t roster.Target) string {
 	return net.JoinHostPort(platform.HostOf(t.Address), strconv.Itoa(s.set.FirstPort))
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -118,10 +118,7 @@
 	s := k.s
 	ctx, cancel := context.WithCancel(ctx)
 	s.mu.Lock()
-	self := s.set.Instance
-	if t, ok := s.self(); ok {
-		self = t.ID
-	}
+	self := fleet.InstanceID(s.set.TargetAddress)
 	random := rand.New(rand.NewPCG(s.random.Uint64(), s.random.Uint64()))
 	w := &weights{
 		s: s, model: m, version: version, name: man.Version, manifest: man, origin: originAddr, cancel: cancel,
