--- a/app/sidecar/module.go
+++ b/app/sidecar/module.go
@@ -23,7 +23,19 @@
 func newSidecar(set *platform.Settings, l *telemetry.Logs, m *telemetry.Metrics) *Sidecar {
 	client := node.Overrides{}.WithDefaults().HTTPClient()
 	return New(set, clock.System{}, l, m, peer.NewPool(peer.DialOptions{ReconnectWait: reconnectWait}),
-		platform.NewEngine(set.TargetAddress, client), platform.NewOrigin(client), platform.NewStore(set.StoreAddress, client), uint64(time.Now().UnixNano()))
+		platform.NewEngine(set.TargetAddress, client), platform.NewOrigin(newOriginClient()), platform.NewStore(set.StoreAddress, client), uint64(time.Now().UnixNano()))
+}
+
+// originIdle is how long an unused connection to the origin is kept. The origin accepts few
+// connections from all agents together, and one that is idle keeps others out.
+const originIdle = 250 * time.Millisecond
+
+// newOriginClient returns a client that holds one connection.
+func newOriginClient() *http.Client {
+	d := net.Dialer{Timeout: callTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: d.DialContext, MaxConnsPerHost: 1, IdleConnTimeout: originIdle, DisableCompression: true,
+	}}
 }
 
 // reconnectWait is the longest pause between two connections to a process that does not
