--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -172,13 +172,18 @@
 			return cmp.Compare(rank.Score(key, a.Address), rank.Score(key, b.Address))
 		})
 	}
+	origin := s.originRegion()
 	var out []roster.Target
-	for i := 0; ; i++ {
+	for {
 		n := len(out)
 		for _, r := range regions {
-			if i < len(byRegion[r]) {
-				out = append(out, byRegion[r][i])
+			take := 1
+			if r == origin {
+				take = originTurns
 			}
+			take = min(take, len(byRegion[r]))
+			out = append(out, byRegion[r][:take]...)
+			byRegion[r] = byRegion[r][take:]
 		}
 		if len(out) == n {
 			return out
@@ -186,6 +191,22 @@
 	}
 }
 
+// originTurns is how many agents of the origin's region come in each turn. They bring the
+// pieces in, and one alone cannot use the origin's link up.
+const originTurns = 2
+
+// originRegion returns the region of the origin, empty when none is known. mu is held.
+func (s *Sidecar) originRegion() fleet.Region {
+	if s.doc == nil {
+		return ""
+	}
+	o, ok := s.doc.Origin()
+	if !ok {
+		return ""
+	}
+	return s.set.Regions[o.Zone]
+}
+
 // placeOf returns the position of the engine at an address. mu is held.
 func (s *Sidecar) placeOf(addr string, version uint64) upgrade.Place {
 	list := s.groupOrder(version)
--- a/app/sidecar/module.go
+++ b/app/sidecar/module.go
@@ -28,13 +28,18 @@
 
 // originIdle is how long an unused connection to the origin is kept. The origin accepts few
 // connections from all agents together, and one that is idle keeps others out.
-const originIdle = 250 * time.Millisecond
+const originIdle = 100 * time.Millisecond
 
-// newOriginClient returns a client that holds one connection.
+// originConns is how many connections an agent has to the origin: with two the link does
+// not stand still between a piece and the next. Only agents of the origin's region fetch
+// from it, so that all together stay below what it accepts.
+const originConns = 2
+
+// newOriginClient returns a client that holds few connections.
 func newOriginClient() *http.Client {
 	d := net.Dialer{Timeout: callTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxConnsPerHost: 1, IdleConnTimeout: originIdle, DisableCompression: true,
+		DialContext: d.DialContext, MaxConnsPerHost: originConns, MaxIdleConnsPerHost: originConns, IdleConnTimeout: originIdle, DisableCompression: true,
 	}}
 }
 
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -22,7 +22,10 @@
 
 // Timing of the weights' loop.
 const (
-	planEvery    = 25 * time.Millisecond
+	planEvery = 25 * time.Millisecond
+	// originDelay is how long an agent waits before it asks the origin for a piece: all know
+	// the group when a version is named.
+	originDelay  = 20 * time.Millisecond
 	manifestWait = 200 * time.Millisecond // between two tries to get a manifest
 	heldBatch    = 30 * time.Millisecond  // news of pieces are sent together
 	slotWait     = 300 * time.Millisecond // an upload waits for a slot that long
@@ -36,6 +39,7 @@
 	set := swarm.DefaultSettings(self, region)
 	set.OriginRegion = origin
 	set.PeerFetches, set.RemoteFetches, set.OriginFetches, set.PerPeer = 2, 2, 2, 1
+	set.OriginDelay = originDelay
 	set.OriginBackoff, set.OriginDoubles = 150*time.Millisecond, 1
 	set.FirstTimeout, set.MinStall = 1500*time.Millisecond, 700*time.Millisecond
 	return set
@@ -386,7 +390,7 @@
 	for _, f := range w.planner.Next(now) {
 		fctx, cancel := context.WithTimeout(ctx, pieceTimeout)
 		w.cancels[f] = cancel
-		t := &pieceFetch{w: w, f: f, addr: w.addrs[f.Source.Peer]}
+		t := &pieceFetch{w: w, f: f, addr: w.addrs[f.Source.Peer], begun: now}
 		go t.run(fctx)
 	}
 }
@@ -474,6 +478,8 @@
 	w    *weights
 	f    swarm.Fetch
 	addr string
+	// begun is when the planner asked for the piece.
+	begun time.Time
 }
 
 func (t *pieceFetch) run(ctx context.Context) {
@@ -500,6 +506,8 @@
 	if t.f.Source.Kind == swarm.SourceOrigin {
 		w.s.metrics.Count("origin_bytes", int64(len(data)))
 	}
+	w.s.log.weights.Debug().Uint64("version", w.version).Int("piece", t.f.Chunk).Str("source", t.f.Source.Kind.String()).
+		Str("agent", string(t.f.Source.Peer)).Dur("took", now.Sub(t.begun)).Msg("piece")
 	w.mu.Lock()
 	w.end(t.f)
 	for _, extra := range w.planner.Done(t.f, now) {
