Store: one entry of each region reads for the others

Agents told 44 entries their load several times a second. Change: the reader of a region is drawn by rank from the live entries; the others follow its copy and look themselves when it is older than 1.35 s; load is told less often where many listen.

--- /dev/null
+++ b/app/gateway/gateway_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/app/settings"
+	"amaranthturn/app/telemetry"
+	"amaranthturn/core/roster"
+	"amaranthturn/io/peer"
+	"amaranthturn/platform"
+)
+
+type fakeClock struct{ t time.Time }
+
+func (c *fakeClock) Now() time.Time { return c.t }
+
+func newTest(t *testing.T) (*Gateway, *fakeClock) {
+	c := &fakeClock{time.Unix(1_000_000, 0)}
+	m := telemetry.NewMetrics("entry")
+	t.Cleanup(func() { _ = m.Close() })
+	set := &platform.Settings{
+		Instance: "e1", Zone: "z", Region: "r", Peers: "10.0.0.1:1", Callers: "10.0.0.1:2",
+		Bounds: platform.Bounds{VersionTime: 8 * time.Second, Stable: 3 * time.Second},
+	}
+	return New(set, c, telemetry.NewLogs(io.Discard, settings.Log{}, "e1"), m, peer.NewPool(peer.DialOptions{}), nil, nil, 1), c
+}
+
+// An entry was cut off from the store and is followed up by the one that reads for its
+// region: the store counts as reached again, so that a target whose entry ends has left
+// and has not lapsed. Found on deltaloom trouble-1 (DRAIN).
+func TestReachIsRegainedThroughAnotherEntry(t *testing.T) {
+	g, c := newTest(t)
+	g.roster.Heard(roster.Target{ID: "a", Service: "s", Address: "x", State: roster.StateReady})
+	g.reached(errors.New("cut off"))
+	g.followed(peer.StoreNews{At: 5})
+	c.t = c.t.Add(roster.DefaultSettings.LapseGrace + time.Second)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	assert.Assert(t, g.roster.Removed("a", c.t))
+}
+
+// The entry that reads for others lost the store: what lapses meanwhile is still used.
+func TestLossIsHeardThroughAnotherEntry(t *testing.T) {
+	g, c := newTest(t)
+	g.roster.Heard(roster.Target{ID: "a", Service: "s", Address: "x", State: roster.StateReady})
+	g.followed(peer.StoreNews{At: 5, Lost: true})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	assert.Assert(t, !g.roster.Removed("a", c.t))
+}
+
+// A restarted entry does not know since when a version is named: older weights may answer
+// only while a process that has just started is not held to the limit.
+func TestVersionsOfBeforeTheStart(t *testing.T) {
+	g, c := newTest(t)
+	n := &naming{}
+	g.named["m"] = n
+	n.Add(2, g.namedSince(c.t))
+	target := roster.Target{ID: "a", Held: []roster.Held{{Model: "m", Version: 1}}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	assert.Assert(t, g.serves(target, c.t))
+	assert.Assert(t, !g.serves(target, c.t.Add(3*time.Second)))
+	g.knows = true
+	assert.Equal(t, g.namedSince(c.t), c.t)
+}
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -20,6 +20,10 @@
 	// get most requests, and messages between regions are dear.
 	nearPeriod = 150 * time.Millisecond
 	farPeriod  = 500 * time.Millisecond
+	// nearShare and farShare are the least part of those periods for each entry, so that a
+	// target tells some thirty messages a second however many entries listen.
+	nearShare = 40 * time.Millisecond
+	farShare  = 80 * time.Millisecond
 	// rewatchPause is the wait before a broken load watch is made anew.
 	rewatchPause = 400 * time.Millisecond
 	// catchUpTimeout bounds a look at what another entry has read.
@@ -78,7 +82,7 @@
 	at := g.mirror.At()
 	g.mu.Unlock()
 	// The stream is ended after its first message, so its error says nothing.
-	_ = g.pool.Follow(ctx, addr, at, func(n peer.StoreNews) {
+	_ = g.pool.Follow(ctx, addr, at, copyBeat, func(n peer.StoreNews) {
 		cancel()
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -124,15 +128,22 @@
 			delete(g.watching, addr)
 		}
 	}
+	near, all := 1, 1
+	for _, r := range g.league.Live(g.now()) {
+		all++
+		if r.Zone == g.set.Zone {
+			near++
+		}
+	}
 	for addr, t := range wanted {
 		if _, ok := g.watching[addr]; ok {
 			continue
 		}
 		ctx, cancel := context.WithCancel(ctx)
 		g.watching[addr] = cancel
-		w := &loadWatch{g: g, target: addr, period: farPeriod}
+		w := &loadWatch{g: g, target: addr, period: max(farPeriod, time.Duration(all)*farShare)}
 		if t.Zone == g.set.Zone {
-			w.period = nearPeriod
+			w.period = max(nearPeriod, time.Duration(near)*nearShare)
 		}
 		go w.run(ctx)
 	}
@@ -156,18 +167,8 @@
 	}
 }
 
-// id returns the target that is listed at the address, the last one to start where there
-// are several. mu is held.
-func (w *loadWatch) id() (roster.Target, bool) {
-	var last roster.Target
-	found := false
-	for _, t := range w.g.roster.All() {
-		if t.Address == w.target && (!found || t.Born > last.Born) {
-			last, found = t, true
-		}
-	}
-	return last, found
-}
+// id returns the target that is listed at the address. mu is held.
+func (w *loadWatch) id() (roster.Target, bool) { return w.g.roster.At(w.target) }
 
 func (w *loadWatch) heard(l peer.TargetLoad) {
 	g := w.g
--- a/app/gateway/module.go
+++ b/app/gateway/module.go
@@ -94,7 +94,7 @@
 	for _, x := range append(s.directory, s.peers, s.callers) {
 		x.Start()
 	}
-	for _, r := range []node.Runner{&ticker{s.g}, &storeReader{g: s.g}, &mesher{s.g}} {
+	for _, r := range []node.Runner{&ticker{s.g}, &storeReader{g: s.g}, &copier{s.g}, &mesher{s.g}} {
 		s.loops.Go(r)
 	}
 	s.g.log.process.Info().Str("callers", set.Callers).Str("peers", set.Peers).Msg("gateway started")
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -20,6 +20,8 @@
 	// may fall silent without an end, and a configuration has to be in force two seconds
 	// after its acknowledgement.
 	watchWait = 1100 * time.Millisecond
+	// lookWait is the wait of an entry that another one reads for.
+	lookWait = 100 * time.Millisecond
 	// watchSlack is what a watch may take beyond its wait.
 	watchSlack = 400 * time.Millisecond
 	// rangeTimeout bounds the first read.
@@ -40,6 +42,10 @@
 // Run implements node.Runner.
 func (s *storeReader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !s.g.turn() {
+			node.Sleep(ctx, turnEvery)
+			continue
+		}
 		err := s.read(ctx)
 		if ctx.Err() != nil {
 			return
@@ -64,10 +70,11 @@
 	if at == 0 {
 		return s.readAll(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	wait := s.patience()
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	g.metrics.Count("store_calls", 1)
-	events, now, err := g.store.Watch(ctx, at, watchWait)
+	events, now, err := g.store.Watch(ctx, at, wait)
 	var se *platform.StoreError
 	if errors.As(err, &se) && se.Compacted() {
 		g.log.config.Warn().Uint64("revision", uint64(at)).Msg("store forgot its history: reading everything anew")
@@ -78,10 +85,29 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.take(g.mirror.Apply(events, now, g.now()))
+	if changes := g.mirror.Apply(events, now, g.now()); len(changes) > 0 {
+		g.take(changes)
+	} else {
+		g.tellFollowers() // that the copy is current
+	}
 	return nil
 }
 
+// patience returns how long the next watch waits. An entry that does not read for others
+// only looks whether it has missed anything, over a connection that is new: its last one
+// may have gone silent in the meantime.
+func (s *storeReader) patience() time.Duration {
+	g := s.g
+	g.mu.Lock()
+	reads := g.league.Reads(g.now())
+	g.mu.Unlock()
+	if reads {
+		return watchWait
+	}
+	g.store.Reconnect()
+	return lookWait
+}
+
 func (s *storeReader) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, rangeTimeout)
 	defer cancel()
@@ -110,9 +136,18 @@
 
 // reached notes whether the store answers.
 func (g *Gateway) reached(err error) {
-	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.noteReach(err)
+}
+
+// errCopyLost stands for the store being out of reach of the entry that reads it.
+var errCopyLost = errors.New("the entry that reads the store does not reach it")
+
+// noteReach notes whether the store answers this entry or the one that reads for it. mu is
+// held.
+func (g *Gateway) noteReach(err error) {
+	now := g.now()
 	switch {
 	case err != nil && !g.storeLost:
 		g.log.config.Warn().Err(err).Msg("store is out of reach")
@@ -160,13 +195,7 @@
 				n = &naming{}
 				g.named[c.Named.Model] = n
 			}
-			since := now
-			if !g.knows {
-				// Named before this process started: older weights are only used while a
-				// process that has just started is not held to the limit.
-				since = now.Add(g.set.Bounds.Stable - g.set.Bounds.VersionTime)
-			}
-			if n.Add(c.Named.Version, since) {
+			if n.Add(c.Named.Version, g.namedSince(now)) {
 				g.log.config.Info().Str("model", string(c.Named.Model)).Uint64("version", c.Named.Version).Msg("weights are named")
 			}
 			targets = true
@@ -182,9 +211,24 @@
 		g.refreshBoards(now)
 	}
 	if len(events) > 0 {
-		close(g.changed)
-		g.changed = make(chan struct{})
+		g.tellFollowers()
+	}
+}
+
+// tellFollowers wakes the streams of store news. mu is held.
+func (g *Gateway) tellFollowers() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// namedSince returns from when on the time of a version counts. One that was named before
+// this process started may be old: older weights are used only while a process that has
+// just started is not held to the limit.
+func (g *Gateway) namedSince(now time.Time) time.Time {
+	if g.knows {
+		return now
 	}
+	return now.Add(g.set.Bounds.Stable - g.set.Bounds.VersionTime)
 }
 
 func (g *Gateway) heard(t roster.Target) {
@@ -285,7 +329,7 @@
 }
 
 // Follow implements peer.MeshHandler.
-func (g *Gateway) Follow(ctx context.Context, after mirror.Revision, send func(peer.StoreNews) error) error {
+func (g *Gateway) Follow(ctx context.Context, after mirror.Revision, beat time.Duration, send func(peer.StoreNews) error) error {
 	for {
 		g.mu.Lock()
 		events, at, _ := g.mirror.Since(after)
@@ -302,10 +346,86 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
-		case <-time.After(followBeat):
+		case <-time.After(max(beat, minBeat)):
+		}
+	}
+}
+
+// minBeat bounds how often a stream of store news says that nothing has changed.
+const minBeat = 100 * time.Millisecond
+
+// Timing of what is heard from the entry that reads the store.
+const (
+	// copyBeat is the longest silence of that entry.
+	copyBeat = 300 * time.Millisecond
+	// copySilence ends a stream that has fallen silent.
+	copySilence = time.Second
+	// ownReadAge is the age of the copy from which an entry reads the store itself: a
+	// configuration has to be in force two seconds after its acknowledgement, whatever
+	// happened to the entry that reads.
+	ownReadAge = 1350 * time.Millisecond
+	// turnEvery is how often an entry looks whether it is to read.
+	turnEvery = 50 * time.Millisecond
+)
+
+// turn tells whether this entry reads the store now. mu is not held.
+func (g *Gateway) turn() bool {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.knows || g.league.Reads(now) || now.Sub(g.mirror.Seen()) > ownReadAge
+}
+
+// copier follows the entry that reads the store, when this one does not.
+type copier struct{ g *Gateway }
+
+// Run implements node.Runner.
+func (c *copier) Run(ctx context.Context) {
+	g := c.g
+	for node.Sleep(ctx, turnEvery) {
+		now := g.now()
+		g.mu.Lock()
+		addr, ok := g.league.Reader(g.random.Float64(), now)
+		reads := !g.knows || g.league.Reads(now)
+		g.mu.Unlock()
+		if ok && !reads {
+			c.follow(ctx, addr)
 		}
 	}
 }
 
-// followBeat is the longest silence of a stream of store news.
-const followBeat = time.Second
+func (c *copier) follow(ctx context.Context, addr string) {
+	g := c.g
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(copySilence, cancel)
+	defer silence.Stop()
+	g.mu.Lock()
+	at := g.mirror.At()
+	g.mu.Unlock()
+	err := g.pool.Follow(ctx, addr, at, copyBeat, func(n peer.StoreNews) {
+		silence.Reset(copySilence)
+		if !g.followed(n) {
+			cancel()
+		}
+	})
+	g.metrics.Count("store_streams_ended", 1)
+	g.log.config.Debug().Str("entry", addr).Err(err).Msg("stream of store news ended")
+}
+
+// followed takes news from the entry that reads the store, and tells whether to go on
+// following it.
+func (g *Gateway) followed(n peer.StoreNews) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	// Before the events: entries that lapsed while the store was away come with them.
+	switch {
+	case n.Lost:
+		g.noteReach(errCopyLost)
+	case n.Age < ownReadAge:
+		g.noteReach(nil)
+	}
+	g.take(g.mirror.Apply(n.Events, n.At, now.Add(-n.Age)))
+	return !n.Lost && !g.league.Reads(now)
+}
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -90,6 +90,7 @@
 	exchangeEvery = 2 * time.Second
 	// followSilence ends a stream of store news that should beat every second.
 	followSilence = 2500 * time.Millisecond
+	followBeat    = time.Second
 	followPause   = 200 * time.Millisecond
 )
 
@@ -192,7 +193,7 @@
 	s.mu.Lock()
 	at := s.mirror.At()
 	s.mu.Unlock()
-	err := s.pool.Follow(ctx, addr, at, func(n peer.StoreNews) {
+	err := s.pool.Follow(ctx, addr, at, followBeat, func(n peer.StoreNews) {
 		silence.Reset(followSilence)
 		if n.Lost || n.Age > staleAfter {
 			cancel() // another entry may reach the store
--- a/core/league/league.go
+++ b/core/league/league.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/rank"
 )
 
 // Settings are the constants of a League.
@@ -116,6 +117,46 @@
 	return out
 }
 
+// Reads tells whether this entry reads the platform's store for the others: one entry of
+// each region does.
+func (l *League) Reads(now time.Time) bool {
+	id, _ := l.reader(l.self.Region, now)
+	return id == l.self.Instance
+}
+
+// Reader returns the peer address of the entry that reads the store for this one: that of
+// its region, or another region's when the draw in [0, 1) falls on it.
+func (l *League) Reader(draw float64, now time.Time) (string, bool) {
+	regions := []fleet.Region{l.self.Region, l.self.Region}
+	for _, r := range l.Live(now) {
+		if !slices.Contains(regions, r.Region) {
+			regions = append(regions, r.Region)
+		}
+	}
+	id, addr := l.reader(regions[int(draw*float64(len(regions)))], now)
+	return addr, id != "" && id != l.self.Instance
+}
+
+func (l *League) reader(region fleet.Region, now time.Time) (fleet.InstanceID, string) {
+	rows := l.Live(now)
+	if !l.self.Leaving {
+		rows = append(rows, l.self)
+	}
+	var ids []fleet.InstanceID
+	addr := map[fleet.InstanceID]string{}
+	for _, r := range rows {
+		if r.Region == region {
+			ids = append(ids, r.Instance)
+			addr[r.Instance] = r.Address
+		}
+	}
+	if len(ids) == 0 {
+		return "", ""
+	}
+	first := rank.Top("store", ids, 1)[0]
+	return first, addr[first]
+}
+
 // Woke renews the leases after a pause of this process, in which nothing could be heard.
 func (l *League) Woke(now time.Time) {
 	for _, m := range l.rows {
--- a/core/league/league_test.go
+++ b/core/league/league_test.go
@@ -76,3 +76,49 @@
 	l.Merge([]league.Row{r}, t0)
 	assert.Equal(t, len(l.Live(t0)), 1, "news of an older incarnation do not count")
 }
+
+// Every region with a live entry has one reader, and all entries that know the same list
+// agree on it; when it dies another takes its place.
+func TestOneReaderARegion(t *testing.T) {
+	const n = 9
+	all := make([]*league.League, n)
+	for i := range n {
+		r := row(i)
+		r.Region = fleet.Region(fmt.Sprintf("r%d", i%3))
+		all[i] = league.New(league.DefaultSettings, r)
+	}
+	now := t0
+	readers := func(dead int) map[int]bool {
+		now = now.Add(league.DefaultSettings.Lease + time.Second)
+		for i, l := range all {
+			for j, o := range all {
+				if i != j && i != dead {
+					o.Merge(l.Rows(now), now)
+				}
+			}
+		}
+		out := map[int]bool{}
+		for i, l := range all {
+			if i != dead && l.Reads(now) {
+				out[i] = true
+			}
+		}
+		return out
+	}
+	first := readers(-1)
+	assert.Equal(t, len(first), 3)
+	for dead := range first {
+		// Rows of the dead one come from nobody any more.
+		after := map[int]bool{}
+		for i := range readers(dead) {
+			after[i%3] = true
+		}
+		assert.Equal(t, len(after), 3)
+		break
+	}
+	for i, l := range all {
+		if addr, ok := l.Reader(0, now); ok {
+			assert.Assert(t, addr != row(i).Address)
+		}
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -182,6 +182,20 @@
 	return out
 }
 
+// At returns the target at an address, the last one to start where there are several.
+func (r *Roster) At(address string) (Target, bool) {
+	var last *row
+	for _, x := range r.rows {
+		if x.Address == address && (last == nil || x.Born > last.Born) {
+			last = x
+		}
+	}
+	if last == nil {
+		return Target{}, false
+	}
+	return last.Target, true
+}
+
 // Get returns a target.
 func (r *Roster) Get(id fleet.InstanceID) (Target, bool) {
 	x, ok := r.rows[id]
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -44,8 +44,8 @@
 type MeshHandler interface {
 	Exchange(n EntryNews) EntryNews
 	// Follow calls send with what is known of the store after a revision, and again
-	// whenever more is, until ctx ends.
-	Follow(ctx context.Context, after mirror.Revision, send func(StoreNews) error) error
+	// whenever more is or beat has passed, until ctx ends.
+	Follow(ctx context.Context, after mirror.Revision, beat time.Duration, send func(StoreNews) error) error
 }
 
 // BesideHandler does the work of the process beside a target.
@@ -73,7 +73,7 @@
 
 // Follow implements peerpb.MeshServer.
 func (s *meshServer) Follow(p *peerpb.FollowRequest, st grpc.ServerStreamingServer[peerpb.StoreChanges]) error {
-	return s.h.Follow(st.Context(), mirror.Revision(p.GetAfter()), func(n StoreNews) error {
+	return s.h.Follow(st.Context(), mirror.Revision(p.GetAfter()), time.Duration(p.GetBeatMs())*time.Millisecond, func(n StoreNews) error {
 		out := &peerpb.StoreChanges{At: uint64(n.At), AgeMs: uint64(n.Age.Milliseconds()), Lost: n.Lost}
 		for _, e := range n.Events {
 			out.Events = append(out.Events, &peerpb.StoreEvent{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Deleted: e.Deleted})
@@ -146,13 +146,14 @@
 	return newsFromWire(r), nil
 }
 
-// Follow calls each for every message of the entry at addr about the store.
-func (p *Pool) Follow(ctx context.Context, addr string, after mirror.Revision, each func(StoreNews)) error {
+// Follow calls each for every message of the entry at addr about the store; one comes in
+// each beat at least.
+func (p *Pool) Follow(ctx context.Context, addr string, after mirror.Revision, beat time.Duration, each func(StoreNews)) error {
 	c, err := p.conn(addr)
 	if err != nil {
 		return err
 	}
-	st, err := peerpb.NewMeshClient(c).Follow(ctx, &peerpb.FollowRequest{After: uint64(after)})
+	st, err := peerpb.NewMeshClient(c).Follow(ctx, &peerpb.FollowRequest{After: uint64(after), BeatMs: uint32(beat.Milliseconds())})
 	if err != nil {
 		return lost(addr, err)
 	}
