--- a/app/agent/depot.go
+++ b/app/agent/depot.go
@@ -354,7 +354,7 @@
 		if ok && !still {
 			return send(peer.Held{Gone: true})
 		}
-		if added := newChunks(sent, now); len(added) > 0 || still && !ok {
+		if added := now.Since(sent); len(added) > 0 || still && !ok {
 			h := peer.Held{Added: added}
 			if !ok {
 				h = peer.Held{Bitmap: now}
@@ -367,17 +367,6 @@
 	}
 }
 
-// newChunks returns what is in now and not in sent.
-func newChunks(sent, now swarm.Bitmap) []int {
-	var out []int
-	for c := range 8 * len(now) {
-		if now.Has(c) && !sent.Has(c) {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
 // heldOf returns the chunks held of a version and a channel that is closed at the
 // next change.
 func (d *depot) heldOf(v fleet.Version) (swarm.Bitmap, <-chan struct{}, bool) {
--- a/app/agent/distribution.go
+++ b/app/agent/distribution.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -139,7 +140,7 @@
 		list = append(list, swarm.Member{ID: r.Instance.ID, Region: r.Instance.Region})
 		addr[r.Instance.ID] = r.Instance.Address
 	}
-	if !sameAddresses(addr, x.members) {
+	if !maps.Equal(addr, x.members) {
 		x.members = addr
 		x.planner.SetMembers(list, now)
 	}
@@ -155,18 +156,6 @@
 	return !r.Heard
 }
 
-func sameAddresses(a, b map[fleet.InstanceID]string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for id, addr := range a {
-		if b[id] != addr {
-			return false
-		}
-	}
-	return true
-}
-
 // watch keeps a watch on each peer that the planner wants. mu is held.
 func (x *distribution) watch(ctx context.Context, now time.Time) {
 	want := map[fleet.InstanceID]bool{}
--- a/app/gateway/module.go
+++ b/app/gateway/module.go
@@ -22,20 +22,13 @@
 var Module = fx.Module("gateway", fx.Provide(newGateway), fx.Invoke(serve))
 
 func newGateway(set *platform.Settings, l *telemetry.Logs, m *telemetry.Metrics) *Gateway {
-	return New(set, clock.System{}, l, m, peer.NewPool(peer.DialOptions{ReconnectWait: reconnectWait}),
+	return New(set, clock.System{}, l, m, peer.NewPool(peer.DialOptions{ReconnectWait: node.ReconnectWait}),
 		platform.NewStore(set.StoreAddress, newHTTPClient()), platform.NewTargets(target.NewPool()),
 		uint64(time.Now().UnixNano()))
 }
 
 func newHTTPClient() *http.Client { return node.Overrides{}.WithDefaults().HTTPClient() }
 
-// reconnectWait is the longest pause between two connections to a process that does not
-// answer: after a loss of power all start again within moments.
-const reconnectWait = 300 * time.Millisecond
-
-// MetricsPort serves the metrics; it lies outside the ports that a platform hands out.
-const MetricsPort = "9464"
-
 // Timing of a stop, within the platform's grace of eight seconds.
 const (
 	// lameDuck is how long callers that still know the address are answered and told to
@@ -80,7 +73,7 @@
 		}
 		s.directory = append(s.directory, node.NewHTTP(l, platform.NewDirectory(s.g)))
 	}
-	metrics, err := o.ListenOn("metrics", net.JoinHostPort(set.IP, MetricsPort))
+	metrics, err := o.ListenOn("metrics", net.JoinHostPort(set.IP, node.MetricsPort))
 	if err != nil {
 		return err
 	}
--- a/app/node/node.go
+++ b/app/node/node.go
@@ -40,6 +40,15 @@
 	return telemetry.NewLogs(o.LogTo, s.Log, s.Instance)
 }
 
+// What daemons on the users' platform have in common.
+const (
+	// MetricsPort serves the metrics; it lies outside the ports that the platform hands out.
+	MetricsPort = "9464"
+	// ReconnectWait is the longest pause between two connections to a process that does not
+	// answer: after a loss of power all start again within moments.
+	ReconnectWait = 300 * time.Millisecond
+)
+
 // Sleep waits, or tells that ctx ended before.
 func Sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/app/sidecar/module.go
+++ b/app/sidecar/module.go
@@ -22,7 +22,7 @@
 
 func newSidecar(set *platform.Settings, l *telemetry.Logs, m *telemetry.Metrics) *Sidecar {
 	client := node.Overrides{}.WithDefaults().HTTPClient()
-	return New(set, clock.System{}, l, m, peer.NewPool(peer.DialOptions{ReconnectWait: reconnectWait}),
+	return New(set, clock.System{}, l, m, peer.NewPool(peer.DialOptions{ReconnectWait: node.ReconnectWait}),
 		platform.NewEngine(set.TargetAddress, client), platform.NewOrigin(newOriginClient()), platform.NewStore(set.StoreAddress, client), uint64(time.Now().UnixNano()))
 }
 
@@ -43,13 +43,6 @@
 	}}
 }
 
-// reconnectWait is the longest pause between two connections to a process that does not
-// answer: after a loss of power all start again within moments.
-const reconnectWait = 300 * time.Millisecond
-
-// MetricsPort serves the metrics; it lies outside the ports that a platform hands out.
-const MetricsPort = "9464"
-
 type server struct {
 	s       *Sidecar
 	loops   *node.Loops
@@ -68,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	metrics, err := o.ListenOn("metrics", net.JoinHostPort(x.s.set.IP, MetricsPort))
+	metrics, err := o.ListenOn("metrics", net.JoinHostPort(x.s.set.IP, node.MetricsPort))
 	if err != nil {
 		return err
 	}
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -377,7 +378,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !sameAddrs(addrs, w.addrs) {
+	if !maps.Equal(addrs, w.addrs) {
 		w.addrs = addrs
 		w.planner.SetMembers(members, now)
 	}
@@ -395,18 +396,6 @@
 	}
 }
 
-func sameAddrs(a, b map[fleet.InstanceID]string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for k, v := range a {
-		if b[k] != v {
-			return false
-		}
-	}
-	return true
-}
-
 // end forgets a fetch. mu is held.
 func (w *weights) end(f swarm.Fetch) {
 	if cancel, ok := w.cancels[f]; ok {
@@ -616,7 +605,7 @@
 		w.mu.Unlock()
 		h := peer.Held{Bitmap: held}
 		if told != nil {
-			h = peer.Held{Added: added(told, held)}
+			h = peer.Held{Added: held.Since(told)}
 		}
 		if told == nil || len(h.Added) > 0 {
 			if err := send(h); err != nil {
@@ -634,14 +623,3 @@
 		}
 	}
 }
-
-// added returns what is in now and not in before.
-func added(before, now swarm.Bitmap) []int {
-	var out []int
-	for c := range 8 * len(now) {
-		if now.Has(c) && !before.Has(c) {
-			out = append(out, c)
-		}
-	}
-	return out
-}
--- a/cmd/amaranthturn/cmds/serve.go
+++ b/cmd/amaranthturn/cmds/serve.go
@@ -15,7 +15,7 @@
 )
 
 type serveCommand struct {
-	Settings string `long:"settings" description:"settings file; default: the path in AMARANTHTURN_CONFIG"`
+	Settings string `long:"settings" description:"settings file; default: where the platform puts it"`
 	LogLevel string `long:"log-level" default:"info" description:"debug, info, warn or error"`
 }
 
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -19,13 +19,13 @@
 // A whole read that began before a write must not undo what a watch told meanwhile.
 func TestLoadKeepsNewerItems(t *testing.T) {
 	m := mirror.New()
-	m.Apply([]mirror.Event{put("servers/a", 9)}, 9, t0)
-	m.Load("servers/", []mirror.Event{put("servers/a", 5), put("servers/b", 6)}, 7, t0)
-	a, ok := m.Get("servers/a")
+	m.Apply([]mirror.Event{put("t/a", 9)}, 9, t0)
+	m.Load("t/", []mirror.Event{put("t/a", 5), put("t/b", 6)}, 7, t0)
+	a, ok := m.Get("t/a")
 	assert.Assert(t, ok)
 	assert.Equal(t, a.Revision, mirror.Revision(9))
-	m.Load("servers/", []mirror.Event{put("servers/b", 6)}, 12, t0)
-	_, ok = m.Get("servers/a")
+	m.Load("t/", []mirror.Event{put("t/b", 6)}, 12, t0)
+	_, ok = m.Get("t/a")
 	assert.Assert(t, !ok, "an item that a later whole read lacks is deleted")
 }
 
--- a/core/swarm/bitmap.go
+++ b/core/swarm/bitmap.go
@@ -25,6 +25,17 @@
 	}
 }
 
+// Since returns the chunks that are in the set and were not in before.
+func (b Bitmap) Since(before Bitmap) []int {
+	var out []int
+	for c := range 8 * len(b) {
+		if b.Has(c) && !before.Has(c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // Count returns the size of the set.
 func (b Bitmap) Count() int {
 	n := 0
--- a/core/upgrade/naming.go
+++ b/core/upgrade/naming.go
@@ -63,13 +63,18 @@
 	return time.Time{}, false
 }
 
+// skipGap is the time between two namings below which the older version is not worth
+// having: nothing of it has arrived when the newer one is known.
+const skipGap = 500 * time.Millisecond
+
 // Missing returns the versions after one that are worth having, oldest first: the newest,
-// and the one before it, which may be had sooner.
+// and the one before it, which may be had sooner when it was named earlier.
 func (n Namings) Missing(after uint64) []uint64 {
 	var out []uint64
-	for _, x := range n[max(0, len(n)-2):] {
-		if x.Version > after {
-			out = append(out, x.Version)
+	for i := max(0, len(n)-2); i < len(n); i++ {
+		last := i == len(n)-1
+		if n[i].Version > after && (last || n[i+1].Since.Sub(n[i].Since) >= skipGap) {
+			out = append(out, n[i].Version)
 		}
 	}
 	return out
--- a/core/upgrade/upgrade_test.go
+++ b/core/upgrade/upgrade_test.go
@@ -78,3 +78,12 @@
 	assert.DeepEqual(t, n.Missing(1), []uint64{2, 3})
 	assert.Equal(t, n.After(2), t0.Add(2*time.Second))
 }
+
+// Two versions become known together, as after the store was away while they were named:
+// only the newest is fetched.
+func TestVersionsThatBecomeKnownTogether(t *testing.T) {
+	var n upgrade.Namings
+	n.Add(2, t0)
+	n.Add(3, t0.Add(100*time.Millisecond))
+	assert.DeepEqual(t, n.Missing(1), []uint64{3})
+}
