Choice: entries prefer home targets of their own

Cause: between two reports all entries of a zone chose the same least loaded target (replayed in core/load: 11 entries beside 9 targets put 26 requests or more on 12 slots). Ruled out: a bonus of 0.2 of the slots, with which the replay still overfills.

--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -247,11 +247,23 @@
 		return
 	}
 	bySvc := map[fleet.Service][]load.Target{}
+	place, entries := g.league.Place(now)
 	for _, svc := range doc.Services() {
-		for _, t := range g.roster.Usable(svc.Name) {
+		usable := g.roster.Usable(svc.Name)
+		near, at := 0, 0
+		for _, t := range usable {
+			if t.Zone == g.set.Zone {
+				near++
+			}
+		}
+		for _, t := range usable {
 			row := load.Target{ID: t.ID, Born: t.Born, Slots: max(1, t.Slots), Near: t.Zone == g.set.Zone}
 			if svc.Engine != nil {
 				row.Closed = !g.serves(t, now)
+				row.Home = row.Near && load.IsHome(place, entries, at, near)
+			}
+			if row.Near {
+				at++
 			}
 			bySvc[t.Service] = append(bySvc[t.Service], row)
 		}
--- a/core/league/league.go
+++ b/core/league/league.go
@@ -117,6 +117,22 @@
 	return out
 }
 
+// Place returns this entry's position among the live entries of its zone, and their
+// number.
+func (l *League) Place(now time.Time) (index, count int) {
+	count = 1
+	for _, r := range l.Live(now) {
+		if r.Zone != l.self.Zone {
+			continue
+		}
+		count++
+		if r.Instance < l.self.Instance {
+			index++
+		}
+	}
+	return index, count
+}
+
 // Reads tells whether this entry reads the platform's store for the others: one entry of
 // each region does.
 func (l *League) Reads(now time.Time) bool {
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -21,6 +21,9 @@
 // from reports, which are some hundred milliseconds old. What is not its own in a report
 // fades with the report's age.
 //
+// Many entries beside few targets: between two reports all would choose the same least
+// loaded target. Each prefers home targets of its own, whose load it knows best.
+//
 // A target that fails fast would attract all requests: each failure keeps requests away
 // for a time that doubles.
 package load
@@ -51,6 +54,10 @@
 type Settings struct {
 	// ReportLife is the age at which what a report says of others' requests counts half.
 	ReportLife time.Duration
+	// HomeBonus is the load, as a share of the slots, that a home target may be above others
+	// and is still chosen: entries that prefer different targets do not fill the same one
+	// between two reports.
+	HomeBonus float64
 	// RemotePenalty is the load, as a share of the slots, that a target of another zone
 	// must be below a near one to be chosen.
 	RemotePenalty float64
@@ -65,7 +72,7 @@
 // DefaultSettings suit engines that report a few times a second and links between regions
 // that are thin.
 var DefaultSettings = Settings{
-	ReportLife: 700 * time.Millisecond, RemotePenalty: 0.35,
+	ReportLife: 700 * time.Millisecond, HomeBonus: 0.5, RemotePenalty: 0.35,
 	FullPause: 60 * time.Millisecond, FailPause: 300 * time.Millisecond, FailPauseMax: 5 * time.Second,
 	PrefillWeight: 2,
 }
@@ -76,6 +83,8 @@
 	Born  fleet.Incarnation
 	Slots int
 	Near  bool
+	// Home targets are those that this entry prefers among the near ones.
+	Home bool
 	// Closed targets keep the requests that they have and get no new ones.
 	Closed bool
 }
@@ -254,7 +263,10 @@
 
 func (b *Board) score(r *row, total float64) float64 {
 	score := (total+b.set.PrefillWeight*float64(r.unread)/1000)/float64(max(1, r.Slots)) + errorWeight*r.errors
-	if !r.Near {
+	switch {
+	case r.Home:
+		score -= b.set.HomeBonus
+	case !r.Near:
 		score += b.set.RemotePenalty
 	}
 	return score
@@ -272,3 +284,15 @@
 
 // Observe implements admit.Limiter; the room is known without it.
 func (r Room) Observe(time.Duration, int, time.Time) {}
+
+// IsHome tells whether the target at an index of a zone's sorted list is a home target of
+// the entry at an index of the zone's. Every target has an entry and every entry a target.
+func IsHome(entry, entries, target, targets int) bool {
+	if entries <= 0 || targets <= 0 {
+		return false
+	}
+	if entries >= targets {
+		return entry*targets/entries == target
+	}
+	return target*entries/targets == entry
+}
--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -100,3 +100,67 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, b.Room(t0), 0)
 }
+
+// Replays a zone of 11 entries beside 9 targets in which each entry has half of its share
+// in flight and reports are half a second old. Without home targets the entries fill the
+// same ones; the fullest target must stay within its slots.
+func TestManyEntriesDoNotFillOneTarget(t *testing.T) {
+	const entries, targets, slots, each = 11, 9, 12, 5
+	fullest := func(bonus float64) int {
+		set := load.DefaultSettings
+		set.HomeBonus = bonus
+		var total [targets]int
+		random := rand.New(rand.NewPCG(5, 6))
+		for e := range entries {
+			b := load.NewBoard(set, random)
+			var rows []load.Target
+			for i := range targets {
+				rows = append(rows, load.Target{ID: id(i), Slots: slots, Near: true, Home: load.IsHome(e, entries, i, targets)})
+			}
+			b.SetTargets(rows)
+			// Before the burst the reports showed one target as the emptiest.
+			for i := range targets {
+				b.Reported(id(i), min(i, 2), t0)
+			}
+			for range each {
+				got, ok := b.Choose(load.Query{}, t0)
+				assert.Assert(t, ok)
+				b.Started(got, 0)
+				for i := range targets {
+					if got == id(i) {
+						total[i]++
+					}
+				}
+			}
+		}
+		most := 0
+		for _, n := range total {
+			most = max(most, n)
+		}
+		return most
+	}
+	assert.Assert(t, fullest(0) > slots, "the pattern must overfill without home targets: %d", fullest(0))
+	assert.Assert(t, fullest(load.DefaultSettings.HomeBonus) <= slots, "%d", fullest(load.DefaultSettings.HomeBonus))
+}
+
+func TestEveryEntryAndTargetHasAHome(t *testing.T) {
+	for entries := 1; entries < 15; entries++ {
+		for targets := 1; targets < 15; targets++ {
+			var e, x [15]int
+			for i := range entries {
+				for j := range targets {
+					if load.IsHome(i, entries, j, targets) {
+						e[i]++
+						x[j]++
+					}
+				}
+			}
+			for i := range entries {
+				assert.Assert(t, e[i] > 0, "%d entries, %d targets", entries, targets)
+			}
+			for j := range targets {
+				assert.Assert(t, x[j] > 0, "%d entries, %d targets", entries, targets)
+			}
+		}
+	}
+}
