--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -19,7 +19,7 @@
 	// watchWait is how long a watch waits for a change. Each watch costs a call; but a watch
 	// may fall silent without an end, and a configuration has to be in force two seconds
 	// after its acknowledgement.
-	watchWait = 1100 * time.Millisecond
+	watchWait = time.Second
 	// lookWait is the wait of an entry that another one reads for.
 	lookWait = 100 * time.Millisecond
 	// watchSlack is what a watch may take beyond its wait.
@@ -35,8 +35,9 @@
 
 // storeReader follows the platform's store.
 type storeReader struct {
-	g    *Gateway
-	wait time.Duration
+	g       *Gateway
+	wait    time.Duration
+	changed bool // the last call brought changes
 }
 
 // Run implements node.Runner.
@@ -53,7 +54,9 @@
 		s.g.reached(err)
 		if err == nil {
 			s.wait = 0
-			node.Sleep(ctx, batchPause)
+			if s.changed {
+				node.Sleep(ctx, batchPause)
+			}
 			continue
 		}
 		s.wait = min(max(storeRetry, 2*s.wait), storeRetryMax)
@@ -85,7 +88,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if changes := g.mirror.Apply(events, now, g.now()); len(changes) > 0 {
+	changes := g.mirror.Apply(events, now, g.now())
+	s.changed = len(changes) > 0
+	if s.changed {
 		g.take(changes)
 	} else {
 		g.tellFollowers() // that the copy is current
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -78,7 +78,7 @@
 		},
 		random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), mirror: mirror.New(), roster: roster.New(roster.DefaultSettings),
 		// The list holds entries; this process is none and tells nobody of itself.
-		league: league.New(league.DefaultSettings, league.Row{}), named: map[fleet.Model]*upgrade.Namings{},
+		league: league.New(league.DefaultSettings, league.Row{Region: set.Region}), named: map[fleet.Model]*upgrade.Namings{},
 		load: make(chan struct{}), weights: map[uint64]*weights{}, uploads: make(chan struct{}, uploadSlots),
 	}
 }
--- a/core/league/league.go
+++ b/core/league/league.go
@@ -180,13 +180,25 @@
 	}
 }
 
-// Partner returns the peer address for the next exchange: a live entry, or a seed when
-// the draw in [0, 1) falls on one. Seeds stay in the draw, so that two groups which lost
-// each other meet again.
+// nearShare is the part of the exchanges that stay in the region, where messages are cheap.
+const nearShare = 0.75
+
+// Partner returns the peer address for the next exchange: mostly an entry of the region,
+// else any live entry or a seed, as the draw in [0, 1) falls. Seeds stay in the draw, so
+// that two groups which lost each other meet again.
 func (l *League) Partner(seeds []string, draw float64, now time.Time) (string, bool) {
-	var list []string
+	var list, near []string
 	for _, r := range l.Live(now) {
 		list = append(list, r.Address)
+		if r.Region == l.self.Region {
+			near = append(near, r.Address)
+		}
+	}
+	if draw < nearShare && len(near) > 0 {
+		return near[int(draw/nearShare*float64(len(near)))], true
+	}
+	if len(near) > 0 {
+		draw = (draw - nearShare) / (1 - nearShare)
 	}
 	for _, s := range seeds {
 		if s != l.self.Address && !slices.Contains(list, s) {
