--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -64,6 +64,7 @@
 	inFlight sync.WaitGroup
 
 	mu        sync.Mutex // guards all below
+	seeds     []string
 	random    *rand.Rand
 	mirror    *mirror.Mirror
 	changed   chan struct{} // closed and replaced when the mirror changes
@@ -118,7 +119,7 @@
 			requests: l.Of(telemetry.SubsystemRequests), process: l.Of(telemetry.SubsystemProcess),
 		},
 		random: rand.New(rand.NewPCG(seed, uint64(now.UnixNano()))),
-		mirror: mirror.New(), changed: make(chan struct{}), roster: roster.New(roster.DefaultSettings),
+		seeds:  set.Seeds, mirror: mirror.New(), changed: make(chan struct{}), roster: roster.New(roster.DefaultSettings),
 		league: league.New(league.DefaultSettings, league.Row{
 			Instance: set.Instance, Incarnation: fleet.Incarnation(now.UnixNano()), Region: set.Region, Zone: set.Zone,
 			Address: set.Peers, Caller: set.Callers,
@@ -145,6 +146,15 @@
 // Leaving implements platform.Gateway.
 func (g *Gateway) Leaving() bool { return g.leaving.Load() }
 
+// Reload takes the settings that may change while the daemon runs: the seeds. Others need
+// a restart.
+func (g *Gateway) Reload(set *platform.Settings) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeds = set.Seeds
+	g.log.process.Info().Strs("seeds", set.Seeds).Msg("settings are read again")
+}
+
 // Limits implements platform.Gateway.
 func (g *Gateway) Limits() routing.Limits {
 	if d := g.doc.Load(); d != nil {
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -49,7 +49,7 @@
 	g := m.g
 	now := g.now()
 	g.mu.Lock()
-	addr, ok := g.league.Partner(g.set.Seeds, g.random.Float64(), now)
+	addr, ok := g.league.Partner(g.seeds, g.random.Float64(), now)
 	news := g.news(now)
 	at := g.mirror.At()
 	g.mu.Unlock()
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -47,6 +47,7 @@
 	log     logs
 
 	mu      sync.Mutex // guards all below
+	seeds   []string
 	random  *rand.Rand
 	mirror  *mirror.Mirror
 	roster  *roster.Roster
@@ -76,13 +77,22 @@
 			config: l.Of(telemetry.SubsystemConfig), members: l.Of(telemetry.SubsystemMembers), weights: l.Of(telemetry.SubsystemWeights),
 			engine: l.Of(telemetry.SubsystemEngine), process: l.Of(telemetry.SubsystemProcess),
 		},
-		random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), mirror: mirror.New(), roster: roster.New(roster.DefaultSettings),
+		seeds: set.Seeds, random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), mirror: mirror.New(), roster: roster.New(roster.DefaultSettings),
 		// The list holds entries; this process is none and tells nobody of itself.
 		league: league.New(league.DefaultSettings, league.Row{Region: set.Region}), named: map[fleet.Model]*upgrade.Namings{},
 		load: make(chan struct{}), weights: map[uint64]*weights{}, uploads: make(chan struct{}, uploadSlots),
 	}
 }
 
+// Reload takes the settings that may change while the daemon runs: the seeds. Others need
+// a restart.
+func (s *Sidecar) Reload(set *platform.Settings) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seeds = set.Seeds
+	s.log.process.Info().Strs("seeds", set.Seeds).Msg("settings are read again")
+}
+
 func (s *Sidecar) now() time.Time { return s.clock.Now() }
 
 // Timing of what is heard from entries.
@@ -102,7 +112,7 @@
 	s := w.s
 	for ctx.Err() == nil {
 		s.mu.Lock()
-		addr, ok := s.league.Partner(s.set.Seeds, s.random.Float64(), s.now())
+		addr, ok := s.league.Partner(s.seeds, s.random.Float64(), s.now())
 		known := len(s.league.Live(s.now()))
 		s.mu.Unlock()
 		if ok {
--- a/cmd/amaranthturn/cmds/serve.go
+++ b/cmd/amaranthturn/cmds/serve.go
@@ -1,8 +1,13 @@
 package cmds
 
 import (
+	"context"
 	"errors"
+	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"go.uber.org/fx"
 
@@ -31,16 +36,49 @@
 	if err != nil {
 		return p.fail(ExitNot, err)
 	}
-	module := gateway.Module
+	// Without a handler the signal would end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	r := &reloader{path: path, signals: hangups, err: p.err}
+	module := fx.Options(gateway.Module, fx.Invoke(func(g *gateway.Gateway) { r.daemon = g }))
 	if args[0] == "agent" {
-		module = sidecar.Module
+		module = fx.Options(sidecar.Module, fx.Invoke(func(s *sidecar.Sidecar) { r.daemon = s }))
 	}
 	w := telemetry.NewWriter(p.out)
 	defer w.Close()
 	logs := telemetry.NewLogs(w, settings.Log{Level: c.LogLevel}, string(s.Instance))
 	app := fx.New(module, fx.NopLogger, fx.StopTimeout(s.Bounds.Grace), fx.Supply(s, logs, telemetry.NewMetrics(args[0])))
+	go r.run(p.ctx)
 	if err := node.Run(p.ctx, app, s.Bounds.Grace); err != nil {
 		return p.fail(ExitNot, errors.Join(errors.New(string(s.Instance)), err))
 	}
 	return ExitOK
 }
+
+// reloader reads the settings file again at each hangup signal.
+type reloader struct {
+	path    string
+	signals <-chan os.Signal
+	err     io.Writer
+	daemon  interface{ Reload(set *platform.Settings) }
+}
+
+// run reloads until ctx ends. A file that cannot be used changes nothing.
+func (r *reloader) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.signals:
+		}
+		set, err := platform.LoadSettings(r.path)
+		if err != nil {
+			_, _ = fmt.Fprintf(r.err, "amaranthturn: settings are kept: %v\n", err)
+			continue
+		}
+		if r.daemon != nil {
+			r.daemon.Reload(set)
+		}
+	}
+}
