--- a/cmd/amaranthturn/cmds/serve_test.go
+++ b/cmd/amaranthturn/cmds/serve_test.go
@@ -14,21 +14,13 @@
 	"amaranthturn/platform"
 )
 
-const settingsFile = `Node = "entry-1"
-Ip = "127.0.0.1"
-Zone = "z"
-Region = "r"
-InternalPorts = [7700, 7715]
-Seeds = ["10.0.0.1:1"]
-Serves = ["edge", "control_plane", "registry"]
-[Listen]
-Front = "127.0.0.1:1"
-Readiness = "127.0.0.1:2"
-Control = "127.0.0.1:3"
-Directory = "127.0.0.1:4"
-[Platform]
-Address = "127.0.0.1:5"
-`
+// settingsFile is the platform's settings file of an entry.
+func settingsFile(t *testing.T) string {
+	t.Helper()
+	body, err := os.ReadFile("../../../platform/testdata/settings.toml")
+	assert.NilError(t, err)
+	return string(body)
+}
 
 type reloaded struct{ seeds chan []string }
 
@@ -52,7 +44,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(50 * time.Millisecond)
-	write(settingsFile)
+	write(settingsFile(t))
 	signals <- syscall.SIGHUP
 	assert.DeepEqual(t, <-d.seeds, []string{"10.0.0.1:1"})
 	cancel()
@@ -69,7 +61,7 @@
 		{`Front = "127.0.0.1:1"`, "", "Listen.Front: is missing"},
 		{`Zone = "z"`, "Zone = 7", "line 3"},
 	} {
-		assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(settingsFile, c.line, c.bad, 1)), 0o600))
+		assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(settingsFile(t), c.line, c.bad, 1)), 0o600))
 		var out, errOut strings.Builder
 		assert.Equal(t, Main([]string{"serve", "entry", "--settings", path}, &out, &errOut), ExitNot)
 		assert.Assert(t, strings.Contains(errOut.String(), c.want), "%q", errOut.String())
