Suspicion: a lost answer does not stop a popular request for minutes

Cause: two answers of the same request lost in a row stopped it, and as stopped requests never succeed the blame stayed for its half-life of ten minutes. Found by reading. The test fails with the settings of before. Change: on the platform a request is stopped after three crashes, for some seconds.

--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -127,7 +127,7 @@
 		named: map[fleet.Model]*naming{},
 		loads: map[fleet.InstanceID]loadReport{}, watching: map[string]context.CancelFunc{},
 		services: map[fleet.Service]*service{}, waiters: map[admit.RequestID]chan admit.Verdict{},
-		ledger: suspect.NewLedger(suspect.DefaultSettings), pause: clock.NewWatch(pauseLimit),
+		ledger: suspect.NewLedger(crashSettings), pause: clock.NewWatch(pauseLimit),
 	}
 	g.budget = retry.NewBudget(set.Bounds.RetryShare*budgetMargin, set.Bounds.RetryExtra*budgetMargin/budgetEntries)
 	return g
@@ -143,6 +143,11 @@
 	budgetEntries = 8
 )
 
+// crashSettings stop a request that has crashed three targets, the number that the platform
+// allows, for some seconds. A lost answer looks like a crash from here, and many callers
+// may ask for the same thing, so that blame has to pass soon and nothing runs alone.
+var crashSettings = suspect.Settings{Targets: 3, AloneAt: 3, HalfLife: 20 * time.Second, Capacity: 4096}
+
 // Leaving implements platform.Gateway.
 func (g *Gateway) Leaving() bool { return g.leaving.Load() }
 
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -10,7 +10,9 @@
 
 	"amaranthturn/app/settings"
 	"amaranthturn/app/telemetry"
+	"amaranthturn/core/fleet"
 	"amaranthturn/core/roster"
+	"amaranthturn/core/suspect"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
@@ -69,3 +71,23 @@
 	g.knows = true
 	assert.Equal(t, g.namedSince(c.t), c.t)
 }
+
+// Replays a popular request whose answers are lost twice in a row while others of it
+// succeed: it must go on being served. One that crashes each target is stopped, also when
+// it comes again only every five seconds.
+func TestLostAnswersDoNotStopAPopularRequest(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	l := suspect.NewLedger(crashSettings)
+	l.Crashed([]fleet.Fingerprint{1}, now)
+	l.Crashed([]fleet.Fingerprint{1}, now)
+	assert.Equal(t, l.Judge(1, now), suspect.Clear)
+	l.Crashed([]fleet.Fingerprint{1}, now)
+	assert.Equal(t, l.Judge(1, now), suspect.Stop)
+	assert.Equal(t, l.Judge(1, now.Add(10*time.Second)), suspect.Clear)
+	for range 3 {
+		assert.Equal(t, l.Judge(2, now), suspect.Clear)
+		l.Crashed([]fleet.Fingerprint{2}, now)
+		now = now.Add(5 * time.Second)
+	}
+	assert.Equal(t, l.Judge(2, now.Add(-5*time.Second)), suspect.Stop)
+}
