--- /dev/null
+++ b/app/sidecar/uploads.go
@@ -0,0 +1,108 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"amaranthturn/app/node"
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/swarm"
+	"amaranthturn/io/peer"
+)
+
+// at returns the weights at hand of a version.
+func (s *Sidecar) at(v fleet.Version) (*weights, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.weights {
+		if w.name == v {
+			return w, true
+		}
+	}
+	return nil, false
+}
+
+// Manifest implements peer.ChunkHandler.
+func (s *Sidecar) Manifest(v fleet.Version) ([]byte, bool) {
+	w, ok := s.at(v)
+	if !ok {
+		return nil, false
+	}
+	out := wireManifest{}
+	for _, c := range w.manifest.Chunks {
+		out.Digests = append(out.Digests, string(c.Digest))
+		out.Bytes = int64(c.Size)
+	}
+	body, err := json.Marshal(out)
+	return body, err == nil
+}
+
+// Chunk implements peer.ChunkHandler.
+func (s *Sidecar) Chunk(ctx context.Context, ref peer.ChunkRef, send func([]byte) error) error {
+	w, ok := s.at(ref.Version)
+	if !ok || ref.Index < 0 || ref.Index >= len(w.manifest.Chunks) {
+		return peer.ErrMissing
+	}
+	wait := time.NewTimer(slotWait)
+	defer wait.Stop()
+	select {
+	case s.uploads <- struct{}{}:
+		defer func() { <-s.uploads }()
+	case <-wait.C:
+		return peer.ErrBusy
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	data := w.piece(ref.Index)
+	if data == nil {
+		return peer.ErrMissing
+	}
+	s.metrics.Count("weight_bytes_sent", int64(len(data)))
+	return send(data)
+}
+
+// WatchChunks implements peer.ChunkHandler.
+func (s *Sidecar) WatchChunks(ctx context.Context, v fleet.Version, send func(peer.Held) error) error {
+	for {
+		w, ok := s.at(v)
+		if ok {
+			return w.tell(ctx, send)
+		}
+		// The version may be named here a moment later than there.
+		if err := send(peer.Held{Bitmap: swarm.NewBitmap(1)}); err != nil {
+			return err
+		}
+		if !node.Sleep(ctx, slotWait) {
+			return ctx.Err()
+		}
+	}
+}
+
+// tell sends what is held and then what comes.
+func (w *weights) tell(ctx context.Context, send func(peer.Held) error) error {
+	var told swarm.Bitmap
+	for {
+		w.mu.Lock()
+		held, changed := w.planner.Held(), w.changed
+		w.mu.Unlock()
+		h := peer.Held{Bitmap: held}
+		if told != nil {
+			h = peer.Held{Added: held.Since(told)}
+		}
+		if told == nil || len(h.Added) > 0 {
+			if err := send(h); err != nil {
+				return err
+			}
+		}
+		told = held
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+		if !node.Sleep(ctx, heldBatch) {
+			return ctx.Err()
+		}
+	}
+}
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -14,8 +12,6 @@
 
 	"amaranthturn/app/node"
 	"amaranthturn/core/fleet"
-	"amaranthturn/core/roster"
-	"amaranthturn/core/routing"
 	"amaranthturn/core/swarm"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
@@ -139,80 +135,6 @@
 	go w.run(ctx)
 }
 
-// wireManifest is how agents hand a manifest on.
-type wireManifest struct {
-	Digests []string `json:"digests"`
-	Bytes   int64    `json:"chunk_bytes"`
-}
-
-// manifestAskers is how many agents of the group ask the origin for a manifest at once;
-// the others ask them.
-const manifestAskers = 4
-
-// fetchManifest gets the digests of a version. An agent that is not among the first of the
-// group asks the first ones, and the origin only when they do not know it.
-func (s *Sidecar) fetchManifest(ctx context.Context, origin string, m fleet.Model, version uint64, e *routing.Engine) (*swarm.Manifest, error) {
-	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
-	defer cancel()
-	s.mu.Lock()
-	order := s.groupOrder(version)
-	s.mu.Unlock()
-	first := order[:min(manifestAskers, len(order))]
-	if !slices.ContainsFunc(first, func(t roster.Target) bool { return t.Address == s.set.TargetAddress }) {
-		if man := s.manifestFrom(ctx, first, m, version); man != nil {
-			return man, nil
-		}
-	}
-	sums, err := s.origin.Manifest(ctx, origin, m, version)
-	if err == nil {
-		return newManifest(m, version, sums, e.ChunkBytes), nil
-	}
-	if man := s.manifestFrom(ctx, order, m, version); man != nil {
-		return man, nil
-	}
-	return nil, err
-}
-
-// manifestPatience is how long the first agents are given to learn a manifest.
-const manifestPatience = 400 * time.Millisecond
-
-// manifestFrom asks other agents, until one knows the version or the patience ends.
-func (s *Sidecar) manifestFrom(ctx context.Context, agents []roster.Target, m fleet.Model, version uint64) *swarm.Manifest {
-	ctx, cancel := context.WithTimeout(ctx, manifestPatience)
-	defer cancel()
-	for ctx.Err() == nil {
-		for _, t := range agents {
-			if t.Address == s.set.TargetAddress {
-				continue
-			}
-			body, err := s.pool.Manifest(ctx, s.peerAddress(t), versionName(m, version))
-			if err != nil {
-				continue // the next one may know it
-			}
-			var w wireManifest
-			if err := json.Unmarshal(body, &w); err != nil {
-				s.log.weights.Warn().Err(err).Msg("manifest of another agent cannot be read")
-				continue
-			}
-			man := &swarm.Manifest{Version: versionName(m, version), Model: m}
-			for _, d := range w.Digests {
-				man.Chunks = append(man.Chunks, swarm.Chunk{Digest: fleet.Digest(d), Size: fleet.Bytes(w.Bytes)})
-			}
-			return man
-		}
-		node.Sleep(ctx, planEvery)
-	}
-	return nil
-}
-
-func newManifest(m fleet.Model, version uint64, sums [][]byte, size fleet.Bytes) *swarm.Manifest {
-	man := &swarm.Manifest{Version: versionName(m, version), Model: m}
-	for _, sum := range sums {
-		man.Chunks = append(man.Chunks, swarm.Chunk{Digest: fleet.Digest("sha256:" + hex.EncodeToString(sum)), Size: size})
-	}
-	return man
-}
-
 // engineWait is how long an agent that starts with the whole system waits for its engine,
 // which then has the first version staged, before it fetches from others.
 const engineWait = 3 * time.Second
@@ -527,99 +449,3 @@
 	w.mu.Unlock()
 	w.kick()
 }
-
-// at returns the weights at hand of a version.
-func (s *Sidecar) at(v fleet.Version) (*weights, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, w := range s.weights {
-		if w.name == v {
-			return w, true
-		}
-	}
-	return nil, false
-}
-
-// Manifest implements peer.ChunkHandler.
-func (s *Sidecar) Manifest(v fleet.Version) ([]byte, bool) {
-	w, ok := s.at(v)
-	if !ok {
-		return nil, false
-	}
-	out := wireManifest{}
-	for _, c := range w.manifest.Chunks {
-		out.Digests = append(out.Digests, string(c.Digest))
-		out.Bytes = int64(c.Size)
-	}
-	body, err := json.Marshal(out)
-	return body, err == nil
-}
-
-// Chunk implements peer.ChunkHandler.
-func (s *Sidecar) Chunk(ctx context.Context, ref peer.ChunkRef, send func([]byte) error) error {
-	w, ok := s.at(ref.Version)
-	if !ok || ref.Index < 0 || ref.Index >= len(w.manifest.Chunks) {
-		return peer.ErrMissing
-	}
-	wait := time.NewTimer(slotWait)
-	defer wait.Stop()
-	select {
-	case s.uploads <- struct{}{}:
-		defer func() { <-s.uploads }()
-	case <-wait.C:
-		return peer.ErrBusy
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	data := w.piece(ref.Index)
-	if data == nil {
-		return peer.ErrMissing
-	}
-	s.metrics.Count("weight_bytes_sent", int64(len(data)))
-	return send(data)
-}
-
-// WatchChunks implements peer.ChunkHandler.
-func (s *Sidecar) WatchChunks(ctx context.Context, v fleet.Version, send func(peer.Held) error) error {
-	for {
-		w, ok := s.at(v)
-		if ok {
-			return w.tell(ctx, send)
-		}
-		// The version may be named here a moment later than there.
-		if err := send(peer.Held{Bitmap: swarm.NewBitmap(1)}); err != nil {
-			return err
-		}
-		if !node.Sleep(ctx, slotWait) {
-			return ctx.Err()
-		}
-	}
-}
-
-// tell sends what is held and then what comes.
-func (w *weights) tell(ctx context.Context, send func(peer.Held) error) error {
-	var told swarm.Bitmap
-	for {
-		w.mu.Lock()
-		held, changed := w.planner.Held(), w.changed
-		w.mu.Unlock()
-		h := peer.Held{Bitmap: held}
-		if told != nil {
-			h = peer.Held{Added: held.Since(told)}
-		}
-		if told == nil || len(h.Added) > 0 {
-			if err := send(h); err != nil {
-				return err
-			}
-		}
-		told = held
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-changed:
-		}
-		if !node.Sleep(ctx, heldBatch) {
-			return ctx.Err()
-		}
-	}
-}
