Weights: the group is ordered once for all its agents

Cause: each step of a fetch, up to 40 times a second, asked for every agent of the group whether its fetch is due, and each question sorted the whole group; the engine's loop sorted it ten times a second without anything to load. Change: one look gives the answer for all agents; the order is made only when a newer version is at hand. Behaviour stays. Tests of sidecar and upgrade pass under the race detector.

--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -85,8 +85,8 @@
 	serving := s.serving(m.Name, e)
 	held := s.newestWhole()
 	in := upgrade.Input{Serving: serving, Busy: s.report.Busy, Staged: held != nil, Named: s.namings(m.Name).After(serving), Schedule: s.schedule(e)}
-	if held != nil {
-		in.Wanted, in.Place = held.version, s.placeOf(s.set.TargetAddress, held.version)
+	if held != nil && held.version > serving {
+		in.Wanted, in.Place = held.version, placeOf(s.set.TargetAddress, s.groupOrder(held.version))
 	}
 	orders := s.report.Orders
 	s.mu.Unlock()
@@ -207,9 +207,8 @@
 	return s.set.Regions[o.Zone]
 }
 
-// placeOf returns the position of the engine at an address. mu is held.
-func (s *Sidecar) placeOf(addr string, version uint64) upgrade.Place {
-	list := s.groupOrder(version)
+// placeOf returns the position of the engine at an address in the group's order.
+func placeOf(addr string, list []roster.Target) upgrade.Place {
 	for i, t := range list {
 		if t.Address == addr {
 			return upgrade.Place{Index: i, Count: len(list)}
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -198,35 +198,44 @@
 // awaitTurn waits until this agent's fetch is due. An engine that serves nothing is
 // fetched for at once.
 func (w *weights) awaitTurn(ctx context.Context) {
-	for !w.due(w.s.set.TargetAddress) && node.Sleep(ctx, planEvery) {
+	for !w.isDue() && node.Sleep(ctx, planEvery) {
 	}
 }
 
+// isDue tells whether this agent fetches by now.
+func (w *weights) isDue() bool {
+	s := w.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.due()(s.set.TargetAddress)
+}
+
 // olderWait is how long a version waits for the one before it, which was named just
 // before and may be nearly here.
 const olderWait = 3 * time.Second
 
-// due tells whether the agent beside the engine at addr fetches by now.
-func (w *weights) due(addr string) bool {
+// due returns which agents fetch by now, by the address of the engine beside them. It
+// orders the group once for all of them. Sidecar.mu is held.
+func (w *weights) due() func(addr string) bool {
 	s := w.s
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	all, none := func(string) bool { return true }, func(string) bool { return false }
 	m, e, ok := s.model()
 	if !ok || m.Name != w.model {
-		return true
+		return all
 	}
 	now := s.now()
 	for v, o := range s.weights {
 		if v < w.version && !o.whole() && now.Sub(s.namings(w.model).After(w.version-1)) < olderWait {
-			return false
+			return none
 		}
 	}
 	serving := s.serving(m.Name, e)
 	named := s.namings(w.model).After(serving)
 	if serving == 0 || named.IsZero() {
-		return true
+		return all
 	}
-	return now.Sub(named) >= s.schedule(e).FetchAfter(s.placeOf(addr, w.version))
+	schedule, order := s.schedule(e), s.groupOrder(w.version)
+	return func(addr string) bool { return now.Sub(named) >= schedule.FetchAfter(placeOf(addr, order)) }
 }
 
 // readStaged takes the pieces that lie at the engine and are those of this version. It
@@ -286,18 +295,17 @@
 func (w *weights) step(ctx context.Context) {
 	now := w.s.now()
 	w.s.mu.Lock()
-	mates := w.s.mates()
-	regions := w.s.set.Regions
-	w.s.mu.Unlock()
+	due := w.due()
 	addrs := map[fleet.InstanceID]string{}
 	var members []swarm.Member
-	for id, t := range mates {
-		if !w.due(t.Address) {
+	for id, t := range w.s.mates() {
+		if !due(t.Address) {
 			continue // it holds nothing yet and must not be waited for
 		}
 		addrs[id] = w.s.peerAddress(t)
-		members = append(members, swarm.Member{ID: id, Region: regions[t.Zone]})
+		members = append(members, swarm.Member{ID: id, Region: w.s.set.Regions[t.Zone]})
 	}
+	w.s.mu.Unlock()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !maps.Equal(addrs, w.addrs) {
