Mesh: one guard against silent streams, one place for the address beside a target

Cause: entries, agents and the catch-up each wrapped Pool.Follow in the same timer and cancel; gateway and sidecar each put the address of the process beside a target together. Change: Follow takes the silence that ends it and stops when its callback says so; Settings.BesideAddress. The catch-up counts a failed call, which it had passed over.

--- a/app/gateway/copies.go
+++ b/app/gateway/copies.go
@@ -86,19 +86,10 @@
 
 func (c *copier) follow(ctx context.Context, addr string) {
 	g := c.g
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(copySilence, cancel)
-	defer silence.Stop()
 	g.mu.Lock()
 	at := g.mirror.At()
 	g.mu.Unlock()
-	err := g.pool.Follow(ctx, addr, at, copyBeat, func(n peer.StoreNews) {
-		silence.Reset(copySilence)
-		if !g.followed(n) {
-			cancel()
-		}
-	})
+	err := g.pool.Follow(ctx, addr, at, copyBeat, copySilence, g.followed)
 	g.metrics.Count("store_streams_ended", 1)
 	g.log.config.Debug().Str("entry", addr).Err(err).Msg("stream of store news ended")
 }
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"net"
-	"strconv"
 	"time"
 
 	"amaranthturn/app/node"
 	"amaranthturn/core/roster"
 	"amaranthturn/io/peer"
-	"amaranthturn/platform"
 )
 
 // Timing of the mesh.
@@ -78,14 +75,10 @@
 
 // catchUp takes what the entry at addr has read.
 func (g *Gateway) catchUp(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
 	g.mu.Lock()
 	at := g.mirror.At()
 	g.mu.Unlock()
-	// The stream is ended after its first message, so its error says nothing.
-	_ = g.pool.Follow(ctx, addr, at, copyBeat, func(n peer.StoreNews) {
-		cancel()
+	err := g.pool.Follow(ctx, addr, at, copyBeat, catchUpTimeout, func(n peer.StoreNews) bool {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		events := g.mirror.Apply(n.Events, n.At, g.now().Add(-n.Age))
@@ -93,7 +86,11 @@
 			g.metrics.Count("store_news_from_entries", int64(len(events)))
 			g.take(events)
 		}
+		return false
 	})
+	if err != nil {
+		g.metrics.Count("exchange_failures", 1)
+	}
 }
 
 // news returns what to tell another entry. mu is held.
@@ -160,7 +157,7 @@
 
 // run watches anew whenever the stream ends.
 func (w *loadWatch) run(ctx context.Context) {
-	addr := net.JoinHostPort(platform.HostOf(w.target), strconv.Itoa(w.g.set.FirstPort))
+	addr := w.g.set.BesideAddress(w.target)
 	for ctx.Err() == nil {
 		// The reason of the end is the connection's; requests show whether the target works.
 		_ = w.g.pool.WatchLoad(ctx, addr, w.period, w.heard)
--- a/app/sidecar/manifest.go
+++ b/app/sidecar/manifest.go
@@ -60,7 +60,7 @@
 			if t.Address == s.set.TargetAddress {
 				continue
 			}
-			body, err := s.pool.Manifest(ctx, s.peerAddress(t), versionName(m, version))
+			body, err := s.pool.Manifest(ctx, s.set.BesideAddress(t.Address), versionName(m, version))
 			if err != nil {
 				continue // the next one may know it
 			}
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -15,8 +15,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
-	"strconv"
 	"sync"
 	"time"
 
@@ -196,21 +194,14 @@
 
 func (f *follower) follow(ctx context.Context, addr string) {
 	s := f.s
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(followSilence, cancel)
-	defer silence.Stop()
 	s.mu.Lock()
 	at := s.mirror.At()
 	s.mu.Unlock()
-	err := s.pool.Follow(ctx, addr, at, followBeat, func(n peer.StoreNews) {
-		silence.Reset(followSilence)
-		if n.Lost || n.Age > staleAfter {
-			cancel() // another entry may reach the store
-		}
+	err := s.pool.Follow(ctx, addr, at, followBeat, followSilence, func(n peer.StoreNews) bool {
 		s.take(n)
+		return !n.Lost && n.Age <= staleAfter // else another entry may reach the store
 	})
-	if ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil {
 		s.log.members.Info().Str("entry", addr).Err(err).Msg("stream of store news ended")
 	}
 }
@@ -310,8 +301,3 @@
 	}
 	return out
 }
-
-// peerAddress returns where the process beside a target is reached.
-func (s *Sidecar) peerAddress(t roster.Target) string {
-	return net.JoinHostPort(platform.HostOf(t.Address), strconv.Itoa(s.set.FirstPort))
-}
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -302,7 +302,7 @@
 		if !due(t.Address) {
 			continue // it holds nothing yet and must not be waited for
 		}
-		addrs[id] = w.s.peerAddress(t)
+		addrs[id] = w.s.set.BesideAddress(t.Address)
 		members = append(members, swarm.Member{ID: id, Region: w.s.set.Regions[t.Zone]})
 	}
 	w.s.mu.Unlock()
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -146,13 +146,18 @@
 	return newsFromWire(r), nil
 }
 
-// Follow calls each for every message of the entry at addr about the store; one comes in
-// each beat at least.
-func (p *Pool) Follow(ctx context.Context, addr string, after mirror.Revision, beat time.Duration, each func(StoreNews)) error {
+// Follow calls each for every message of the entry at addr about the store, until it
+// returns false, the stream ends, or nothing came for the time of silence. A message comes
+// in each beat at least.
+func (p *Pool) Follow(ctx context.Context, addr string, after mirror.Revision, beat, silence time.Duration, each func(StoreNews) bool) error {
 	c, err := p.conn(addr)
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := time.AfterFunc(silence, cancel)
+	defer silent.Stop()
 	st, err := peerpb.NewMeshClient(c).Follow(ctx, &peerpb.FollowRequest{After: uint64(after), BeatMs: uint32(beat.Milliseconds())})
 	if err != nil {
 		return lost(addr, err)
@@ -166,7 +171,10 @@
 		for _, e := range m.GetEvents() {
 			n.Events = append(n.Events, mirror.Event{Key: e.GetKey(), Value: e.GetValue(), Revision: mirror.Revision(e.GetRevision()), Deleted: e.GetDeleted()})
 		}
-		each(n)
+		silent.Reset(silence)
+		if !each(n) {
+			return nil
+		}
 	}
 }
 
