--- a/app/gateway/exchange.go
+++ b/app/gateway/exchange.go
@@ -91,12 +91,11 @@
 // failed keeps a target's own failure, to pass it back when the request may not be or is
 // not repeated.
 func (x *exchange) failed(parent context.Context, sent *platform.Sent) dispatch.Failure {
+	defer sent.Close()
 	f := x.f
 	body, err := io.ReadAll(io.LimitReader(sent.Body, maxAnswer))
 	if err == nil && sent.Signed && sent.Status/100 == 5 && sent.Status != 503 && f.held == nil {
-		f.held, f.heldBody = sent, body
-	} else {
-		sent.Close()
+		f.held = &failure{sent.Reply, body}
 	}
 	if parent.Err() != nil {
 		return dispatch.Failure{Kind: f.ended(parent)}
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -59,9 +59,8 @@
 	targets *platform.Targets
 	log     logs
 
-	doc      atomic.Pointer[routing.Document]
-	leaving  atomic.Bool
-	inFlight sync.WaitGroup
+	doc     atomic.Pointer[routing.Document]
+	leaving atomic.Bool
 
 	mu        sync.Mutex // guards all below
 	seeds     []string
@@ -73,8 +72,8 @@
 	roster    *roster.Roster
 	league    *league.League
 	named     map[fleet.Model]*naming
-	loads     map[fleet.InstanceID]loadReport
-	watching  map[string]context.CancelFunc // by address of the process beside a target
+	loads     map[fleet.InstanceID]peer.TargetLoad // the last word of the process beside each target
+	watching  map[string]context.CancelFunc        // by address of the process beside a target
 	services  map[fleet.Service]*service
 	waiters   map[admit.RequestID]chan admit.Verdict
 	nextID    admit.RequestID
@@ -90,12 +89,6 @@
 	floor uint64
 }
 
-// loadReport is the last word of the process beside a target.
-type loadReport struct {
-	peer.TargetLoad
-	heard time.Time
-}
-
 type logs struct {
 	config, members, requests, process zerolog.Logger
 }
@@ -125,7 +118,7 @@
 			Address: set.Peers, Caller: set.Callers,
 		}),
 		named: map[fleet.Model]*naming{},
-		loads: map[fleet.InstanceID]loadReport{}, watching: map[string]context.CancelFunc{},
+		loads: map[fleet.InstanceID]peer.TargetLoad{}, watching: map[string]context.CancelFunc{},
 		services: map[fleet.Service]*service{}, waiters: map[admit.RequestID]chan admit.Verdict{},
 		ledger: suspect.NewLedger(crashSettings), pause: clock.NewWatch(pauseLimit),
 	}
@@ -259,7 +252,7 @@
 		g.log.process.Warn().Msg("process was paused")
 		g.metrics.Count("pauses", 1)
 		g.league.Woke(now)
-		g.loads = map[fleet.InstanceID]loadReport{}
+		g.loads = map[fleet.InstanceID]peer.TargetLoad{}
 	}
 	if gone := g.roster.Expire(now); len(gone) > 0 {
 		g.log.members.Info().Int("targets", len(gone)).Msg("lapsed targets did not come back")
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -180,7 +180,7 @@
 	}
 	old, had := g.loads[t.ID]
 	l.Born = t.Born
-	g.loads[t.ID] = loadReport{TargetLoad: l, heard: now}
+	g.loads[t.ID] = l
 	if !had || old.Version != l.Version || old.Accepting != l.Accepting {
 		g.log.members.Info().Str("target", string(t.ID)).Uint64("serving", l.Version).Bool("accepting", l.Accepting).Msg("target changed")
 		g.refreshBoards(now)
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -16,7 +16,6 @@
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routing"
 	"amaranthturn/core/suspect"
-	"amaranthturn/platform"
 )
 
 // Constants of the request path.
@@ -61,14 +60,17 @@
 	answered  bool          // the head of an answer was given
 	attempts  int
 	target    fleet.InstanceID
-	held      *platform.Sent // a failure of a target that is passed back when nothing else works
-	heldBody  []byte
+	held      *failure // passed back when nothing else works
+}
+
+// failure is a target's own failure, whole.
+type failure struct {
+	forward.Reply
+	body []byte
 }
 
 // Serve implements platform.Gateway.
 func (g *Gateway) Serve(ctx context.Context, c *forward.Call, out forward.Responder) error {
-	g.inFlight.Add(1)
-	defer g.inFlight.Done()
 	f := &flight{g: g, call: c, out: out, begun: g.now()}
 	refusal := f.prepare()
 	if refusal == nil {
@@ -222,18 +224,17 @@
 
 // run tries targets until the answer is whole or the request has to end.
 func (f *flight) run(ctx context.Context, s *service) *fleet.Refusal {
-	defer f.dropHeld()
 	for {
-		failure, done := f.attempt(ctx, s)
+		fail, done := f.attempt(ctx, s)
 		if done {
 			return nil
 		}
 		f.g.mu.Lock()
-		step := f.state.Failed(failure, f.g.budget.Allow, f.g.random.Float64(), f.g.now())
+		step := f.state.Failed(fail, f.g.budget.Allow, f.g.random.Float64(), f.g.now())
 		f.g.mu.Unlock()
 		if !step.Retry {
 			if f.held != nil && !f.answered {
-				f.out.Whole(f.held.Status, f.held.Header, f.heldBody)
+				f.out.Whole(f.held.Status, f.held.Header, f.held.body)
 				return nil
 			}
 			return step.Refusal
@@ -245,12 +246,6 @@
 	}
 }
 
-func (f *flight) dropHeld() {
-	if f.held != nil {
-		f.held.Close()
-	}
-}
-
 func (f *flight) ended(ctx context.Context) dispatch.Kind {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return dispatch.KindDeadline
@@ -279,7 +274,7 @@
 	f.target = t.ID
 	f.state.Began(t.ID)
 	x := &exchange{f: f, s: s, unread: f.call.PromptTokens}
-	failure, done := x.run(ctx, t)
+	fail, done := x.run(ctx, t)
 	g.mu.Lock()
 	s.board.Ended(t.ID, x.unread, x.result, g.now())
 	if x.crashed {
@@ -289,7 +284,7 @@
 		g.ledger.Finished(f.print, false, g.now())
 	}
 	g.mu.Unlock()
-	return failure, done
+	return fail, done
 }
 
 // choose picks the target. mu is held.
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -63,7 +63,6 @@
 type Reply struct {
 	Status int
 	Header http.Header // what is passed back
-	Length int64       // of the body, -1 when unknown
 	// NotRun: the target says that it did not run the request.
 	NotRun bool
 	// WrongTarget: another target has the address, or it serves another version.
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -208,25 +208,12 @@
 // Own returns the requests of this entry in flight.
 func (b *Board) Own() int { return b.own }
 
-// Slots returns the slots of the open targets.
-func (b *Board) Slots() int {
-	n := 0
-	for _, r := range b.order {
-		if !r.Closed {
-			n += r.Slots
-		}
-	}
-	return n
-}
-
 func (b *Board) open(r *row, now time.Time) bool { return !r.Closed && !now.Before(r.until) }
 
 // Query is what a choice depends on besides the load.
 type Query struct {
 	// Avoid lists targets that failed the request.
 	Avoid []fleet.InstanceID
-	// Idle asks for a target without other requests.
-	Idle bool
 	// Beyond allows a target whose slots are taken.
 	Beyond bool
 }
@@ -241,7 +228,7 @@
 		switch {
 		case !b.open(r, now) || slices.Contains(q.Avoid, r.ID):
 			continue
-		case q.Idle && total >= 0.5, !q.Beyond && total > float64(r.Slots)-0.5:
+		case !q.Beyond && total > float64(r.Slots)-0.5:
 			continue
 		}
 		score := b.score(r, total)
