--- a/app/agent/depot.go
+++ b/app/agent/depot.go
@@ -37,7 +37,7 @@
 // depot holds weights in memory and hands them to the engine and to others.
 type depot struct {
 	a       *Agent
-	slots   chan struct{}
+	slots   peer.Slots
 	mu      sync.Mutex // guards all below
 	ledger  *hold.Ledger
 	chunks  map[fleet.Digest]*chunkData
@@ -54,7 +54,7 @@
 func newDepot(a *Agent) *depot {
 	w := a.opt.Settings.Weights
 	return &depot{
-		a: a, slots: make(chan struct{}, w.UploadSlots),
+		a: a, slots: peer.NewSlots(w.UploadSlots),
 		ledger: hold.NewLedger(fleet.Bytes(w.MemoryBytes)),
 		chunks: map[fleet.Digest]*chunkData{}, bodies: map[fleet.Version][]byte{},
 		active: map[fleet.Version]*distribution{}, wanted: map[fleet.Model]config.ModelPlan{},
@@ -303,16 +303,10 @@
 // that live requests leave.
 func (a *Agent) Chunk(ctx context.Context, ref peer.ChunkRef, send func([]byte) error) error {
 	d := a.depot
-	wait := time.NewTimer(slotWait)
-	defer wait.Stop()
-	select {
-	case d.slots <- struct{}{}:
-		defer func() { <-d.slots }()
-	case <-wait.C:
-		return peer.ErrBusy
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := d.slots.Take(ctx, slotWait); err != nil {
+		return err
 	}
+	defer d.slots.Free()
 	d.mu.Lock()
 	c, ok := d.chunks[ref.Digest]
 	d.mu.Unlock()
--- a/app/gateway/module.go
+++ b/app/gateway/module.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -73,13 +72,11 @@
 		}
 		s.directory = append(s.directory, node.NewHTTP(l, platform.NewDirectory(s.g)))
 	}
-	metrics, err := o.ListenOn("metrics", net.JoinHostPort(set.IP, node.MetricsPort))
+	metrics, err := o.MetricsServer(set.IP, s.g.metrics.Handler())
 	if err != nil {
 		return err
 	}
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", s.g.metrics.Handler())
-	s.directory = append(s.directory, node.NewHTTP(metrics, mux))
+	s.directory = append(s.directory, metrics)
 	rpc := grpc.NewServer(peer.ServerOptions(nil)...)
 	peer.RegisterMesh(rpc, s.g)
 	s.peers = &node.Server{Listener: peers, GRPC: rpc}
--- a/app/node/node.go
+++ b/app/node/node.go
@@ -208,6 +208,17 @@
 	return &Server{Listener: l, HTTP: &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}}
 }
 
+// MetricsServer returns the server of a daemon's metrics on the users' platform.
+func (o Overrides) MetricsServer(ip string, page http.Handler) (*Server, error) {
+	l, err := o.ListenOn("metrics", net.JoinHostPort(ip, MetricsPort))
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", page)
+	return NewHTTP(l, mux), nil
+}
+
 // startTimeout bounds the start of a daemon.
 const startTimeout = 15 * time.Second
 
--- a/app/sidecar/module.go
+++ b/app/sidecar/module.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	metrics, err := o.ListenOn("metrics", net.JoinHostPort(x.s.set.IP, node.MetricsPort))
+	metrics, err := o.MetricsServer(x.s.set.IP, x.s.metrics.Handler())
 	if err != nil {
 		return err
 	}
@@ -69,9 +69,7 @@
 	peer.RegisterChunks(rpc, x.s)
 	peer.RegisterBeside(rpc, x.s)
 	x.peers = &node.Server{Listener: peers, GRPC: rpc}
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", x.s.metrics.Handler())
-	x.metrics = node.NewHTTP(metrics, mux)
+	x.metrics = metrics
 	x.peers.Start()
 	x.metrics.Start()
 	for _, r := range []node.Runner{&firstRead{x.s}, &entryWatch{x.s}, &follower{x.s}, &driver{s: x.s, pause: clock.NewWatch(pauseLimit)}, &keeper{x.s}} {
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -56,7 +56,7 @@
 	up      bool                // the engine answered the last question
 	load    chan struct{}       // closed and replaced when the report changes
 	weights map[uint64]*weights // by version
-	uploads chan struct{}
+	uploads peer.Slots
 }
 
 type logs struct {
@@ -78,7 +78,7 @@
 		seeds: set.Seeds, random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), mirror: mirror.New(), roster: roster.New(roster.DefaultSettings),
 		// The list holds entries; this process is none and tells nobody of itself.
 		league: league.New(league.DefaultSettings, league.Row{Region: set.Region}), named: map[fleet.Model]*upgrade.Namings{},
-		load: make(chan struct{}), weights: map[uint64]*weights{}, uploads: make(chan struct{}, uploadSlots),
+		load: make(chan struct{}), weights: map[uint64]*weights{}, uploads: peer.NewSlots(uploadSlots),
 	}
 }
 
--- a/app/sidecar/uploads.go
+++ b/app/sidecar/uploads.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"amaranthturn/app/node"
 	"amaranthturn/core/fleet"
@@ -44,16 +43,10 @@
 	if !ok || ref.Index < 0 || ref.Index >= len(w.manifest.Chunks) {
 		return peer.ErrMissing
 	}
-	wait := time.NewTimer(slotWait)
-	defer wait.Stop()
-	select {
-	case s.uploads <- struct{}{}:
-		defer func() { <-s.uploads }()
-	case <-wait.C:
-		return peer.ErrBusy
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := s.uploads.Take(ctx, slotWait); err != nil {
+		return err
 	}
+	defer s.uploads.Free()
 	data := w.piece(ref.Index)
 	if data == nil {
 		return peer.ErrMissing
