Swarm: a member with a narrow link takes fewer chunks at once

The log of the planner shows one member whose link needs 4.7 s a chunk and which asks eight peers at once: each fetch then takes longer than its deadline, is given up and asked anew, so that nothing arrives for two minutes. Every peer counts as failing, chunks that they hold as out of reach, and the member brings nine of them from the origin. Change: when fetches from different peers stall in a row, the number of chunks in flight is halved; each chunk that arrives adds one again. The takeovers came from outOfReach.

--- a/core/swarm/choose.go
+++ b/core/swarm/choose.go
@@ -80,7 +80,7 @@
 }
 
 func (p *Planner) nextFromPeers(out []Fetch, now time.Time) []Fetch {
-	for p.counts[SourcePeer] < p.set.PeerFetches {
+	for p.counts[SourcePeer] < p.window {
 		q, c := p.choosePeer(now)
 		if q == nil {
 			return out
--- a/core/swarm/fuzz_test.go
+++ b/core/swarm/fuzz_test.go
@@ -160,6 +160,15 @@
 	})
 }
 
+// Replays a member whose own link is the narrow one: with eight chunks at once none of
+// them arrived in time, all peers seemed out of reach, and it took over nine chunks from
+// the origin although no fault occurred. Found by TestPlannersFinish at seed 4.
+func TestNarrowLinkIsNotBlamedOnPeers(t *testing.T) {
+	b := newBench(7, 1, fuzzChunks, 3, planner, fleet.ObjectiveOriginBytes)
+	assert.Assert(t, b.run(fuzzLimit))
+	assert.Assert(t, b.originCopies() <= 1.05, "%.2f copies", b.originCopies())
+}
+
 // TestCorruptPeerIsBanned shows that a source of corrupt chunks is not asked again
 // and that the chunk comes from elsewhere.
 func TestCorruptPeerIsBanned(t *testing.T) {
--- a/core/swarm/planner.go
+++ b/core/swarm/planner.go
@@ -183,7 +183,11 @@
 	originAt   time.Time            // not before
 	originNo   int                  // failures in a row
 	corrupt    map[int]int
-	blocked    map[int]time.Time // since when no holder of a chunk can be asked
+	// window is how many chunks may be in flight from peers of the region, at most
+	// Settings.PeerFetches; lateFrom is the peer that the last of them stalled at.
+	window   int
+	lateFrom fleet.InstanceID
+	blocked  map[int]time.Time // since when no holder of a chunk can be asked
 }
 
 // NewPlanner returns a planner that holds no chunk.
@@ -196,7 +200,7 @@
 		peers:   map[fleet.InstanceID]*peer{},
 		failed:  map[fleet.InstanceID]outage{},
 		corrupt: map[int]int{}, blocked: map[int]time.Time{}, remote: map[fleet.Region]int{},
-		progress: now, originAt: now.Add(set.OriginDelay),
+		progress: now, originAt: now.Add(set.OriginDelay), window: set.PeerFetches,
 	}
 	shared := sharedPatience * set.FirstTimeout
 	p.pipes = [3]pipe{SourcePeer: {first: set.FirstTimeout}, SourceRemote: {first: shared}, SourceOrigin: {first: shared}}
@@ -281,6 +285,9 @@
 		q.usual = average(q.usual, took)
 		q.failures = 0
 	}
+	if s.Kind == SourcePeer {
+		p.window, p.lateFrom = min(p.window+1, p.set.PeerFetches), ""
+	}
 }
 
 func average(old, sample time.Duration) time.Duration {
@@ -301,6 +308,7 @@
 	}
 	if why == CauseStalled {
 		p.pipes[f.Source.Kind].stalled(f.Source.Kind)
+		p.narrow(f.Source)
 	}
 	if f.Source.Kind == SourceOrigin {
 		p.originFailed(f, why, retryAfter, now)
@@ -311,6 +319,19 @@
 	}
 }
 
+// narrow halves the window when fetches from several peers stall in a row: what they
+// share is the link of this instance, which more of them at once would only fill with
+// chunks that do not arrive in time.
+func (p *Planner) narrow(s Source) {
+	if s.Kind != SourcePeer {
+		return
+	}
+	if p.lateFrom != "" && p.lateFrom != s.Peer {
+		p.window = max(1, p.window/2)
+	}
+	p.lateFrom = s.Peer
+}
+
 func (p *Planner) originFailed(f Fetch, why Cause, retryAfter time.Duration, now time.Time) {
 	p.originNo++
 	if why == CauseCorrupt {
