Gateway: the time of a version counts from when the copy was last current

Cause: an entry that hears of a version after its watch or the stream of another entry fell silent measured the limit from then: up to the silence that it bears (1 s) plus the age of the copy too late, more than the half second that is kept from the limit. Ruled out: always counting from the last state, which takes a second from each engine at each change. Test: TestVersionsHeardOfLate (did not hold before: the time was always now).

--- a/app/gateway/copies.go
+++ b/app/gateway/copies.go
@@ -107,6 +107,7 @@
 	case n.Age < ownReadAge:
 		g.noteReach(nil)
 	}
-	g.take(g.mirror.Apply(n.Events, n.At, now.Add(-n.Age)))
+	current := g.mirror.Seen()
+	g.take(g.mirror.Apply(n.Events, n.At, now.Add(-n.Age)), current)
 	return !n.Lost && !g.league.Reads(now)
 }
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -62,14 +62,30 @@
 	g, c := newTest(t)
 	n := &naming{}
 	g.named["m"] = n
-	n.Add(2, g.namedSince(c.t))
+	n.Add(2, g.namedSince(c.t, c.t))
 	target := roster.Target{ID: "a", Held: []roster.Held{{Model: "m", Version: 1}}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	assert.Assert(t, g.serves(target, c.t))
 	assert.Assert(t, !g.serves(target, c.t.Add(3*time.Second)))
 	g.knows = true
-	assert.Equal(t, g.namedSince(c.t), c.t)
+	assert.Equal(t, g.namedSince(c.t, c.t), c.t)
+}
+
+// The entry that reads for others stops, and one that follows it hears of a version only
+// when it follows another: the time of the version counts from when its copy was last
+// current. After a longer loss of the store it does not: the time then counts anew.
+// Fits deltaloom trouble-2 --vary --seed 27672768896 (VERSION).
+func TestVersionsHeardOfLate(t *testing.T) {
+	g, c := newTest(t)
+	g.knows = true
+	for _, x := range []struct{ age, late time.Duration }{
+		{900 * time.Millisecond, 0},
+		{1100 * time.Millisecond, 1100 * time.Millisecond},
+		{5 * time.Second, ownReadAge},
+	} {
+		assert.Equal(t, g.namedSince(c.t.Add(-x.age), c.t), c.t.Add(-x.late), "copy current %v ago", x.age)
+	}
 }
 
 // Replays a popular request whose answers are lost twice in a row while others of it
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -81,10 +81,11 @@
 	err := g.pool.Follow(ctx, addr, at, copyBeat, catchUpTimeout, func(n peer.StoreNews) bool {
 		g.mu.Lock()
 		defer g.mu.Unlock()
+		current := g.mirror.Seen()
 		events := g.mirror.Apply(n.Events, n.At, g.now().Add(-n.Age))
 		if len(events) > 0 {
 			g.metrics.Count("store_news_from_entries", int64(len(events)))
-			g.take(events)
+			g.take(events, current)
 		}
 		return false
 	})
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -87,10 +87,11 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	current := g.mirror.Seen()
 	changes := g.mirror.Apply(events, now, g.now())
 	s.changed = len(changes) > 0
 	if s.changed {
-		g.take(changes)
+		g.take(changes, current)
 	} else {
 		g.tellFollowers() // that the copy is current
 	}
@@ -116,6 +117,9 @@
 	ctx, cancel := context.WithTimeout(ctx, rangeTimeout)
 	defer cancel()
 	g := s.g
+	g.mu.Lock()
+	current := g.mirror.Seen()
+	g.mu.Unlock()
 	var first mirror.Revision
 	for _, prefix := range platform.Prefixes {
 		g.metrics.Count("store_calls", 1)
@@ -129,7 +133,7 @@
 			first = at
 		}
 		g.mu.Lock()
-		g.take(g.mirror.Load(prefix, items, first, g.now()))
+		g.take(g.mirror.Load(prefix, items, first, g.now()), current)
 		g.mu.Unlock()
 	}
 	g.mu.Lock()
@@ -173,8 +177,8 @@
 	return d/2 + time.Duration(g.random.Float64()*float64(d))
 }
 
-// take acts on changes of the mirror. mu is held.
-func (g *Gateway) take(events []mirror.Event) {
+// take acts on changes of a mirror that was current before them at a time. mu is held.
+func (g *Gateway) take(events []mirror.Event, current time.Time) {
 	now := g.now()
 	targets := false
 	for _, e := range events {
@@ -199,7 +203,7 @@
 				n = &naming{}
 				g.named[c.Named.Model] = n
 			}
-			if n.Add(c.Named.Version, g.namedSince(now)) {
+			if n.Add(c.Named.Version, g.namedSince(current, now)) {
 				g.log.config.Info().Str("model", string(c.Named.Model)).Uint64("version", c.Named.Version).Msg("weights are named")
 			}
 			targets = true
@@ -225,14 +229,26 @@
 	g.changed = make(chan struct{})
 }
 
-// namedSince returns from when on the time of a version counts. One that was named before
-// this process started may be old: older weights are used only while a process that has
-// just started is not held to the limit.
-func (g *Gateway) namedSince(now time.Time) time.Time {
-	if g.knows {
+// namedSince returns from when on the time of a version counts that is heard of now by a
+// copy that was last current before. One that was named before this process started may be
+// old: older weights are used only while a process that has just started is not held to
+// the limit. News may be late after a watch or a stream that fell silent; how late at most
+// is bounded, as an entry then reads the store itself.
+func (g *Gateway) namedSince(current, now time.Time) time.Time {
+	switch {
+	case !g.knows:
+		return now.Add(g.set.Bounds.Stable - g.set.Bounds.VersionTime)
+	case now.Sub(current) <= watchWait:
 		return now
 	}
-	return now.Add(g.set.Bounds.Stable - g.set.Bounds.VersionTime)
+	return later(current, now.Add(-ownReadAge))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 func (g *Gateway) heard(t roster.Target) {
