--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -353,3 +353,31 @@
 		})
 	}
 }
+
+// Replays a burst on one slot that is free every 100 ms, of requests that can wait 350 ms:
+// those that would be admitted too late are refused when they come and not when their time
+// has passed, with the wait that the queue needs.
+func TestTooLateIsRefusedAtOnce(t *testing.T) {
+	q := queue(1)
+	at := now
+	for i := range 4 { // teaches the queue its pace; the last one runs on
+		q.Offer(request(i, "a", 0), at)
+	}
+	for i := range 3 {
+		at = at.Add(100 * time.Millisecond)
+		q.Release(request(i, "a", 0), 10, at)
+	}
+	queued := 0
+	for i := range 8 {
+		r := request(4+i, "a", 0)
+		r.Deadline = at.Add(350 * time.Millisecond)
+		d := q.Offer(r, at)
+		if d.Verdict == Queued {
+			queued++
+			continue
+		}
+		assert.Equal(t, d.Cause, CauseTooLate)
+		assert.Assert(t, d.RetryAfter > 350*time.Millisecond, "%v", d.RetryAfter)
+	}
+	assert.Assert(t, queued > 0 && queued <= 4, "%d wait", queued)
+}
