Mesh: store news compressed once; load watches follow the number of entries

Each of 44 entries and 88 agents got the whole text from another daemon at each change; and the watches of targets' loads kept the short period of a start at which an entry knows no others. Change: values of 4 KB and more are compressed once (zstd) for all followers. A watch is made anew when its period should be half as long again, or two thirds; an agent tells at once when its target stops taking requests or serves other weights, and loads at the asked period. Ruled out: the entry's own limit as the cause (it sent the requests in time).

--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -73,7 +73,7 @@
 	league    *league.League
 	named     map[fleet.Model]*naming
 	loads     map[fleet.InstanceID]peer.TargetLoad // the last word of the process beside each target
-	watching  map[string]context.CancelFunc        // by address of the process beside a target
+	watching  map[string]*loadWatch                // by address of the process beside a target
 	services  map[fleet.Service]*service
 	waiters   map[admit.RequestID]chan admit.Verdict
 	nextID    admit.RequestID
@@ -118,7 +118,7 @@
 			Address: set.Peers, Caller: set.Callers,
 		}),
 		named: map[fleet.Model]*naming{},
-		loads: map[fleet.InstanceID]peer.TargetLoad{}, watching: map[string]context.CancelFunc{},
+		loads: map[fleet.InstanceID]peer.TargetLoad{}, watching: map[string]*loadWatch{},
 		services: map[fleet.Service]*service{}, waiters: map[admit.RequestID]chan admit.Verdict{},
 		ledger: suspect.NewLedger(crashSettings), pause: clock.NewWatch(pauseLimit),
 	}
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -107,3 +107,15 @@
 	}
 	assert.Equal(t, l.Judge(2, now.Add(-5*time.Second)), suspect.Stop)
 }
+
+// An entry that starts knows no others and watches targets closely; when it knows the
+// forty others of its fleet the watches follow, and they stay as they are while entries
+// come and go.
+func TestLoadWatchesFollowTheNumberOfEntries(t *testing.T) {
+	alone := max(farPeriod, farShare)
+	many := 44 * farShare
+	assert.Assert(t, differs(alone, many) && differs(many, alone))
+	for n := 35; n <= 55; n++ {
+		assert.Assert(t, !differs(many, time.Duration(n)*farShare), "%d entries", n)
+	}
+}
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -122,10 +122,13 @@
 			wanted[t.Address] = t
 		}
 	}
-	for addr, cancel := range g.watching {
+	for addr, w := range g.watching {
 		if _, ok := wanted[addr]; !ok {
-			cancel()
+			w.cancel()
 			delete(g.watching, addr)
+			if t, ok := w.id(); ok {
+				delete(g.loads, t.ID)
+			}
 		}
 	}
 	near, all := 1, 1
@@ -136,24 +139,34 @@
 		}
 	}
 	for addr, t := range wanted {
-		if _, ok := g.watching[addr]; ok {
+		period := max(farPeriod, time.Duration(all)*farShare)
+		if t.Zone == g.set.Zone {
+			period = max(nearPeriod, time.Duration(near)*nearShare)
+		}
+		old, ok := g.watching[addr]
+		if ok && !differs(old.period, period) {
 			continue
 		}
-		ctx, cancel := context.WithCancel(ctx)
-		g.watching[addr] = cancel
-		w := &loadWatch{g: g, target: addr, period: max(farPeriod, time.Duration(all)*farShare)}
-		if t.Zone == g.set.Zone {
-			w.period = max(nearPeriod, time.Duration(near)*nearShare)
+		if ok {
+			old.cancel()
 		}
+		ctx, cancel := context.WithCancel(ctx)
+		w := &loadWatch{g: g, target: addr, period: period, cancel: cancel}
+		g.watching[addr] = w
 		go w.run(ctx)
 	}
 }
 
+// differs tells whether a watch is to be made anew for another period: the list of
+// entries is short at the start and changes a little all the time.
+func differs(old, period time.Duration) bool { return 2*period > 3*old || 3*period < 2*old }
+
 // loadWatch follows the load of the target at one address.
 type loadWatch struct {
 	g      *Gateway
 	target string
 	period time.Duration
+	cancel context.CancelFunc
 }
 
 // run watches anew whenever the stream ends.
@@ -162,7 +175,9 @@
 	for ctx.Err() == nil {
 		// The reason of the end is the connection's; requests show whether the target works.
 		_ = w.g.pool.WatchLoad(ctx, addr, w.period, w.heard)
-		w.forget()
+		if ctx.Err() == nil {
+			w.forget() // and not for one that another watch replaces
+		}
 		node.Sleep(ctx, w.g.spread(rewatchPause))
 	}
 }
--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -219,16 +219,19 @@
 
 // WatchLoad implements peer.BesideHandler.
 func (s *Sidecar) WatchLoad(ctx context.Context, period time.Duration, send func(peer.TargetLoad) error) error {
+	var sent peer.TargetLoad
+	var at time.Time
 	for {
+		now := s.now()
 		s.mu.Lock()
 		l := s.loadNow()
 		changed := s.load
 		s.mu.Unlock()
-		if err := send(l); err != nil {
-			return err
-		}
-		if !node.Sleep(ctx, period) {
-			return ctx.Err()
+		if isDue(sent, l, now.Sub(at), period) {
+			if err := send(l); err != nil {
+				return err
+			}
+			sent, at = l, now
 		}
 		select {
 		case <-ctx.Done():
@@ -239,9 +242,16 @@
 	}
 }
 
-// loadBeat is the longest silence of a load stream.
+// loadBeat is the longest time after which a load stream looks whether a message is due.
 const loadBeat = time.Second
 
+// isDue tells whether a listener that was told of a load some time ago is to be told of
+// another: at once when the target serves other weights or stops taking requests, else
+// after the period that the listener asked for.
+func isDue(sent, l peer.TargetLoad, age, period time.Duration) bool {
+	return age >= period || sent.Born != l.Born || sent.Accepting != l.Accepting || sent.Model != l.Model || sent.Version != l.Version
+}
+
 // loadNow returns the load for the entries. mu is held.
 func (s *Sidecar) loadNow() peer.TargetLoad {
 	r := s.report
--- a/app/sidecar/sidecar_test.go
+++ b/app/sidecar/sidecar_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"amaranthturn/io/peer"
 )
 
 // The origin accepts 48 connections from all agents together. Agents that kept idle ones
@@ -53,3 +55,17 @@
 	assert.Equal(t, most, originConns)
 	assert.Equal(t, len(open), 0)
 }
+
+// Entries that listen seldom still hear at once that a target stops taking requests or
+// serves other weights.
+func TestLoadIsToldAtOnceWhenItMatters(t *testing.T) {
+	old := peer.TargetLoad{Born: 1, Version: 1, Accepting: true, Running: 3}
+	const period = 3 * time.Second
+	busier, closed, newer, reborn := old, old, old, old
+	busier.Running, closed.Accepting, newer.Version, reborn.Born = 9, false, 2, 2
+	assert.Assert(t, !isDue(old, busier, period-1, period))
+	assert.Assert(t, isDue(old, busier, period, period))
+	for _, l := range []peer.TargetLoad{closed, newer, reborn} {
+		assert.Assert(t, isDue(old, l, time.Millisecond, period))
+	}
+}
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -63,7 +63,8 @@
 
 type meshServer struct {
 	peerpb.UnimplementedMeshServer
-	h MeshHandler
+	h    MeshHandler
+	pack packer
 }
 
 // Exchange implements peerpb.MeshServer.
@@ -76,7 +77,9 @@
 	return s.h.Follow(st.Context(), mirror.Revision(p.GetAfter()), time.Duration(p.GetBeatMs())*time.Millisecond, func(n StoreNews) error {
 		out := &peerpb.StoreChanges{At: uint64(n.At), AgeMs: uint64(n.Age.Milliseconds()), Lost: n.Lost}
 		for _, e := range n.Events {
-			out.Events = append(out.Events, &peerpb.StoreEvent{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Deleted: e.Deleted})
+			w := &peerpb.StoreEvent{Key: e.Key, Revision: uint64(e.Revision), Deleted: e.Deleted}
+			w.Value, w.Packed = s.pack.value(e)
+			out.Events = append(out.Events, w)
 		}
 		return st.Send(out)
 	})
@@ -169,7 +172,13 @@
 		}
 		n := StoreNews{At: mirror.Revision(m.GetAt()), Age: time.Duration(m.GetAgeMs()) * time.Millisecond, Lost: m.GetLost()}
 		for _, e := range m.GetEvents() {
-			n.Events = append(n.Events, mirror.Event{Key: e.GetKey(), Value: e.GetValue(), Revision: mirror.Revision(e.GetRevision()), Deleted: e.GetDeleted()})
+			value := e.GetValue()
+			if e.GetPacked() {
+				if value, err = unpack(value); err != nil {
+					return lost(addr, err)
+				}
+			}
+			n.Events = append(n.Events, mirror.Event{Key: e.GetKey(), Value: value, Revision: mirror.Revision(e.GetRevision()), Deleted: e.GetDeleted()})
 		}
 		silent.Reset(silence)
 		if !each(n) {
