--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -13,7 +13,6 @@
 	"amaranthturn/app/node"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/swarm"
-	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
@@ -226,11 +225,7 @@
 	}
 	now := s.now()
 	for v, o := range s.weights {
-		if v >= w.version {
-			continue
-		}
-		if !o.whole() && now.Sub(s.namings(w.model).After(w.version-1)) < olderWait ||
-			upgrade.WaitsForOlder(o.unseen(), s.namings(w.model).After(v-1), s.set.Bounds.VersionTime, now) {
+		if v < w.version && !o.whole() && now.Sub(s.namings(w.model).After(w.version-1)) < olderWait {
 			return none
 		}
 	}
@@ -283,13 +278,6 @@
 	return w.planner.Missing() == 0
 }
 
-// unseen returns how many pieces the region lacks, as far as this agent knows.
-func (w *weights) unseen() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.planner.Unseen()
-}
-
 func (w *weights) piece(i int) []byte {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/core/swarm/planner.go
+++ b/core/swarm/planner.go
@@ -394,18 +394,6 @@
 	return out
 }
 
-// Unseen returns how many chunks neither this instance nor, as far as it knows, a peer of
-// the region holds.
-func (p *Planner) Unseen() int {
-	n := 0
-	for c := range p.place {
-		if !p.seen.Has(c) {
-			n++
-		}
-	}
-	return n
-}
-
 // InFlight returns the fetches that have begun and not ended.
 func (p *Planner) InFlight() int { return len(p.flights) }
 
--- a/core/upgrade/naming.go
+++ b/core/upgrade/naming.go
@@ -79,15 +79,3 @@
 	}
 	return out
 }
-
-// WaitsForOlder tells whether a version is not fetched yet since an older one still lacks
-// pieces that have to come from far.
-//
-// Load pattern: a version is named two seconds after another, and the origin is away from
-// then on. When it is back, the older version lacks a few pieces and the newer one all.
-// Both at once share the origin's thin link, and engines stand idle until the second copy
-// has come through it; the older one alone is there after those few pieces, and its time
-// to be used has not passed.
-func WaitsForOlder(unseen int, named time.Time, limit time.Duration, now time.Time) bool {
-	return unseen > 0 && now.Sub(named) < limit
-}
