Entry: what is known of replaced targets is dropped; a request that ran alone is cleared

An entry never called Picker.Forget and Pool.Keep, so that loads of replaced targets and connections to them stayed until a restart; and a suspected request that had run beside no other to its end kept half of its blame. Change: every 10 s the loads of targets that are not listed and run nothing are dropped, and connections that have not been wanted for ten minutes are closed, the longest a request may take. Ruled out: closing a connection as soon as its instance is not listed, which ends the requests of a target that drains; Picker.Forget, which takes requests that run out of the count of all.

--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -104,9 +105,10 @@
 	orders   int
 	inFlight sync.WaitGroup
 
-	leaving atomic.Bool
-	jump    *clock.Watch
-	log     logs
+	leaving  atomic.Bool
+	jump     *clock.Watch
+	forgotAt time.Time // used by the ticker only
+	log      logs
 }
 
 type logs struct {
@@ -238,10 +240,39 @@
 	e.wake(admitted, expired)
 	queued, flying := e.queue.Queued(), e.queue.InFlight()
 	e.reqMu.Unlock()
+	if now.Sub(e.forgotAt) >= forgetEvery {
+		e.forgotAt = now
+		e.forgetGone(now)
+	}
 	e.opt.Metrics.Gauge("queued", float64(queued))
 	e.opt.Metrics.Gauge("in_flight", float64(flying))
 }
 
+// forgetEvery is how often an entry drops what it knows of instances that are gone.
+const forgetEvery = 10 * time.Second
+
+// forgetGone drops the loads of replaced targets and the connections to them.
+func (e *Entry) forgetGone(now time.Time) {
+	e.memMu.Lock()
+	list := e.table.List()
+	e.memMu.Unlock()
+	if len(list) == 0 {
+		return // the list is not known
+	}
+	addrs, ids := map[string]bool{}, map[fleet.InstanceID]bool{}
+	for _, in := range list {
+		addrs[in.Address], ids[in.ID] = true, true
+	}
+	e.reqMu.Lock()
+	e.picker.Keep(func(id fleet.InstanceID) bool { return ids[id] })
+	maps.DeleteFunc(e.running, func(id fleet.InstanceID, r map[admit.RequestID]fleet.Fingerprint) bool {
+		return !ids[id] && len(r) == 0
+	})
+	maps.DeleteFunc(e.boots, func(id fleet.InstanceID, _ uint64) bool { return !ids[id] })
+	e.reqMu.Unlock()
+	e.opt.Pool.Keep(addrs, now)
+}
+
 // woke voids what was believed before a pause of this process.
 func (e *Entry) woke(now time.Time) {
 	e.log.process.Warn().Msg("process was paused: view is stale")
--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -51,6 +51,7 @@
 	// target is the last one tried, attempts how many were.
 	target   fleet.InstanceID
 	attempts int
+	alone    bool // the present attempt runs beside no other request
 }
 
 type metricsOf interface {
@@ -314,11 +315,13 @@
 		if f.relayed || f.state.Sent() > 0 {
 			return dispatch.Failure{Kind: dispatch.KindNoTarget}, false
 		}
+		f.alone = false
 		return f.relay(ctx)
 	}
 	defer f.finished(o)
 	f.state.Began(o.ID)
 	f.target = o.ID
+	f.alone = alone
 	f.attempts++
 	req := f.gen
 	req.Version, req.ResumeFrom, req.Incarnation, req.Alone = f.state.Pinned(), f.state.Sent(), o.Incarnation, alone
@@ -405,11 +408,11 @@
 	f.e.reqMu.Unlock()
 }
 
-// whole clears the request of suspicion.
+// whole clears the request of suspicion: wholly when nothing else ran beside it.
 func (f *flight) whole() {
 	f.e.reqMu.Lock()
 	defer f.e.reqMu.Unlock()
-	f.e.ledger.Finished(f.gen.Fingerprint, false, f.e.now())
+	f.e.ledger.Finished(f.gen.Fingerprint, f.alone, f.e.now())
 }
 
 // lost translates a broken call. A target that broke off by itself is blamed on
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -130,11 +130,12 @@
 	p.prefixes[prefix] = sighting{id, now}
 }
 
-// Forget drops what is known of a target.
-func (p *Picker) Forget(id fleet.InstanceID) {
-	if l, ok := p.loads[id]; ok {
-		p.total -= l.inFlight
-		delete(p.loads, id)
+// Keep drops what is known of targets that are not listed and run nothing of this entry.
+func (p *Picker) Keep(listed func(fleet.InstanceID) bool) {
+	for id, l := range p.loads {
+		if l.inFlight == 0 && !listed(id) {
+			delete(p.loads, id)
+		}
 	}
 }
 
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -119,3 +119,22 @@
 		})
 	}
 }
+
+// Replays a day on which each target is replaced many times: what is known of those that
+// are gone is dropped once none of their requests runs, and the count of all stays right.
+func TestReplacedTargetsAreForgotten(t *testing.T) {
+	p := picker()
+	for i := range 50 {
+		id := fleet.InstanceID(fmt.Sprintf("t%d", i))
+		p.Started(id)
+		if i > 0 {
+			p.Finished(id)
+		}
+		p.Keep(func(x fleet.InstanceID) bool { return x == id })
+	}
+	assert.Equal(t, len(p.loads), 2, "the newest, and the first with a request")
+	p.Finished("t0")
+	p.Keep(func(fleet.InstanceID) bool { return false })
+	assert.Equal(t, len(p.loads), 0)
+	assert.Equal(t, p.total, 0)
+}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -46,8 +46,10 @@
 // Pool keeps one connection to each address.
 type Pool struct {
 	opts  []grpc.DialOption
-	mu    sync.Mutex // guards conns and closed
+	mu    sync.Mutex // guards all below
 	conns map[string]*grpc.ClientConn
+	// unwanted is since when addresses have not been wanted.
+	unwanted map[string]time.Time
 }
 
 // NewPool returns an empty pool.
@@ -76,7 +78,7 @@
 	if o.Dial != nil {
 		opts = append(opts, grpc.WithContextDialer(o.Dial))
 	}
-	return &Pool{opts: opts, conns: map[string]*grpc.ClientConn{}}
+	return &Pool{opts: opts, conns: map[string]*grpc.ClientConn{}, unwanted: map[string]time.Time{}}
 }
 
 // ServerOptions returns the options that match the pool's connections.
@@ -102,14 +104,25 @@
 	}
 }
 
-// Keep closes the connections to addresses that are not wanted any more.
-func (p *Pool) Keep(wanted map[string]bool) {
+// unwantedLife is how long a connection to an address that is not wanted any more is kept:
+// the longest time that a caller may give a request, which may still run there.
+const unwantedLife = 10 * time.Minute
+
+// Keep closes the connections to addresses that have not been wanted for unwantedLife.
+func (p *Pool) Keep(wanted map[string]bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, c := range p.conns {
-		if !wanted[addr] {
-			_ = c.Close()
+		since, ok := p.unwanted[addr]
+		switch {
+		case wanted[addr]:
+			delete(p.unwanted, addr)
+		case !ok:
+			p.unwanted[addr] = now
+		case now.Sub(since) >= unwantedLife:
+			_ = c.Close() // nothing runs on it any more
 			delete(p.conns, addr)
+			delete(p.unwanted, addr)
 		}
 	}
 }
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -164,3 +164,23 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tokens, "ns/token")
 }
+
+// Connections to replaced instances are closed, but not while a request may still run there.
+func TestConnectionsToGoneInstancesAreClosed(t *testing.T) {
+	p := NewPool(DialOptions{})
+	defer p.Close()
+	for _, addr := range []string{"127.0.0.1:1", "127.0.0.1:2"} {
+		_, err := p.conn(addr)
+		assert.NilError(t, err)
+	}
+	now := time.Unix(1_700_000_000, 0)
+	wanted := map[string]bool{"127.0.0.1:1": true}
+	p.Keep(wanted, now)
+	p.Keep(wanted, now.Add(unwantedLife-time.Second))
+	assert.Equal(t, len(p.conns), 2)
+	p.Keep(map[string]bool{"127.0.0.1:1": true, "127.0.0.1:2": true}, now.Add(unwantedLife-time.Second))
+	p.Keep(wanted, now.Add(unwantedLife))
+	assert.Equal(t, len(p.conns), 2, "it was wanted again in between")
+	p.Keep(wanted, now.Add(2*unwantedLife))
+	assert.Equal(t, len(p.conns), 1)
+}
