Names: the field's terms for the weight cache, pauses, blame and restrictions

Change: weightCache (app/agent/cache.go), Resumed, provisionalBlame, Withdraw, evict, suspect.Restriction, forward.Classify. Nothing else changes. Ruled out: flight (a request under way, as in singleflight) and admit.Verdict stay.

--- a/app/agent/agent.go
+++ b/app/agent/agent.go
@@ -9,11 +9,11 @@
 // # Parts
 //
 // The attachers keep streams to the entries of the zone. The driver alone gives
-// orders to the engine. The depot holds weights, and a distribution for each
+// orders to the engine. The weight cache holds weights, and a distribution for each
 // version brings its chunks in. The gate counts the requests that run.
 //
 // Each part has its lock and calls another part only in the order view, driver,
-// depot, gate; no lock is held while anything is sent.
+// cache, gate; no lock is held while anything is sent.
 package agent
 
 import (
@@ -72,7 +72,7 @@
 	incarnation fleet.Incarnation
 	view        *view
 	gate        *gate
-	depot       *depot
+	cache       *weightCache
 	driver      *driver
 	orders      *orders
 	attach      *attachments
@@ -104,7 +104,7 @@
 	a.view = newView(spread.NewPlanHolder(o.Ring, a.self.ID))
 	a.gate = newGate()
 	a.pace = newPacing(fleet.Bytes(s.Weights.LinkBytes))
-	a.depot = newDepot(a)
+	a.cache = newWeightCache(a)
 	a.driver = newDriver(a, now)
 	a.orders = &orders{a: a, table: ticket.NewTable(a.self.ID, a.incarnation, ticket.DefaultLimits), waits: map[ticket.ID]chan struct{}{}}
 	a.attach = newAttachments(a)
@@ -169,7 +169,7 @@
 	}
 	if a.opt.Engine != nil {
 		a.driver.fill(&r)
-		a.depot.fill(&r)
+		a.cache.fill(&r)
 	}
 	return r
 }
--- a/app/agent/attach.go
+++ b/app/agent/attach.go
@@ -143,7 +143,7 @@
 			return
 		case <-x.kicked:
 		case <-tick.C:
-			probe = x.near() && x.a.depot.moving()
+			probe = x.near() && x.a.cache.moving()
 			if !probe && x.a.now().Sub(last) < heartbeatEvery {
 				continue
 			}
--- a/app/agent/depot.go
+++ b/app/agent/cache.go
@@ -18,7 +18,7 @@
 	"amaranthturn/io/peer"
 )
 
-// Constants of the depot.
+// Constants of the weight cache.
 const (
 	heldBatch    = 150 * time.Millisecond // news of chunks are sent together
 	slotWait     = 300 * time.Millisecond // an upload waits for a slot that long
@@ -34,8 +34,8 @@
 	refs int
 }
 
-// depot holds weights in memory and hands them to the engine and to others.
-type depot struct {
+// weightCache holds weights in memory and hands them to the engine and to others.
+type weightCache struct {
 	a       *Agent
 	slots   peer.Slots
 	mu      sync.Mutex // guards all below
@@ -51,9 +51,9 @@
 	changed chan struct{} // closed and replaced when a chunk or version comes or goes
 }
 
-func newDepot(a *Agent) *depot {
+func newWeightCache(a *Agent) *weightCache {
 	w := a.opt.Settings.Weights
-	return &depot{
+	return &weightCache{
 		a: a, slots: peer.NewSlots(w.UploadSlots),
 		ledger: hold.NewLedger(fleet.Bytes(w.MemoryBytes)),
 		chunks: map[fleet.Digest]*chunkData{}, bodies: map[fleet.Version][]byte{},
@@ -64,7 +64,7 @@
 
 // want follows the plan: it begins distributions of new versions, gives up those
 // that are not wanted any more, and lets old versions go.
-func (d *depot) want(ctx context.Context, plan config.TargetPlan, serving map[fleet.Model]fleet.Version) {
+func (d *weightCache) want(ctx context.Context, plan config.TargetPlan, serving map[fleet.Model]fleet.Version) {
 	now := d.a.now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -103,13 +103,13 @@
 
 // replaced tells whether the version that follows x is served here, so that x is
 // only kept for others. mu is held.
-func (d *depot) replaced(x *distribution, serving map[fleet.Model]fleet.Version) bool {
+func (d *weightCache) replaced(x *distribution, serving map[fleet.Model]fleet.Version) bool {
 	p, ok := d.wanted[x.plan.Model]
 	return !ok || serving[p.Model] == p.Version
 }
 
 // begin starts what a wanted version lacks. mu is held.
-func (d *depot) begin(ctx context.Context, p config.ModelPlan, origin fleet.Region) {
+func (d *weightCache) begin(ctx context.Context, p config.ModelPlan, origin fleet.Region) {
 	if x, ok := d.active[p.Version]; ok {
 		x.setPlan(p)
 		_, _ = d.ledger.Admit(p.Version, 0, d.a.now())
@@ -125,7 +125,7 @@
 }
 
 // drop frees a version. mu is held.
-func (d *depot) drop(v fleet.Version) {
+func (d *weightCache) drop(v fleet.Version) {
 	x, ok := d.active[v]
 	if !ok {
 		d.ledger.Drop(v)
@@ -143,7 +143,7 @@
 }
 
 // release drops the reference of one version to a chunk. mu is held.
-func (d *depot) release(g fleet.Digest, x *distribution) {
+func (d *weightCache) release(g fleet.Digest, x *distribution) {
 	if !x.refs[g] {
 		return
 	}
@@ -157,13 +157,13 @@
 }
 
 // signal wakes those that wait for a change. mu is held.
-func (d *depot) signal() {
+func (d *weightCache) signal() {
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
 
 // opened begins the distribution of a version whose manifest was checked.
-func (d *depot) opened(ctx context.Context, f *manifestFetch, m *swarm.Manifest, body []byte) bool {
+func (d *weightCache) opened(ctx context.Context, f *manifestFetch, m *swarm.Manifest, body []byte) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.fetch[m.Version] != f {
@@ -191,7 +191,7 @@
 	return true
 }
 
-func (d *depot) reference(x *distribution, g fleet.Digest, c *chunkData) {
+func (d *weightCache) reference(x *distribution, g fleet.Digest, c *chunkData) {
 	if !x.refs[g] {
 		x.refs[g] = true
 		c.refs++
@@ -199,7 +199,7 @@
 }
 
 // store keeps a verified chunk. It tells whether the version is still wanted.
-func (d *depot) store(x *distribution, i int, data []byte, from swarm.SourceKind) bool {
+func (d *weightCache) store(x *distribution, i int, data []byte, from swarm.SourceKind) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.active[x.manifest.Version] != x {
@@ -222,7 +222,7 @@
 }
 
 // complete tells whether the whole verified version is held.
-func (d *depot) complete(v fleet.Version) bool {
+func (d *weightCache) complete(v fleet.Version) bool {
 	d.mu.Lock()
 	x, ok := d.active[v]
 	d.mu.Unlock()
@@ -230,7 +230,7 @@
 }
 
 // moving tells whether weights are being fetched.
-func (d *depot) moving() bool {
+func (d *weightCache) moving() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, x := range d.active {
@@ -242,7 +242,7 @@
 }
 
 // reader returns the weights of a complete version.
-func (d *depot) reader(v fleet.Version) (io.Reader, fleet.Bytes, error) {
+func (d *weightCache) reader(v fleet.Version) (io.Reader, fleet.Bytes, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	x, ok := d.active[v]
@@ -261,7 +261,7 @@
 }
 
 // fill adds the progress of distributions to a heartbeat.
-func (d *depot) fill(r *member.Report) {
+func (d *weightCache) fill(r *member.Report) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r.OriginBytes, r.PeerBytes = d.origin, d.peers
@@ -282,27 +282,27 @@
 	}
 }
 
-// woke gives up fetches that were under way before a pause.
-func (d *depot) woke(now time.Time) {
+// resumed gives up fetches that were under way before a pause.
+func (d *weightCache) resumed(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, x := range d.active {
-		x.woke(now)
+		x.resumed(now)
 	}
 }
 
 // Manifest implements peer.AgentHandler.
 func (a *Agent) Manifest(v fleet.Version) ([]byte, bool) {
-	a.depot.mu.Lock()
-	defer a.depot.mu.Unlock()
-	body, ok := a.depot.bodies[v]
+	a.cache.mu.Lock()
+	defer a.cache.mu.Unlock()
+	body, ok := a.cache.bodies[v]
 	return body, ok
 }
 
 // Chunk implements peer.AgentHandler: it hands a verified chunk on, at the pace
 // that live requests leave.
 func (a *Agent) Chunk(ctx context.Context, ref peer.ChunkRef, send func([]byte) error) error {
-	d := a.depot
+	d := a.cache
 	if err := d.slots.Take(ctx, slotWait); err != nil {
 		return err
 	}
@@ -329,7 +329,7 @@
 
 // WatchChunks implements peer.AgentHandler.
 func (a *Agent) WatchChunks(ctx context.Context, v fleet.Version, send func(peer.Held) error) error {
-	sent, changed, ok := a.depot.heldOf(v)
+	sent, changed, ok := a.cache.heldOf(v)
 	if err := send(peer.Held{Bitmap: sent}); err != nil {
 		return err
 	}
@@ -344,7 +344,7 @@
 		}
 		var now swarm.Bitmap
 		var still bool
-		now, changed, still = a.depot.heldOf(v)
+		now, changed, still = a.cache.heldOf(v)
 		if ok && !still {
 			return send(peer.Held{Gone: true})
 		}
@@ -363,7 +363,7 @@
 
 // heldOf returns the chunks held of a version and a channel that is closed at the
 // next change.
-func (d *depot) heldOf(v fleet.Version) (swarm.Bitmap, <-chan struct{}, bool) {
+func (d *weightCache) heldOf(v fleet.Version) (swarm.Bitmap, <-chan struct{}, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	x, ok := d.active[v]
@@ -375,7 +375,7 @@
 
 // manifestFetch gets the manifest of one version.
 type manifestFetch struct {
-	d      *depot
+	d      *weightCache
 	plan   config.ModelPlan
 	origin fleet.Region
 	cancel context.CancelFunc
--- a/app/agent/distribution.go
+++ b/app/agent/distribution.go
@@ -20,11 +20,11 @@
 
 // distribution brings the chunks of one version in.
 type distribution struct {
-	d        *depot
+	d        *weightCache
 	manifest *swarm.Manifest
 	offsets  []fleet.Bytes
 	region   fleet.Region
-	refs     map[fleet.Digest]bool // guarded by the depot's lock
+	refs     map[fleet.Digest]bool // guarded by the cache's lock
 	kicked   chan struct{}
 	done     chan struct{}
 
@@ -38,7 +38,7 @@
 	whole    bool
 }
 
-func newDistribution(d *depot, p config.ModelPlan, originRegion fleet.Region, m *swarm.Manifest) *distribution {
+func newDistribution(d *weightCache, p config.ModelPlan, originRegion fleet.Region, m *swarm.Manifest) *distribution {
 	set := swarm.DefaultSettings(d.a.self.ID, d.a.self.Region)
 	if originRegion != "" {
 		set.OriginRegion = originRegion
@@ -233,10 +233,10 @@
 	return ""
 }
 
-func (x *distribution) woke(now time.Time) {
+func (x *distribution) resumed(now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for _, f := range x.planner.Woke(now) {
+	for _, f := range x.planner.Resumed(now) {
 		x.giveUp(f)
 		x.planner.Failed(f, swarm.CauseCanceled, 0, now)
 	}
--- a/app/agent/driver.go
+++ b/app/agent/driver.go
@@ -97,7 +97,7 @@
 	stale := jumped || d.dead || now.Sub(d.readAt) >= stateEvery
 	d.mu.Unlock()
 	if jumped {
-		d.woke(now)
+		d.resumed(now)
 	}
 	if stale {
 		d.read(ctx)
@@ -106,23 +106,23 @@
 	if rev == 0 {
 		return
 	}
-	d.a.depot.want(ctx, plan, d.servingAll())
+	d.a.cache.want(ctx, plan, d.servingAll())
 	for _, p := range plan.Models {
 		d.drive(ctx, p)
 	}
 }
 
-// woke voids what was believed before a pause.
-func (d *driver) woke(now time.Time) {
+// resumed voids what was believed before a pause.
+func (d *driver) resumed(now time.Time) {
 	d.a.log.process.Warn().Msg("process was paused: looking at the engine anew")
 	d.a.opt.Metrics.Count("pauses", 1)
 	d.mu.Lock()
 	d.takeover.Reset(d.a.opt.Settings.Engine.RefusesOldOrders)
 	for _, m := range d.machines {
-		m.Woke()
+		m.Resumed()
 	}
 	d.mu.Unlock()
-	d.a.depot.woke(now)
+	d.a.cache.resumed(now)
 }
 
 // stateTimeout bounds a read of the engine's state.
@@ -233,7 +233,7 @@
 	rows := d.a.view.members()
 	in := switchover.Input{
 		Desired: p.Version, MinServing: p.MinServing, Leaving: d.a.leaving.Load(), DiedBusy: d.a.gate.diedBusy(),
-		Complete: d.a.depot.complete, InFlight: d.a.gate.inFlight(p.Model), View: d.groupView(rows, p.Model),
+		Complete: d.a.cache.complete, InFlight: d.a.gate.inFlight(p.Model), View: d.groupView(rows, p.Model),
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -333,7 +333,7 @@
 	if w := m.Waiting(); w != switchover.WaitNothing {
 		st.WaitsFor = w.String()
 	}
-	if st.Serving != p.Version && d.a.depot.complete(p.Version) {
+	if st.Serving != p.Version && d.a.cache.complete(p.Version) {
 		st.Staged = p.Version
 	}
 	return st
@@ -389,7 +389,7 @@
 	case switchover.ActionLoad:
 		ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 		defer cancel()
-		weights, size, err := x.d.a.depot.reader(x.act.Version)
+		weights, size, err := x.d.a.cache.reader(x.act.Version)
 		if err != nil {
 			return err
 		}
--- a/app/entry/attach.go
+++ b/app/entry/attach.go
@@ -107,7 +107,7 @@
 func (e *Entry) learn(r member.Report, now time.Time) {
 	e.reqMu.Lock()
 	defer e.reqMu.Unlock()
-	e.absolve(r, now)
+	e.withdrawBlame(r, now)
 	e.picker.Reported(r.Instance, r.Load.Running+r.Load.Queued, now)
 	for _, h := range r.Cached {
 		e.picker.Cached(r.Instance, h, now)
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -89,21 +89,21 @@
 	table    *member.Table
 	sessions map[*session]struct{}
 
-	reqMu    sync.Mutex // guards all below
-	queue    *admit.Queue
-	picker   *route.Picker
-	ledger   *suspect.Ledger
-	budgets  map[fleet.Workspace]*retry.Budget
-	budget   *retry.Budget
-	random   *rand.Rand
-	nextID   admit.RequestID
-	waiters  map[admit.RequestID]chan admit.Verdict
-	running  map[fleet.InstanceID]map[admit.RequestID]fleet.Fingerprint
-	offers   map[fleet.Model]offerCache
-	boots    map[fleet.InstanceID]uint64
-	accused  map[fleet.InstanceID]accusation
-	orders   int
-	inFlight sync.WaitGroup
+	reqMu       sync.Mutex // guards all below
+	queue       *admit.Queue
+	picker      *route.Picker
+	ledger      *suspect.Ledger
+	budgets     map[fleet.Workspace]*retry.Budget
+	budget      *retry.Budget
+	random      *rand.Rand
+	nextID      admit.RequestID
+	waiters     map[admit.RequestID]chan admit.Verdict
+	running     map[fleet.InstanceID]map[admit.RequestID]fleet.Fingerprint
+	offers      map[fleet.Model]offerCache
+	boots       map[fleet.InstanceID]uint64
+	provisional map[fleet.InstanceID]provisionalBlame
+	orders      int
+	inFlight    sync.WaitGroup
 
 	leaving  atomic.Bool
 	jump     *clock.Watch
@@ -124,21 +124,21 @@
 	now := o.Clock.Now()
 	e := &Entry{
 		opt: o, self: self, issuer: ticket.NewIssuer(o.Ring),
-		node:     spread.NewNode(spread.DefaultSettings(self.ID, self.Zone), o.Ring, rand.New(rand.NewPCG(o.Seed, 2)), now),
-		accepted: make(chan struct{}, 1),
-		table:    member.NewTable(member.DefaultSettings),
-		sessions: map[*session]struct{}{},
-		picker:   route.NewPicker(route.DefaultSettings, rand.New(rand.NewPCG(o.Seed, 3))),
-		ledger:   suspect.NewLedger(suspect.DefaultSettings),
-		budgets:  map[fleet.Workspace]*retry.Budget{},
-		budget:   retry.NewBudget(config.DefaultRetryShare, retryBurst),
-		random:   random,
-		waiters:  map[admit.RequestID]chan admit.Verdict{},
-		running:  map[fleet.InstanceID]map[admit.RequestID]fleet.Fingerprint{},
-		offers:   map[fleet.Model]offerCache{},
-		boots:    map[fleet.InstanceID]uint64{},
-		accused:  map[fleet.InstanceID]accusation{},
-		jump:     clock.NewWatch(pauseLimit),
+		node:        spread.NewNode(spread.DefaultSettings(self.ID, self.Zone), o.Ring, rand.New(rand.NewPCG(o.Seed, 2)), now),
+		accepted:    make(chan struct{}, 1),
+		table:       member.NewTable(member.DefaultSettings),
+		sessions:    map[*session]struct{}{},
+		picker:      route.NewPicker(route.DefaultSettings, rand.New(rand.NewPCG(o.Seed, 3))),
+		ledger:      suspect.NewLedger(suspect.DefaultSettings),
+		budgets:     map[fleet.Workspace]*retry.Budget{},
+		budget:      retry.NewBudget(config.DefaultRetryShare, retryBurst),
+		random:      random,
+		waiters:     map[admit.RequestID]chan admit.Verdict{},
+		running:     map[fleet.InstanceID]map[admit.RequestID]fleet.Fingerprint{},
+		offers:      map[fleet.Model]offerCache{},
+		boots:       map[fleet.InstanceID]uint64{},
+		provisional: map[fleet.InstanceID]provisionalBlame{},
+		jump:        clock.NewWatch(pauseLimit),
 		log: logs{
 			config: o.Logs.Of(telemetry.SubsystemConfig), members: o.Logs.Of(telemetry.SubsystemMembers),
 			requests: o.Logs.Of(telemetry.SubsystemRequests), orders: o.Logs.Of(telemetry.SubsystemOrders),
@@ -233,7 +233,7 @@
 func (e *Entry) tick() {
 	now := e.now()
 	if e.jump.Jumped(now) {
-		e.woke(now)
+		e.resumed(now)
 	}
 	e.reqMu.Lock()
 	admitted, expired := e.queue.Tick(now)
@@ -273,15 +273,15 @@
 	e.opt.Pool.Keep(addrs, now)
 }
 
-// woke voids what was believed before a pause of this process.
-func (e *Entry) woke(now time.Time) {
+// resumed voids what was believed before a pause of this process.
+func (e *Entry) resumed(now time.Time) {
 	e.log.process.Warn().Msg("process was paused: view is stale")
 	e.opt.Metrics.Count("pauses", 1)
 	e.cfgMu.Lock()
-	e.node.Woke(now)
+	e.node.Resumed(now)
 	e.cfgMu.Unlock()
 	e.memMu.Lock()
-	e.table.Woke(now)
+	e.table.Resumed(now)
 	e.memMu.Unlock()
 	e.reqMu.Lock()
 	e.offers = map[fleet.Model]offerCache{}
--- a/app/entry/offers.go
+++ b/app/entry/offers.go
@@ -30,7 +30,7 @@
 	defer e.reqMu.Unlock()
 	want := f.want
 	want.Pinned = f.state.Pinned()
-	alone := e.ledger.Judge(f.gen.Fingerprint, now) != suspect.Clear
+	alone := e.ledger.Restriction(f.gen.Fingerprint, now) != suspect.Clear
 	q := route.Query{Prefix: f.prefix, Alone: alone, Avoid: f.state.Avoid()}
 	all := route.Eligible(offers, want)
 	t, ok := e.picker.ChooseNear(route.Near(all, offers, e.self.Zone), all, q, now)
--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -159,7 +159,7 @@
 
 // admitAndRun waits for a slot and runs the request in it.
 func (f *flight) admitAndRun(ctx context.Context) *fleet.Refusal {
-	if f.judge() == suspect.Stop {
+	if f.restriction() == suspect.Stop {
 		return fleet.NotRun(fleet.ReasonCrashing, 0)
 	}
 	if refusal := f.enter(ctx); refusal != nil {
@@ -170,10 +170,10 @@
 	return f.run(ctx)
 }
 
-func (f *flight) judge() suspect.Judgement {
+func (f *flight) restriction() suspect.Restriction {
 	f.e.reqMu.Lock()
 	defer f.e.reqMu.Unlock()
-	return f.e.ledger.Judge(f.gen.Fingerprint, f.e.now())
+	return f.e.ledger.Restriction(f.gen.Fingerprint, f.e.now())
 }
 
 // enter takes a slot, waiting for one in the queue.
@@ -293,7 +293,7 @@
 		if !node.Sleep(ctx, step.Wait) {
 			return f.state.Failed(dispatch.Failure{Kind: f.ended(ctx)}, f.allowRetry, 0, f.e.now()).Refusal
 		}
-		if f.judge() == suspect.Stop {
+		if f.restriction() == suspect.Stop {
 			return f.state.Failed(dispatch.Failure{
 				Kind: dispatch.KindRefused, Refusal: fleet.NotRun(fleet.ReasonCrashing, 0),
 			}, f.allowRetry, 0, f.e.now()).Refusal
@@ -431,9 +431,9 @@
 	return dispatch.Failure{Kind: dispatch.KindLost}
 }
 
-// accusation is the blame of a connection that broke, until it is known whether the
+// provisionalBlame is the blame of a connection that broke, until it is known whether the
 // target died.
-type accusation struct {
+type provisionalBlame struct {
 	run  fleet.Incarnation
 	list []fleet.Fingerprint
 	at   time.Time
@@ -459,20 +459,20 @@
 	delete(e.running, on)
 	if len(list) > 0 {
 		e.ledger.Crashed(list, e.now())
-		e.accused[on] = accusation{run: run, list: list, at: e.now()}
+		e.provisional[on] = provisionalBlame{run: run, list: list, at: e.now()}
 	}
 }
 
-// absolve takes blame back when the accused run of a target answers again. reqMu is
+// withdrawBlame takes blame back when the blamed run of a target answers again. reqMu is
 // held.
-func (e *Entry) absolve(r member.Report, now time.Time) {
-	a, ok := e.accused[r.Instance]
+func (e *Entry) withdrawBlame(r member.Report, now time.Time) {
+	a, ok := e.provisional[r.Instance]
 	switch {
 	case !ok:
 	case r.Incarnation != a.run:
-		delete(e.accused, r.Instance)
+		delete(e.provisional, r.Instance)
 	case now.Sub(a.at) > echoTime:
-		e.ledger.Absolve(a.list, now)
-		delete(e.accused, r.Instance)
+		e.ledger.Withdraw(a.list, now)
+		delete(e.provisional, r.Instance)
 	}
 }
--- a/app/gateway/exchange.go
+++ b/app/gateway/exchange.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return x.lost(parent, err), false
 	}
-	switch forward.Judge(sent.Reply) {
+	switch forward.Classify(sent.Reply) {
 	case forward.VerdictFull, forward.VerdictMoved:
 		defer sent.Close()
 		_, _ = io.Copy(io.Discard, io.LimitReader(sent.Body, maxSmall)) // keeps the connection
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -251,7 +251,7 @@
 	if g.pause.Jumped(now) {
 		g.log.process.Warn().Msg("process was paused")
 		g.metrics.Count("pauses", 1)
-		g.league.Woke(now)
+		g.league.Resumed(now)
 		g.loads = map[fleet.InstanceID]peer.TargetLoad{}
 	}
 	if gone := g.roster.Expire(now); len(gone) > 0 {
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -96,16 +96,16 @@
 	l := suspect.NewLedger(crashSettings)
 	l.Crashed([]fleet.Fingerprint{1}, now)
 	l.Crashed([]fleet.Fingerprint{1}, now)
-	assert.Equal(t, l.Judge(1, now), suspect.Clear)
+	assert.Equal(t, l.Restriction(1, now), suspect.Clear)
 	l.Crashed([]fleet.Fingerprint{1}, now)
-	assert.Equal(t, l.Judge(1, now), suspect.Stop)
-	assert.Equal(t, l.Judge(1, now.Add(10*time.Second)), suspect.Clear)
+	assert.Equal(t, l.Restriction(1, now), suspect.Stop)
+	assert.Equal(t, l.Restriction(1, now.Add(10*time.Second)), suspect.Clear)
 	for range 3 {
-		assert.Equal(t, l.Judge(2, now), suspect.Clear)
+		assert.Equal(t, l.Restriction(2, now), suspect.Clear)
 		l.Crashed([]fleet.Fingerprint{2}, now)
 		now = now.Add(5 * time.Second)
 	}
-	assert.Equal(t, l.Judge(2, now.Add(-5*time.Second)), suspect.Stop)
+	assert.Equal(t, l.Restriction(2, now.Add(-5*time.Second)), suspect.Stop)
 }
 
 // An entry that starts knows no others and watches targets closely; when it knows the
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -153,7 +153,7 @@
 	}
 	req := admit.Request{Workspace: f.workspace, Class: f.class, Deadline: wait, Cost: f.cost()}
 	g.mu.Lock()
-	if g.ledger.Judge(f.print, now) == suspect.Stop {
+	if g.ledger.Restriction(f.print, now) == suspect.Stop {
 		g.mu.Unlock()
 		return fleet.NotRun(fleet.ReasonCrashing, 0)
 	}
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	switch verdict := forward.Judge(route, reply); verdict { … }
+//	switch verdict := forward.Classify(route, reply); verdict { … }
 //	if stream.Accept(id) { … give the event to the caller … }
 //
 // # Invariants
@@ -100,8 +100,8 @@
 	VerdictFailed // failed
 )
 
-// Judge tells what a reply means.
-func Judge(r Reply) Verdict {
+// Classify tells what a reply means.
+func Classify(r Reply) Verdict {
 	switch {
 	case r.WrongTarget:
 		return VerdictMoved
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -12,7 +12,7 @@
 	"amaranthturn/core/routing"
 )
 
-func TestJudge(t *testing.T) {
+func TestClassify(t *testing.T) {
 	for _, c := range []struct {
 		r    forward.Reply
 		want forward.Verdict
@@ -32,7 +32,7 @@
 		// A success that claims not to have run is a success only by its signature.
 		{forward.Reply{Status: 200, NotRun: true, Signed: true}, forward.VerdictPass},
 	} {
-		assert.Equal(t, forward.Judge(c.r), c.want, "%+v", c.r)
+		assert.Equal(t, forward.Classify(c.r), c.want, "%+v", c.r)
 	}
 }
 
--- a/core/hold/hold.go
+++ b/core/hold/hold.go
@@ -56,7 +56,7 @@
 		e.role = RoleWanted
 		return nil, true
 	}
-	drop, freed := l.victims(l.used + size - l.limit)
+	drop, freed := l.evict(l.used + size - l.limit)
 	if l.used-freed+size > l.limit {
 		return nil, false
 	}
@@ -68,8 +68,8 @@
 	return drop, true
 }
 
-// victims returns versions to drop until need bytes are free.
-func (l *Ledger) victims(need fleet.Bytes) ([]fleet.Version, fleet.Bytes) {
+// evict returns versions to drop until need bytes are free.
+func (l *Ledger) evict(need fleet.Bytes) ([]fleet.Version, fleet.Bytes) {
 	var order []fleet.Version
 	for v, e := range l.entries {
 		if e.role != RoleWanted {
--- a/core/league/league.go
+++ b/core/league/league.go
@@ -173,8 +173,8 @@
 	return first, addr[first]
 }
 
-// Woke renews the leases after a pause of this process, in which nothing could be heard.
-func (l *League) Woke(now time.Time) {
+// Resumed renews the leases after a pause of this process, in which nothing could be heard.
+func (l *League) Resumed(now time.Time) {
 	for _, m := range l.rows {
 		m.heard = now
 	}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -176,8 +176,8 @@
 	}
 }
 
-// Woke tells that this process was paused: leases renewed before are void.
-func (t *Table) Woke(now time.Time) {
+// Resumed tells that this process was paused: leases renewed before are void.
+func (t *Table) Resumed(now time.Time) {
 	t.trustFrom = now
 	t.version++
 }
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -79,7 +79,7 @@
 func TestPauseIsNoticed(t *testing.T) {
 	x := scene()
 	later := now.Add(time.Second)
-	x.Woke(later)
+	x.Resumed(later)
 	assert.Equal(t, len(x.Serving("m", later)), 0)
 	x.Heard(report("a", 1, 2), later)
 	assert.Equal(t, len(x.Serving("m", later)), 1)
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -186,8 +186,8 @@
 	}
 }
 
-// Woke tells that the process was paused: what it heard of others is old.
-func (n *Node) Woke(now time.Time) {
+// Resumed tells that the process was paused: what it heard of others is old.
+func (n *Node) Resumed(now time.Time) {
 	n.heard = now
 }
 
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	switch l.Judge(fp, now) {
+//	switch l.Restriction(fp, now) {
 //	case suspect.Clear: // run it anywhere
 //	case suspect.Alone: // run it on a target that runs nothing else
 //	case suspect.Stop:  // refuse it: not_run
@@ -25,16 +25,16 @@
 	"amaranthturn/core/fleet"
 )
 
-//go:generate stringer -type=Judgement -output=suspect_string.go -linecomment
+//go:generate stringer -type=Restriction -output=suspect_string.go -linecomment
 
-// Judgement is how a request may run.
-type Judgement int
+// Restriction is how a request may run.
+type Restriction int
 
-// The judgements.
+// The restrictions.
 const (
-	Clear Judgement = iota // clear
-	Alone                  // alone
-	Stop                   // stop
+	Clear Restriction = iota // clear
+	Alone                    // alone
+	Stop                     // stop
 )
 
 // Settings are the thresholds of a Ledger.
@@ -80,8 +80,8 @@
 // SetTargets changes how many targets one request may crash.
 func (l *Ledger) SetTargets(n int) { l.set.Targets = n }
 
-// Judge tells how a request may run now.
-func (l *Ledger) Judge(f fleet.Fingerprint, now time.Time) Judgement {
+// Restriction tells how a request may run now.
+func (l *Ledger) Restriction(f fleet.Fingerprint, now time.Time) Restriction {
 	e, ok := l.entries[f]
 	if !ok {
 		return Clear
@@ -106,9 +106,9 @@
 	}
 }
 
-// Absolve takes back the blame of a crash that did not happen: the target was only out
+// Withdraw takes back the blame of a crash that did not happen: the target was only out
 // of reach, and the same run of it answers again.
-func (l *Ledger) Absolve(running []fleet.Fingerprint, now time.Time) {
+func (l *Ledger) Withdraw(running []fleet.Fingerprint, now time.Time) {
 	for _, f := range running {
 		e, ok := l.entries[f]
 		if !ok {
--- a/core/suspect/suspect_test.go
+++ b/core/suspect/suspect_test.go
@@ -17,26 +17,26 @@
 	l := NewLedger(DefaultSettings)
 	const culprit = fleet.Fingerprint(1)
 	l.Crashed([]fleet.Fingerprint{culprit, 2, 3, 4}, now)
-	assert.Equal(t, l.Judge(culprit, now), Alone)
-	assert.Equal(t, l.Judge(3, now), Alone)
+	assert.Equal(t, l.Restriction(culprit, now), Alone)
+	assert.Equal(t, l.Restriction(3, now), Alone)
 	l.Finished(3, true, now)
-	assert.Equal(t, l.Judge(3, now), Clear, "what finishes alone is cleared")
+	assert.Equal(t, l.Restriction(3, now), Clear, "what finishes alone is cleared")
 	crashes := 1
-	for l.Judge(culprit, now) != Stop {
+	for l.Restriction(culprit, now) != Stop {
 		l.Crashed([]fleet.Fingerprint{culprit}, now)
 		crashes++
 	}
 	assert.Assert(t, crashes <= DefaultSettings.Targets+1, "%d targets", crashes)
-	assert.Equal(t, l.Judge(2, now.Add(2*time.Hour)), Clear, "shared blame decays")
+	assert.Equal(t, l.Restriction(2, now.Add(2*time.Hour)), Clear, "shared blame decays")
 }
 
 func TestBlameOfALostConnectionIsTakenBack(t *testing.T) {
 	l := NewLedger(DefaultSettings)
 	l.Crashed([]fleet.Fingerprint{1}, now)
 	l.Crashed([]fleet.Fingerprint{1, 2}, now)
-	l.Absolve([]fleet.Fingerprint{1, 2}, now)
-	assert.Equal(t, l.Judge(2, now), Clear)
-	assert.Equal(t, l.Judge(1, now), Alone, "the other crash stays")
+	l.Withdraw([]fleet.Fingerprint{1, 2}, now)
+	assert.Equal(t, l.Restriction(2, now), Clear)
+	assert.Equal(t, l.Restriction(1, now), Alone, "the other crash stays")
 }
 
 func TestMergeTakesTheWorse(t *testing.T) {
@@ -44,10 +44,10 @@
 	a.Crashed([]fleet.Fingerprint{7}, now)
 	a.Crashed([]fleet.Fingerprint{7}, now)
 	b.Merge(a.Worst(10, now), now)
-	assert.Equal(t, b.Judge(7, now), Stop)
+	assert.Equal(t, b.Restriction(7, now), Stop)
 	b.Merge([]Blame{{7, 0.1}, {8, -3}}, now)
-	assert.Equal(t, b.Judge(7, now), Stop)
-	assert.Equal(t, b.Judge(8, now), Clear)
+	assert.Equal(t, b.Restriction(7, now), Stop)
+	assert.Equal(t, b.Restriction(8, now), Clear)
 }
 
 func TestLedgerIsBounded(t *testing.T) {
@@ -59,5 +59,5 @@
 		l.Crashed([]fleet.Fingerprint{1000 + f, 2000 + f}, now)
 	}
 	assert.Equal(t, l.Len(), 10)
-	assert.Equal(t, l.Judge(1, now), Alone, "the most blamed stays")
+	assert.Equal(t, l.Restriction(1, now), Alone, "the most blamed stays")
 }
--- a/core/swarm/fuzz_test.go
+++ b/core/swarm/fuzz_test.go
@@ -209,13 +209,13 @@
 	assert.Equal(t, len(p.Next(begun.Add(31*time.Second))), 1)
 }
 
-// TestWokenPlannerStartsAnew shows that fetches from before a pause are given up.
-func TestWokenPlannerStartsAnew(t *testing.T) {
+// TestResumedPlannerStartsAnew shows that fetches from before a pause are given up.
+func TestResumedPlannerStartsAnew(t *testing.T) {
 	p := NewPlanner(DefaultSettings("a", "r"), benchManifest(4), rand.New(rand.NewPCG(1, 1)), benchStart)
 	begun := p.Next(benchStart.Add(time.Second))
 	assert.Equal(t, len(begun), 3)
 	later := benchStart.Add(10 * time.Minute)
-	given := p.Woke(later)
+	given := p.Resumed(later)
 	assert.Equal(t, len(given), len(begun))
 	for _, f := range given {
 		p.Failed(f, CauseCanceled, 0, later)
--- a/core/swarm/planner.go
+++ b/core/swarm/planner.go
@@ -383,9 +383,9 @@
 
 func (p *Planner) inFlight(c int) bool { return p.flying[c] > 0 }
 
-// Woke tells the planner that the process was paused: fetches are given up and
+// Resumed tells the planner that the process was paused: fetches are given up and
 // the stall clock starts anew.
-func (p *Planner) Woke(now time.Time) []Fetch {
+func (p *Planner) Resumed(now time.Time) []Fetch {
 	var out []Fetch
 	for _, f := range p.flights {
 		out = append(out, f.Fetch)
--- a/core/switchover/fuzz_test.go
+++ b/core/switchover/fuzz_test.go
@@ -180,12 +180,12 @@
 		g.noRule = noRule
 		pick := func(t *rapid.T) *node { return g.nodes[rapid.IntRange(0, n-1).Draw(t, "node")] }
 		t.Repeat(map[string]func(*rapid.T){
-			"step":   func(t *rapid.T) { g.step(pick(t)) },
-			"hear":   func(t *rapid.T) { g.hear(pick(t), pick(t)) },
-			"hear2":  func(t *rapid.T) { g.hear(pick(t), pick(t)) },
-			"finish": func(t *rapid.T) { g.finish(pick(t)) },
-			"flight": func(t *rapid.T) { pick(t).flight = rapid.IntRange(0, 2).Draw(t, "requests") },
-			"woke":   func(t *rapid.T) { pick(t).m.Woke() },
+			"step":    func(t *rapid.T) { g.step(pick(t)) },
+			"hear":    func(t *rapid.T) { g.hear(pick(t), pick(t)) },
+			"hear2":   func(t *rapid.T) { g.hear(pick(t), pick(t)) },
+			"finish":  func(t *rapid.T) { g.finish(pick(t)) },
+			"flight":  func(t *rapid.T) { pick(t).flight = rapid.IntRange(0, 2).Draw(t, "requests") },
+			"resumed": func(t *rapid.T) { pick(t).m.Resumed() },
 			"wait": func(t *rapid.T) {
 				g.now = g.now.Add(time.Duration(rapid.IntRange(10, 4000).Draw(t, "ms")) * time.Millisecond)
 			},
--- a/core/switchover/machine.go
+++ b/core/switchover/machine.go
@@ -221,8 +221,8 @@
 // Failures returns how often a version failed on this instance.
 func (m *Machine) Failures(v fleet.Version) int { return m.failures[v] }
 
-// Woke tells that the process was paused: what was agreed before is void.
-func (m *Machine) Woke() {
+// Resumed tells that the process was paused: what was agreed before is void.
+func (m *Machine) Resumed() {
 	if !m.acting {
 		m.intent = 0
 	}
