Soak: the real programs as processes under random faults

Change: `amaranthturn soak`: entries and agents as processes beside the stand-ins; by a seed they are paused, stopped, killed and started again, connections to the platform, the origin and entries go through proxies that delay, reset, refuse, silence or cut one way, versions are published. It judges by the stand-ins' record and by what callers were told; after the faults every engine has to serve the wanted version. Ruled out: proxies before agents: an agent tells entries the address that it listens on itself.

--- a/app/local/standins.go
+++ b/app/local/standins.go
@@ -15,6 +15,7 @@
 	"amaranthturn/app/settings"
 	"amaranthturn/core/fleet"
 	"amaranthturn/standin/engine"
+	"amaranthturn/standin/load"
 	"amaranthturn/standin/origin"
 	"amaranthturn/standin/platform"
 	"amaranthturn/standin/record"
@@ -28,6 +29,17 @@
 	Instances int
 	Entries   int
 	BasePort  int
+	// Through gives the address under which others reach an address, nil for the address
+	// itself. It is asked for the platform, the origin and the entries' peer addresses.
+	Through func(addr string) (string, error)
+}
+
+// Daemon is a daemon that is to run as a process of its own.
+type Daemon struct {
+	Name     string
+	Role     fleet.Role
+	Settings string // file
+	Callers  string // address for callers, entries only
 }
 
 // Standins are running stand-ins.
@@ -39,7 +51,7 @@
 	origin   *origin.Origin
 	servers  []*node.Server
 	list     []fleet.Instance
-	files    []string
+	daemons  []Daemon
 	versions []weights.Version
 	platURL  string
 	origURL  string
@@ -74,6 +86,13 @@
 	if s.origURL, err = s.serve(s.origin.Handler()); err != nil {
 		return err
 	}
+	for _, url := range []*string{&s.platURL, &s.origURL} {
+		addr, err := s.through(strings.TrimPrefix(*url, "http://"))
+		if err != nil {
+			return err
+		}
+		*url = "http://" + addr
+	}
 	for i := range s.opt.Entries {
 		if err := s.writeEntry(fmt.Sprintf("entry-%d", i+1)); err != nil {
 			return err
@@ -112,6 +131,13 @@
 	return mux
 }
 
+func (s *Standins) through(addr string) (string, error) {
+	if s.opt.Through == nil {
+		return addr, nil
+	}
+	return s.opt.Through(addr)
+}
+
 func (s *Standins) next() string {
 	s.port++
 	return fmt.Sprintf("127.0.0.1:%d", s.port-1)
@@ -137,14 +163,14 @@
 	}
 }
 
-func (s *Standins) write(name string, v any) error {
+func (s *Standins) write(d Daemon, v any) error {
 	body, err := toml.Marshal(v)
 	if err != nil {
 		return err
 	}
-	file := filepath.Join(s.opt.Dir, name+".toml")
-	s.files = append(s.files, file)
-	return os.WriteFile(file, body, 0o600)
+	d.Settings = filepath.Join(s.opt.Dir, d.Name+".toml")
+	s.daemons = append(s.daemons, d)
+	return os.WriteFile(d.Settings, body, 0o600)
 }
 
 func (s *Standins) writeEntry(name string) error {
@@ -152,8 +178,12 @@
 	e.Listen = settings.EntryListen{Callers: s.next(), Peers: s.next(), Operators: s.next()}
 	in := e.Identity(fleet.RoleEntry, "", e.Listen.Peers)
 	in.Caller = e.Listen.Callers
+	var err error
+	if in.Address, err = s.through(in.Address); err != nil {
+		return err
+	}
 	s.list = append(s.list, in)
-	return s.write(name, e)
+	return s.write(Daemon{Name: name, Role: fleet.RoleEntry, Callers: e.Listen.Callers}, e)
 }
 
 func (s *Standins) writeRunner(name string) error {
@@ -185,7 +215,41 @@
 	a.Listen = settings.AgentListen{Peers: s.next(), Operators: s.next()}
 	a.FillDefaults()
 	s.list = append(s.list, a.Identity(fleet.RoleTarget, fleet.Pool(a.Pool), a.Listen.Peers))
-	return s.write(name, a)
+	return s.write(Daemon{Name: name, Role: fleet.RoleTarget}, a)
+}
+
+// Daemons returns the daemons that the settings files are for.
+func (s *Standins) Daemons() []Daemon { return s.daemons }
+
+// Record returns the account of what truly happened.
+func (s *Standins) Record() *record.Record { return s.rec }
+
+// Contents returns what the versions hold.
+func (s *Standins) Contents() map[fleet.Version]string { return s.origin.Contents() }
+
+// Publish makes one of the versions the wanted one and returns it.
+func (s *Standins) Publish(i int) fleet.Version {
+	v := s.versions[i%len(s.versions)].ID
+	s.platform.Publish(documentFor(Options{Objective: "time"}, v))
+	return v
+}
+
+// Load returns callers of the daemons' entries that are not started.
+func (s *Standins) Load(seed uint64) *load.Load {
+	var seeds, names []string
+	for _, d := range s.daemons {
+		if d.Role == fleet.RoleEntry {
+			seeds = append(seeds, d.Callers)
+		}
+	}
+	for i := range 3 {
+		names = append(names, workspaceName(i))
+	}
+	return load.New(load.Settings{
+		Seeds: seeds, Contents: s.origin.Contents, Model: modelName, Workspaces: names, Workers: 2,
+		Think: 100 * time.Millisecond, OrderWorkers: 3, OrderThink: 150 * time.Millisecond, Tokens: 16,
+		Timeout: 8 * time.Second, Seed: seed,
+	}, s.rec)
 }
 
 // Describe lists the settings files and versions for people.
@@ -195,8 +259,8 @@
 	for i, v := range s.versions {
 		fmt.Fprintf(&b, "version %d %s\n", i+1, v.ID)
 	}
-	for _, f := range s.files {
-		fmt.Fprintf(&b, "settings %s\n", f)
+	for _, d := range s.daemons {
+		fmt.Fprintf(&b, "settings %s\n", d.Settings)
 	}
 	return b.String()
 }
--- a/cmd/amaranthturn/cmds/cmds.go
+++ b/cmd/amaranthturn/cmds/cmds.go
@@ -77,6 +77,8 @@
 			long: "logs summary [FILE...] counts outcomes and reasons over time; logs failed [FILE...] lists the ids of requests that were not answered. Reads files or standard input."},
 		{name: "local", short: "run a whole fleet in one process and prove its promises", options: newLocalCommand(),
 			long: "Starts stand-ins, entries and agents over loopback, drives requests and orders, publishes a new version half-way and judges."},
+		{name: "soak", short: "run daemons as processes under random faults and check the promises", options: &soakCommand{},
+			long: "Starts stand-ins and daemons as separate processes, pauses, stops, kills and cuts them by a seed, heals, and judges from what callers were told and stand-ins ran. Exits 1 when a promise was broken."},
 		{name: "standins", short: "run the stand-ins of the platform, origin, engines and services", options: &standinsCommand{},
 			long: "For trying the daemons as separate processes; writes their settings files into a folder."},
 	}
--- a/standin/record/record.go
+++ b/standin/record/record.go
@@ -154,6 +154,13 @@
 	r.stopping[name] = true
 }
 
+// Started records that an instance runs again after a planned stop.
+func (r *Record) Started(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.stopping, name)
+}
+
 // IsStopping tells whether a planned stop of an instance began.
 func (r *Record) IsStopping(name string) bool {
 	r.mu.Lock()
@@ -207,6 +214,23 @@
 	return time.Time{}, false
 }
 
+// NowServing returns how many instances serve v at present.
+func (r *Record) NowServing(v fleet.Version) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := map[fleet.InstanceID]fleet.Version{}
+	for _, s := range r.serving {
+		last[s.Instance] = s.Version
+	}
+	n := 0
+	for _, x := range last {
+		if x == v {
+			n++
+		}
+	}
+	return n
+}
+
 // Verdict is what the promises come to.
 type Verdict struct {
 	Counts
