--- a/app/sidecar/sidecar_test.go
+++ b/app/sidecar/sidecar_test.go
@@ -11,7 +11,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/roster"
 	"amaranthturn/io/peer"
+	"amaranthturn/platform"
 )
 
 // The origin accepts 48 connections from all agents together. Agents that kept idle ones
@@ -69,3 +72,20 @@
 		assert.Assert(t, isDue(old, l, time.Millisecond, period))
 	}
 }
+
+// A target that starts again has a new id at its old address, and for a moment both are
+// listed. The group still counts its agent once, under the name that the agent gives itself.
+func TestRestartedTargetIsOneMember(t *testing.T) {
+	s := &Sidecar{
+		set: &platform.Settings{TargetService: "s", TargetAddress: "10.0.0.1:8620"}, roster: roster.New(roster.DefaultSettings),
+	}
+	for i, id := range []fleet.InstanceID{"before", "after"} {
+		s.roster.Heard(roster.Target{
+			ID: id, Service: "s", Address: "10.0.0.1:8620", State: roster.StateReady, Born: fleet.Incarnation(i + 1),
+		})
+	}
+	s.roster.Heard(roster.Target{ID: "other", Service: "s", Address: "10.0.0.2:8620", State: roster.StateReady, Born: 1})
+	mates := s.mates()
+	assert.Equal(t, len(mates), 2)
+	assert.Equal(t, mates["10.0.0.1:8620"].ID, fleet.InstanceID("after"))
+}
