--- a/cmd/amaranthturn/cmds/cmds_test.go
+++ b/cmd/amaranthturn/cmds/cmds_test.go
@@ -93,7 +93,7 @@
 `)
 	code, out, _ := run("trace", "r", file)
 	assert.Equal(t, code, ExitOK)
-	assert.Assert(t, strings.HasPrefix(out, "request r: no slot was free: 1 targets took no requests\ndecided by 00:00:09.000 e1: target changed"), out)
+	assert.Assert(t, strings.HasPrefix(out, "request r: no slot was free; targets that took no requests: 1\ndecided by 00:00:09.000 e1: target changed"), out)
 	code, out, _ = run("trace", "other", file)
 	assert.Equal(t, code, ExitNot)
 	assert.Assert(t, strings.Contains(out, "missing: no line of its end"), out)
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -236,7 +236,7 @@
 		}
 	}
 	if len(gone) > 0 {
-		return fmt.Sprintf("no slot was free: %d targets took no requests", len(gone)), last
+		return fmt.Sprintf("no slot was free; targets that took no requests: %d", len(gone)), last
 	}
 	return "no slot was free: more requests came than the targets take at once", end
 }
--- a/core/trace/trace_test.go
+++ b/core/trace/trace_test.go
@@ -36,7 +36,7 @@
 			06.000 "instance":"e1","message":"target changed","target":"b","accepting":true
 			09.000 "instance":"e2","message":"target changed","target":"c","accepting":false
 			10.000 "instance":"e1","message":"request","request":"r","outcome":"not_run","reason":"deadline_cannot_be_met"`,
-			"1 targets took no requests", "target changed"},
+			"targets that took no requests: 1", "target changed"},
 		{"no configuration", `
 			01.000 "instance":"e1","message":"store is out of reach"
 			09.000 "instance":"e2","message":"store is out of reach"
