Soak: a daemon that ends without being told to is a broken promise

Cause: reading the soak as a newcomer: a process that had died by itself was started again by the next fault and never noticed. Change: each fault and the end of a run look whether the process still runs. Test: TestEndOfItsOwnIsNoticed (the check did not exist before). Ruled out: telling it by the exit code, which a stop may set too.

--- a/app/soak/soak.go
+++ b/app/soak/soak.go
@@ -97,6 +97,9 @@
 	s.cause(ctx)
 	s.heal()
 	err := s.await(ctx, "the wanted version on every engine after the faults", convergeLimit, s.converged)
+	for _, p := range s.procs {
+		p.check()
+	}
 	stop()
 	s.load.Wait()
 	rep := &Report{Verdict: s.standins.Record().Verdict(), Faults: s.faults}
@@ -231,6 +234,7 @@
 	p := x.p
 	p.mu.Lock() // faults of one process come one after the other
 	defer p.mu.Unlock()
+	p.check()
 	if x.sig == syscall.SIGSTOP {
 		p.signal(syscall.SIGSTOP)
 		sleep(ctx, x.lasts)
@@ -302,13 +306,26 @@
 	close(w.done)
 }
 
+// check notes a process that ended without being told to.
+func (p *process) check() {
+	if p.ended(0) {
+		p.s.note("process_ended_by_itself: " + p.d.Name)
+	}
+}
+
 func (p *process) signal(sig syscall.Signal) {
 	if err := p.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		p.s.note(fmt.Sprintf("%s: %v", p.d.Name, err))
 	}
 }
 
+// ended tells whether the process has ended, or does so within a time.
 func (p *process) ended(limit time.Duration) bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+	}
 	select {
 	case <-p.done:
 		return true
--- a/app/soak/soak_test.go
+++ b/app/soak/soak_test.go
@@ -87,3 +87,20 @@
 		_ = c.Close()
 	}
 }
+
+// A daemon that ends without being told to is noticed, one that runs is not.
+func TestEndOfItsOwnIsNoticed(t *testing.T) {
+	s := &soak{}
+	for _, x := range []struct {
+		command []string
+		n       int
+	}{{[]string{"sleep", "5"}, 0}, {[]string{"false"}, 1}} {
+		p := &process{s: s, cmd: exec.Command(x.command[0], x.command[1:]...), done: make(chan struct{})}
+		assert.NilError(t, p.cmd.Start())
+		go (&waiter{p.cmd, p.done}).run()
+		p.ended(300 * time.Millisecond)
+		p.check()
+		assert.Equal(t, len(s.stuck), x.n, "%v", s.stuck)
+		p.kill()
+	}
+}
