One copy: log lines and their messages, news of the store, waits, coders

Cause: read over. The lines of a failed attempt and of a request's end were written twice, in the two entries, and the trace knew the daemons' messages by its own copies of the text, so that a changed message would have broken it unseen. The trace carried lines by value, told them apart by their text again and sorted twice. Three places took news of the store with the same three steps. The soak had its own Sleep and its own wait for a condition. Each large value made a new decoder. Change: telemetry.Ended and telemetry.Attempt, fleet.OutcomeOf; core/trace/messages.go, which the daemons use; the trace by index of the sorted lines; Gateway.apply; node.Sleep and local.Await; shared zstd coders. Conclusion: behaviour stays.

--- a/app/agent/attach.go
+++ b/app/agent/attach.go
@@ -9,6 +9,7 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/member"
 	"amaranthturn/core/spread"
+	"amaranthturn/core/trace"
 	"amaranthturn/io/peer"
 )
 
@@ -66,7 +67,7 @@
 		}
 		if err != nil && ctx.Err() == nil && !lost {
 			lost = true
-			t.a.log.members.Warn().Err(err).Msg("platform is out of reach")
+			t.a.log.members.Warn().Err(err).Msg(trace.MessagePlatformLost)
 		}
 		t.a.opt.Metrics.Count("list_failures", 1)
 		node.Sleep(ctx, listRetry)
--- a/app/agent/driver.go
+++ b/app/agent/driver.go
@@ -12,6 +12,7 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/member"
 	"amaranthturn/core/switchover"
+	"amaranthturn/core/trace"
 	"amaranthturn/io/engine"
 )
 
@@ -66,7 +67,7 @@
 	boot := d.state.Boot
 	d.mu.Unlock()
 	if d.a.gate.engineDied(boot, d.a.now()) {
-		d.a.log.engine.Error().Msg("engine died")
+		d.a.log.engine.Error().Msg(trace.MessageEngineDied)
 		d.a.attach.kick()
 	}
 	d.wake()
@@ -114,7 +115,7 @@
 
 // resumed voids what was believed before a pause.
 func (d *driver) resumed(now time.Time) {
-	d.a.log.process.Warn().Msg("process was paused: looking at the engine anew")
+	d.a.log.process.Warn().Msg(trace.MessageAgentPaused)
 	d.a.opt.Metrics.Count("pauses", 1)
 	d.mu.Lock()
 	d.takeover.Reset(d.a.opt.Settings.Engine.RefusesOldOrders)
@@ -158,7 +159,7 @@
 	restarted := err == nil && old.Boot != 0 && old.Boot != st.Boot
 	if wasUp && err != nil || restarted {
 		if d.a.gate.engineDied(old.Boot, now) {
-			d.a.log.engine.Error().Msg("engine died")
+			d.a.log.engine.Error().Msg(trace.MessageEngineDied)
 		}
 		d.a.attach.kick()
 	}
--- a/app/entry/attach.go
+++ b/app/entry/attach.go
@@ -13,6 +13,7 @@
 	"amaranthturn/core/member"
 	"amaranthturn/core/spread"
 	"amaranthturn/core/switchover"
+	"amaranthturn/core/trace"
 	"amaranthturn/io/peer"
 )
 
@@ -131,7 +132,7 @@
 		s.e.table.Broken(s.agent, s.inc)
 	}
 	s.e.memMu.Unlock()
-	s.e.log.members.Info().Str("agent", string(s.agent)).Msg("agent detached")
+	s.e.log.members.Info().Str("agent", string(s.agent)).Msg(trace.MessageAgentDetached)
 	s.e.notifySessions()
 }
 
--- a/app/entry/config.go
+++ b/app/entry/config.go
@@ -10,6 +10,7 @@
 	"amaranthturn/app/node"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/spread"
+	"amaranthturn/core/trace"
 	"amaranthturn/io/peer"
 	"amaranthturn/io/platform"
 )
@@ -40,7 +41,7 @@
 func (r *reach) note(log zerolog.Logger, what string, err error) {
 	switch {
 	case err != nil && !r.lost:
-		log.Warn().Str("reading", what).Err(err).Msg("platform is out of reach")
+		log.Warn().Str("reading", what).Err(err).Msg(trace.MessagePlatformLost)
 	case err == nil && r.lost:
 		log.Info().Str("reading", what).Msg("platform answers again")
 	}
@@ -145,7 +146,7 @@
 	}
 	e.cfgMu.Unlock()
 	e.opt.Metrics.Gauge("config_revision", float64(rev))
-	e.log.config.Info().Uint64("revision", uint64(rev)).Str("from", from).Msg("configuration in force")
+	e.log.config.Info().Uint64("revision", uint64(rev)).Str("from", from).Msg(trace.MessageConfiguration)
 	e.reqMu.Lock()
 	e.ledger.SetTargets(doc.Defaults.Limits.CrashTargets)
 	e.budget.SetShare(doc.Defaults.Limits.RetryShare)
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -36,6 +36,7 @@
 	"amaranthturn/core/spread"
 	"amaranthturn/core/suspect"
 	"amaranthturn/core/ticket"
+	"amaranthturn/core/trace"
 	"amaranthturn/io/peer"
 	"amaranthturn/io/platform"
 )
@@ -275,7 +276,7 @@
 
 // resumed voids what was believed before a pause of this process.
 func (e *Entry) resumed(now time.Time) {
-	e.log.process.Warn().Msg("process was paused: view is stale")
+	e.log.process.Warn().Msg(trace.MessageEntryPaused)
 	e.opt.Metrics.Count("pauses", 1)
 	e.cfgMu.Lock()
 	e.node.Resumed(now)
--- a/app/entry/orders.go
+++ b/app/entry/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthturn/app/node"
+	"amaranthturn/app/telemetry"
 	"amaranthturn/core/dispatch"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/member"
@@ -150,8 +151,8 @@
 	} else {
 		a, refusal = e.stopOrder(addr, enc, fleet.ReasonQueueFull)
 	}
-	noteOutcome(e.log.orders.Info().Str("request", c.RequestID).Str("workspace", string(c.Workspace)).Str("target", string(t.Target)).
-		Dur("took", e.now().Sub(begun)), refusal).Msg("request")
+	telemetry.Ended(e.log.orders.Info().Str("request", c.RequestID).Str("workspace", string(c.Workspace)).Str("target", string(t.Target)).
+		Dur("took", e.now().Sub(begun)), refusal)
 	return a, refusal
 }
 
@@ -186,11 +187,7 @@
 }
 
 func (e *Entry) countOrder(refusal *fleet.Refusal) {
-	outcome := fleet.OutcomeDone
-	if refusal != nil {
-		outcome = refusal.Outcome
-	}
-	e.opt.Metrics.Count("orders_"+outcome.String(), 1)
+	e.opt.Metrics.Count("orders_"+fleet.OutcomeOf(refusal).String(), 1)
 }
 
 func (e *Entry) enterOrder() bool {
--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/rs/zerolog"
 
 	"amaranthturn/app/node"
+	"amaranthturn/app/telemetry"
 	"amaranthturn/core/admit"
 	"amaranthturn/core/config"
 	"amaranthturn/core/dispatch"
@@ -68,13 +68,8 @@
 		refusal = f.admitAndRun(ctx)
 	}
 	f.note(e, g, refusal)
-	m := e.opt.Metrics.Requests(g.Workspace, g.Class)
-	if refusal != nil {
-		m.Outcome(refusal.Outcome)
-		return refusal
-	}
-	m.Outcome(fleet.OutcomeDone)
-	return nil
+	e.opt.Metrics.Requests(g.Workspace, g.Class).Outcome(fleet.OutcomeOf(refusal))
+	return refusal
 }
 
 // note writes the line of a request; f is nil when it was refused before it was a flight.
@@ -84,26 +79,7 @@
 		ev.Str("target", string(f.target)).Int("attempts", f.attempts).Dur("took", e.now().Sub(f.begun)).
 			Int("events", f.state.Sent())
 	}
-	noteOutcome(ev, refusal).Msg("request")
-}
-
-// noteOutcome adds to a line how a request or order ended.
-func noteOutcome(ev *zerolog.Event, refusal *fleet.Refusal) *zerolog.Event {
-	if refusal == nil {
-		return ev.Str("outcome", fleet.OutcomeDone.String())
-	}
-	return ev.Str("outcome", refusal.Outcome.String()).Str("reason", string(refusal.Reason)).Dur("retry_after", refusal.RetryAfter)
-}
-
-// noteAttempt writes the line of an attempt that gave no whole answer.
-func (f *flight) noteAttempt(fail dispatch.Failure, step dispatch.Step) {
-	target := f.target
-	if fail.Kind == dispatch.KindNoTarget {
-		target = ""
-	}
-	f.e.log.requests.Info().Str("request", f.gen.RequestID).Str("target", string(target)).Str("failure", fail.Kind.String()).
-		Int("attempts", f.attempts).Int("events", f.state.Sent()).Bool("again", step.Retry).Dur("wait", step.Wait).
-		Dur("took", f.e.now().Sub(f.begun)).Msg("attempt failed")
+	telemetry.Ended(ev, refusal)
 }
 
 func (e *Entry) newFlight(g caller.Generation, send func(caller.Token) error) (*flight, *fleet.Refusal) {
@@ -285,7 +261,10 @@
 			return nil
 		}
 		step := f.state.Failed(failure, f.allowRetry, f.e.jitter(), f.e.now())
-		f.noteAttempt(failure, step)
+		telemetry.Attempt{
+			Request: f.gen.RequestID, Target: f.target, Failure: failure, Step: step, Attempts: f.attempts, Events: f.state.Sent(),
+			Took: f.e.now().Sub(f.begun),
+		}.Log(f.e.log.requests)
 		if !step.Retry {
 			return step.Refusal
 		}
--- a/app/gateway/copies.go
+++ b/app/gateway/copies.go
@@ -107,7 +107,6 @@
 	case n.Age < ownReadAge:
 		g.noteReach(nil)
 	}
-	current := g.mirror.Seen()
-	g.take(g.mirror.Apply(n.Events, n.At, now.Add(-n.Age)), current)
+	g.apply(n.Events, n.At, now.Add(-n.Age))
 	return !n.Lost && !g.league.Reads(now)
 }
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -41,6 +41,7 @@
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routing"
 	"amaranthturn/core/suspect"
+	"amaranthturn/core/trace"
 	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
@@ -249,20 +250,20 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.pause.Jumped(now) {
-		g.log.process.Warn().Msg("process was paused")
+		g.log.process.Warn().Msg(trace.MessageGatewayPaused)
 		g.metrics.Count("pauses", 1)
 		g.league.Resumed(now)
 		g.loads = map[fleet.InstanceID]peer.TargetLoad{}
 	}
 	if gone := g.roster.Expire(now); len(gone) > 0 {
-		g.log.members.Info().Int("targets", len(gone)).Msg("lapsed targets did not come back")
+		g.log.members.Info().Int("targets", len(gone)).Msg(trace.MessageTargetsLapsed)
 		g.refreshBoards(now)
 	}
 	for _, n := range g.named {
 		// From here on engines with older weights are closed, without any news of them.
 		if f := n.Floor(g.oldWeightsTime(), now); f > n.floor {
 			n.floor = f
-			g.log.members.Info().Uint64("version", f).Msg("older weights may not answer any more")
+			g.log.members.Info().Uint64("version", f).Msg(trace.MessageTooOld)
 			g.refreshBoards(now)
 		}
 	}
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -6,6 +6,7 @@
 
 	"amaranthturn/app/node"
 	"amaranthturn/core/roster"
+	"amaranthturn/core/trace"
 	"amaranthturn/io/peer"
 )
 
@@ -81,11 +82,8 @@
 	err := g.pool.Follow(ctx, addr, at, copyBeat, catchUpTimeout, func(n peer.StoreNews) bool {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		current := g.mirror.Seen()
-		events := g.mirror.Apply(n.Events, n.At, g.now().Add(-n.Age))
-		if len(events) > 0 {
-			g.metrics.Count("store_news_from_entries", int64(len(events)))
-			g.take(events, current)
+		if n := g.apply(n.Events, n.At, g.now().Add(-n.Age)); n > 0 {
+			g.metrics.Count("store_news_from_entries", int64(n))
 		}
 		return false
 	})
@@ -198,7 +196,7 @@
 	l.Born = t.Born
 	g.loads[t.ID] = l
 	if !had || old.Version != l.Version || old.Accepting != l.Accepting {
-		g.log.members.Info().Str("target", string(t.ID)).Uint64("serving", l.Version).Bool("accepting", l.Accepting).Msg("target changed")
+		g.log.members.Info().Str("target", string(t.ID)).Uint64("serving", l.Version).Bool("accepting", l.Accepting).Msg(trace.MessageTargetChanged)
 		g.refreshBoards(now)
 	}
 	s := g.service(t.Service)
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"amaranthturn/app/node"
+	"amaranthturn/app/telemetry"
 	"amaranthturn/core/admit"
 	"amaranthturn/core/dispatch"
 	"amaranthturn/core/fleet"
@@ -232,7 +233,10 @@
 		f.g.mu.Lock()
 		step := f.state.Failed(fail, f.g.budget.Allow, f.g.random.Float64(), f.g.now())
 		f.g.mu.Unlock()
-		f.noteAttempt(fail, step)
+		telemetry.Attempt{
+			Request: string(f.call.ID), Target: f.target, Failure: fail, Step: step, Attempts: f.attempts, Events: f.state.Sent(),
+			Took: f.g.now().Sub(f.begun),
+		}.Log(f.g.log.requests)
 		if !step.Retry {
 			if f.held != nil && !f.answered {
 				f.out.Whole(f.held.Status, f.held.Header, f.held.body)
@@ -302,39 +306,21 @@
 	return f.g.roster.Get(id)
 }
 
-// noteAttempt writes the line of an attempt that gave no whole answer.
-func (f *flight) noteAttempt(fail dispatch.Failure, step dispatch.Step) {
-	target := f.target
-	if fail.Kind == dispatch.KindNoTarget {
-		target = ""
-	}
-	f.g.log.requests.Info().Str("request", string(f.call.ID)).Str("target", string(target)).Str("failure", fail.Kind.String()).
-		Int("attempts", f.attempts).Int("events", f.state.Sent()).Bool("again", step.Retry).Dur("wait", step.Wait).
-		Dur("took", f.g.now().Sub(f.begun)).Msg("attempt failed")
-}
-
 // note writes the line of a request and counts it.
 func (f *flight) note(refusal *fleet.Refusal) {
 	m := f.g.metrics.Requests(f.workspace, f.class)
-	ev := f.g.log.requests.Info()
+	m.Outcome(fleet.OutcomeOf(refusal))
 	if refusal == nil {
-		m.Outcome(fleet.OutcomeDone)
 		m.Latency("first_answer", f.first)
-	} else {
-		m.Outcome(refusal.Outcome)
-		ev.Str("reason", string(refusal.Reason)).Dur("retry_after", refusal.RetryAfter)
-	}
-	outcome := fleet.OutcomeDone
-	if refusal != nil {
-		outcome = refusal.Outcome
 	}
+	ev := f.g.log.requests.Info()
 	if f.route != nil {
 		ev.Str("route", f.route.Name)
 	}
 	if f.doc != nil {
 		ev.Uint64("config_version", f.doc.Version)
 	}
-	ev.Str("request", string(f.call.ID)).Str("outcome", outcome.String()).Str("workspace", string(f.workspace)).
-		Str("target", string(f.target)).Int("attempts", f.attempts).Dur("waited", f.waited).Dur("first", f.first).
-		Dur("took", f.g.now().Sub(f.begun)).Bool("begun", f.answered).Msg("request")
+	telemetry.Ended(ev.Str("request", string(f.call.ID)).Str("workspace", string(f.workspace)).Str("target", string(f.target)).
+		Int("attempts", f.attempts).Dur("waited", f.waited).Dur("first", f.first).Dur("took", f.g.now().Sub(f.begun)).
+		Bool("begun", f.answered), refusal)
 }
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -10,6 +10,7 @@
 	"amaranthturn/core/load"
 	"amaranthturn/core/mirror"
 	"amaranthturn/core/roster"
+	"amaranthturn/core/trace"
 	"amaranthturn/platform"
 )
 
@@ -87,12 +88,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	current := g.mirror.Seen()
-	changes := g.mirror.Apply(events, now, g.now())
-	s.changed = len(changes) > 0
-	if s.changed {
-		g.take(changes, current)
-	} else {
+	s.changed = g.apply(events, now, g.now()) > 0
+	if !s.changed {
 		g.tellFollowers() // that the copy is current
 	}
 	return nil
@@ -158,7 +155,7 @@
 	now := g.now()
 	switch {
 	case err != nil && !g.storeLost:
-		g.log.config.Warn().Err(err).Msg("store is out of reach")
+		g.log.config.Warn().Err(err).Msg(trace.MessageStoreLost)
 		g.roster.StoreLost()
 	case err == nil && g.storeLost:
 		g.log.config.Info().Uint64("revision", uint64(g.mirror.At())).Msg("store answers again")
@@ -177,6 +174,15 @@
 	return d/2 + time.Duration(g.random.Float64()*float64(d))
 }
 
+// apply takes news of the store up to a revision, current at seen, and returns how many
+// changes they held. mu is held.
+func (g *Gateway) apply(events []mirror.Event, at mirror.Revision, seen time.Time) int {
+	current := g.mirror.Seen()
+	changes := g.mirror.Apply(events, at, seen)
+	g.take(changes, current)
+	return len(changes)
+}
+
 // take acts on changes of a mirror that was current before them at a time. mu is held.
 func (g *Gateway) take(events []mirror.Event, current time.Time) {
 	now := g.now()
@@ -195,7 +201,7 @@
 			g.doc.Store(c.Document)
 			g.metrics.Gauge("config_version", float64(c.Document.Version))
 			g.log.config.Info().Uint64("version", c.Document.Version).Uint64("revision", uint64(e.Revision)).
-				Int("routes", c.Document.Routes()).Msg("configuration in force")
+				Int("routes", c.Document.Routes()).Msg(trace.MessageConfiguration)
 			targets = true
 		case c.Named != nil:
 			n, ok := g.named[c.Named.Model]
@@ -211,7 +217,7 @@
 			g.heard(*c.Target)
 			targets = true
 		case c.Gone != "":
-			g.log.members.Info().Str("target", string(c.Gone)).Bool("at_once", g.roster.Removed(c.Gone, now)).Msg("entry of a target is gone")
+			g.log.members.Info().Str("target", string(c.Gone)).Bool("at_once", g.roster.Removed(c.Gone, now)).Msg(trace.MessageTargetGone)
 			targets = true
 		}
 	}
@@ -255,7 +261,7 @@
 	old, ok := g.roster.Get(t.ID)
 	if !ok || old.State != t.State || old.Born != t.Born {
 		g.log.members.Info().Str("target", string(t.ID)).Str("service", string(t.Service)).Str("address", t.Address).
-			Str("state", t.State.String()).Uint64("born", uint64(t.Born)).Msg("target")
+			Str("state", t.State.String()).Uint64("born", uint64(t.Born)).Msg(trace.MessageTarget)
 	}
 	g.roster.Heard(t)
 }
--- a/app/local/run.go
+++ b/app/local/run.go
@@ -115,7 +115,7 @@
 		return err
 	}
 	r.say("fleet started: %d entries, %d model runners, 3 order runners, 1 portal", o.Entries, o.Instances)
-	at, err := r.await(ctx, "first version served everywhere", startLimit+o.spread()*2, func() bool {
+	at, err := Await(ctx, "first version served everywhere", startLimit+o.spread()*2, func() bool {
 		_, ok := r.w.rec.NthServing(r.v1.ID, o.Instances)
 		return ok && r.ready()
 	})
@@ -136,7 +136,9 @@
 	return true
 }
 
-func (r *run) await(ctx context.Context, what string, limit time.Duration, ok func() bool) (time.Duration, error) {
+// Await waits until ok holds and returns how long it took. A *TimeoutError names what did
+// not come in time.
+func Await(ctx context.Context, what string, limit time.Duration, ok func() bool) (time.Duration, error) {
 	began := time.Now()
 	for time.Since(began) < limit {
 		if ok() {
@@ -209,7 +211,7 @@
 // inForce waits until every live daemon has a revision in force.
 func (r *run) inForce(ctx context.Context, began time.Time, rev fleet.Revision) error {
 	limit := convergeLimit
-	if _, err := r.await(ctx, "configuration in force", limit, func() bool {
+	if _, err := Await(ctx, "configuration in force", limit, func() bool {
 		for _, d := range r.w.live() {
 			if d.revision() < rev {
 				return false
@@ -227,7 +229,7 @@
 // record.
 func (r *run) distribution(ctx context.Context, began time.Time) {
 	limit := convergeLimit + 4*r.w.opt.spread()
-	_, err := r.await(ctx, "new version served everywhere", limit, func() bool {
+	_, err := Await(ctx, "new version served everywhere", limit, func() bool {
 		_, ok := r.w.rec.NthServing(r.want.Load().ID, r.goal)
 		return ok
 	})
@@ -244,7 +246,7 @@
 
 // finish asks an entry whether the fleet converged and takes the verdict.
 func (r *run) finish(ctx context.Context) {
-	_, err := r.await(ctx, "converged", convergeLimit/4, func() bool { return r.converged(ctx) })
+	_, err := Await(ctx, "converged", convergeLimit/4, func() bool { return r.converged(ctx) })
 	r.rep.Converged = err == nil && r.rep.TimeToNMS >= 0
 	r.rep.OriginCopies = float64(r.rep.OriginBytes) / float64(r.rep.ModelBytes)
 	r.rep.PlatformReads = r.w.platform.Reads()
--- a/app/soak/proxy.go
+++ b/app/soak/proxy.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -145,13 +144,3 @@
 	_ = p.listener.Close() // nothing is accepted any more
 	p.set(modeReset)
 }
-
-// sleep waits, and tells whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/app/soak/soak.go
+++ b/app/soak/soak.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"amaranthturn/app/local"
+	"amaranthturn/app/node"
 	"amaranthturn/core/fleet"
 	"amaranthturn/standin/load"
 	"amaranthturn/standin/record"
@@ -51,7 +52,6 @@
 	startLimit    = 40 * time.Second
 	convergeLimit = 40 * time.Second
 	stopGrace     = 12 * time.Second // after which a stopped process counts as stuck
-	pollEvery     = 50 * time.Millisecond
 	// gapMax is the longest time between two faults, faultMax the longest fault.
 	gapMax   = 1200 * time.Millisecond
 	faultMax = 4 * time.Second
@@ -96,7 +96,7 @@
 	s.load.Start(loadCtx)
 	s.cause(ctx)
 	s.heal()
-	err := s.await(ctx, "the wanted version on every engine after the faults", convergeLimit, s.converged)
+	_, err := local.Await(ctx, "the wanted version on every engine after the faults", convergeLimit, s.converged)
 	for _, p := range s.procs {
 		p.check()
 	}
@@ -141,7 +141,8 @@
 			return err
 		}
 	}
-	return s.await(ctx, "the first version on every engine", startLimit, s.converged)
+	_, err = local.Await(ctx, "the first version on every engine", startLimit, s.converged)
+	return err
 }
 
 // converged tells whether every engine serves the wanted version.
@@ -149,18 +150,6 @@
 	return s.standins.Record().NowServing(s.wanted) == s.opt.Instances
 }
 
-func (s *soak) await(ctx context.Context, what string, limit time.Duration, ok func() bool) error {
-	for end := time.Now().Add(limit); !ok(); {
-		if time.Now().After(end) {
-			return fmt.Errorf("timed out: %s", what)
-		}
-		if !sleep(ctx, pollEvery) {
-			return ctx.Err()
-		}
-	}
-	return nil
-}
-
 func (s *soak) say(format string, args ...any) {
 	line := fmt.Sprintf("%7.3f s  ", time.Since(s.begun).Seconds()) + fmt.Sprintf(format, args...)
 	s.faults = append(s.faults, line)
@@ -190,7 +179,7 @@
 			x := &strike{p: p, sig: sig, lasts: lasts, wg: &wg}
 			go x.run(ctx)
 		}
-		if !sleep(ctx, time.Duration(s.random.Int64N(int64(gapMax)))) {
+		if !node.Sleep(ctx, time.Duration(s.random.Int64N(int64(gapMax)))) {
 			break
 		}
 	}
@@ -237,7 +226,7 @@
 	p.check()
 	if x.sig == syscall.SIGSTOP {
 		p.signal(syscall.SIGSTOP)
-		sleep(ctx, x.lasts)
+		node.Sleep(ctx, x.lasts)
 		p.signal(syscall.SIGCONT)
 		return
 	}
@@ -254,7 +243,7 @@
 	if planned && p.d.Callers != "" {
 		p.s.standins.Record().Started(p.d.Callers)
 	}
-	sleep(ctx, x.lasts)
+	node.Sleep(ctx, x.lasts)
 	if err := p.start(); err != nil {
 		p.s.note(err.Error())
 	}
--- a/app/telemetry/writer.go
+++ b/app/telemetry/writer.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"amaranthturn/core/trace"
 )
 
 // bufferedLines bounds the log lines that wait to be written.
@@ -63,8 +65,8 @@
 			line = append(line, <-x.lines...)
 		}
 		if n := x.dropped.Swap(0); n > 0 {
-			line = fmt.Appendf(line, "{\"level\":\"warn\",\"instance\":%q,\"subsystem\":\"process\",\"lines\":%d,\"time\":%q,\"message\":\"log lines were dropped\"}\n",
-				x.name, n, time.Now().Format(zerolog.TimeFieldFormat))
+			line = fmt.Appendf(line, "{\"level\":\"warn\",\"instance\":%q,\"subsystem\":\"process\",\"lines\":%d,\"time\":%q,\"message\":%q}\n",
+				x.name, n, time.Now().Format(zerolog.TimeFieldFormat), trace.MessageDropped)
 		}
 		_, _ = x.to.Write(line) // there is nowhere else to report a broken output
 	}
--- a/cmd/amaranthturn/cmds/logs.go
+++ b/cmd/amaranthturn/cmds/logs.go
@@ -73,7 +73,7 @@
 	_, _ = fmt.Fprintf(w, "request %s: %s\n", s.ID, s.Cause)
 	if s.Decisive >= 0 {
 		l := s.Lines[s.Decisive]
-		_, _ = fmt.Fprintf(w, "decided by %s %s: %s\n", l.Time.Format("15:04:05.000"), l.Instance, l)
+		_, _ = fmt.Fprintf(w, "decided by %s %s: %s\n", l.Time.Format(trace.ClockFormat), l.Instance, l)
 	}
 	for _, m := range s.Missing {
 		_, _ = fmt.Fprintf(w, "missing: %s\n", m)
@@ -84,7 +84,7 @@
 		if i == s.Decisive {
 			mark = ">"
 		}
-		t.row(mark+l.Time.Format("15:04:05.000"), l.Instance, l.Subsystem, l)
+		t.row(mark+l.Time.Format(trace.ClockFormat), l.Instance, l.Subsystem, l)
 	}
 	t.flush()
 }
@@ -116,7 +116,7 @@
 	p.print("%d lines of %d processes, %d requests, %d lines dropped by the daemons\n", s.Lines, s.Processes, s.Requests, s.Dropped)
 	t := newTable(p.out, "FROM", "OUTCOME", "REASON", "REQUESTS")
 	for _, n := range s.Counts {
-		t.row(n.From.Format("15:04:05.000"), n.Outcome, n.Reason, n.N)
+		t.row(n.From.Format(trace.ClockFormat), n.Outcome, n.Reason, n.N)
 	}
 	t.flush()
 	return ExitOK
--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -63,3 +63,11 @@
 func Unknown(why Reason) *Refusal {
 	return &Refusal{Outcome: OutcomeUnknown, Reason: why}
 }
+
+// OutcomeOf returns how a request ended that got a refusal, or a whole answer when r is nil.
+func OutcomeOf(r *Refusal) Outcome {
+	if r == nil {
+		return OutcomeDone
+	}
+	return r.Outcome
+}
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -25,16 +25,6 @@
 	"amaranthturn/core/fleet"
 )
 
-// Messages of the lines that a trace builds on. The daemons write them.
-const (
-	MessageRequest      = "request"
-	MessageAttempt      = "attempt failed"
-	MessageStoreLost    = "store is out of reach"
-	MessagePlatformLost = "platform is out of reach"
-	MessageEngineDied   = "engine died"
-	MessageDropped      = "log lines were dropped"
-)
-
 const (
 	// before is how far back from its end a request's cause is looked for: a version change
 	// or a recovery keeps targets away that long.
@@ -84,37 +74,34 @@
 	g.sort()
 	s := Story{ID: id, Decisive: -1}
 	var own []Line
-	for _, l := range g.lines {
-		if l.text("request") == id {
-			own = append(own, l)
+	end := -1 // index of the line of the request's end, or else of its last line
+	for i, l := range g.lines {
+		if l.text("request") != id {
+			continue
+		}
+		if end < 0 || l.is(MessageRequest) || !g.lines[end].is(MessageRequest) {
+			end = i
 		}
+		own = append(own, l)
 	}
 	s.Missing = g.missing(own)
-	if len(own) == 0 {
+	if end < 0 {
 		s.Cause = "no line of this request"
 		return s
 	}
-	end := own[len(own)-1]
-	for _, l := range own {
-		if l.is(MessageRequest) {
-			end = l
-		}
-	}
-	cause, line := g.explain(end)
+	cause, decisive := g.explain(end)
 	s.Cause = cause
-	s.Lines = append(own, g.around(end)...)
-	if !slices.ContainsFunc(s.Lines, func(l Line) bool { return same(l, line) }) {
-		s.Lines = append(s.Lines, line)
+	for i, l := range g.lines {
+		if i == decisive {
+			s.Decisive = len(s.Lines)
+		}
+		if i == decisive || l.text("request") == id || isAround(l, g.lines[end]) {
+			s.Lines = append(s.Lines, l)
+		}
 	}
-	slices.SortStableFunc(s.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
-	s.Decisive = slices.IndexFunc(s.Lines, func(l Line) bool { return same(l, line) })
 	return s
 }
 
-func same(a, b Line) bool {
-	return a.Time.Equal(b.Time) && a.Instance == b.Instance && a.String() == b.String()
-}
-
 // missing says what the lines at hand cannot tell.
 func (g *Log) missing(own []Line) []string {
 	var out []string
@@ -123,114 +110,114 @@
 	}
 	for _, l := range g.lines {
 		if l.is(MessageDropped) && (len(own) == 0 || own[len(own)-1].Instance == l.Instance) {
-			out = append(out, fmt.Sprintf("%s dropped %.0f lines of its log by %s", l.Instance, l.number("lines"), l.Time.Format(clock)))
+			out = append(out, fmt.Sprintf("%s dropped %.0f lines of its log by %s", l.Instance, l.number("lines"), l.Time.Format(ClockFormat)))
 		}
 	}
 	return out
 }
 
-const clock = "15:04:05.000"
+// ClockFormat is how the time of a line is shown.
+const ClockFormat = "15:04:05.000"
 
-// around returns what changed at the request's entry and target while it ran.
-func (g *Log) around(end Line) []Line {
-	var out []Line
-	from, target := end.Time.Add(-end.ms("took")-near), end.text("target")
-	for _, l := range g.lines {
-		if l.Time.Before(from) || l.Time.After(end.Time.Add(near)) || l.text("request") != "" {
-			continue
-		}
-		if l.Instance == end.Instance && !isTargetChange(l) || l.concerns(target) {
-			out = append(out, l)
-		}
+// isAround tells whether a line says what changed at a request's entry or target while it
+// ran; end is the line of its end.
+func isAround(l, end Line) bool {
+	from := end.Time.Add(-end.ms("took") - near)
+	if l.Time.Before(from) || l.Time.After(end.Time.Add(near)) || l.text("request") != "" {
+		return false
 	}
-	return out
+	return l.Instance == end.Instance && !isTargetChange(l) || l.concerns(end.text("target"))
 }
 
-// explain returns the cause of a request's end and the line that shows it.
-func (g *Log) explain(end Line) (string, Line) {
-	if l, ok := g.last(end, end.ms("took")+near, func(l Line) bool {
-		return l.Instance == end.Instance && l.is("process was paused", "process was paused: view is stale")
+// explain returns the cause of the end of a request, of which at is the line, and the index
+// of the line that shows it.
+func (g *Log) explain(at int) (string, int) {
+	end := g.lines[at]
+	if i, ok := g.last(end.Time, end.ms("took")+near, func(l Line) bool {
+		return l.Instance == end.Instance && l.is(MessageGatewayPaused, MessageEntryPaused)
 	}); ok && end.text("outcome") != fleet.OutcomeDone.String() {
-		return "the entry's process stood still", l
+		return "the entry's process stood still", i
 	}
-	return g.byReason(end)
+	return g.byReason(at)
 }
 
 // byReason explains the end of a request by the reason that its line gives.
-func (g *Log) byReason(end Line) (string, Line) {
+func (g *Log) byReason(at int) (string, int) {
+	end := g.lines[at]
 	sameInstance := func(messages ...string) func(Line) bool {
 		return func(l Line) bool { return l.Instance == end.Instance && l.is(messages...) }
 	}
 	switch reason := fleet.Reason(end.text("reason")); reason {
 	case "":
-		return g.answered(end)
+		return g.answered(at)
 	case fleet.ReasonNoConfiguration:
-		return g.shownBy("the entry knew no configuration", end, sameInstance(MessageStoreLost, MessagePlatformLost), ": it did not reach the store")
+		return g.shownBy("the entry knew no configuration", at, sameInstance(MessageStoreLost, MessagePlatformLost), ": it did not reach the store")
 	case fleet.ReasonUnknownRoute, fleet.ReasonUnknownKey:
-		return g.shownBy("the configuration in force does not allow it", end, sameInstance("configuration in force"), "")
+		return g.shownBy("the configuration in force does not allow it", at, sameInstance(MessageConfiguration), "")
 	case fleet.ReasonCrashing:
-		return g.shownBy("requests like it ended several targets", end, func(l Line) bool { return l.is(MessageEngineDied) }, "")
+		return g.shownBy("requests like it ended several targets", at, func(l Line) bool { return l.is(MessageEngineDied) }, "")
 	case fleet.ReasonQueueFull, fleet.ReasonTooLate, fleet.ReasonNoTarget, fleet.ReasonBusy:
-		return g.noRoom(end)
+		return g.noRoom(at)
 	case fleet.ReasonCallerGone:
-		return "the caller left", end
+		return "the caller left", at
 	case fleet.ReasonTargetLost, fleet.ReasonEngineDied, fleet.ReasonEngineFailed, fleet.ReasonDeadline,
 		fleet.ReasonServiceFailed, fleet.ReasonAnswerLost, fleet.ReasonRestarted:
-		if target := end.text("target"); target != "" {
-			return g.lost(end, target)
+		if end.text("target") != "" {
+			return g.lost(at)
 		}
-		return g.noRoom(end)
+		return g.noRoom(at)
 	default:
-		return string(reason), end
+		return string(reason), at
 	}
 }
 
 // shownBy returns a cause with the last line before the end that fits, and what that line
 // adds to the cause, or the end itself when there is none.
-func (g *Log) shownBy(cause string, end Line, fits func(Line) bool, adds string) (string, Line) {
-	if l, ok := g.last(end, always, fits); ok {
-		return cause + adds, l
+func (g *Log) shownBy(cause string, at int, fits func(Line) bool, adds string) (string, int) {
+	if i, ok := g.last(g.lines[at].Time, always, fits); ok {
+		return cause + adds, i
 	}
-	return cause, end
+	return cause, at
 }
 
 // answered explains a request that was answered, perhaps not by the first target.
-func (g *Log) answered(end Line) (string, Line) {
-	for _, l := range g.lines {
-		if l.is(MessageAttempt) && l.text("request") == end.text("request") && l.text("target") != "" {
-			cause, line := g.lost(l, l.text("target"))
+func (g *Log) answered(at int) (string, int) {
+	for i, l := range g.lines {
+		if l.is(MessageAttempt) && l.text("request") == g.lines[at].text("request") && l.text("target") != "" {
+			cause, line := g.lost(i)
 			return "it was answered, after a failed attempt: " + cause, line
 		}
 	}
-	return "it was answered", end
+	return "it was answered", at
 }
 
 // isTargetChange tells whether a line says that a target takes more or fewer requests.
 func isTargetChange(l Line) bool {
-	return l.is("target changed", "target", "entry of a target is gone")
+	return l.is(MessageTargetChanged, MessageTarget, MessageTargetGone)
 }
 
 // closes tells whether a line says that a target takes no more requests.
 func closes(l Line) bool {
 	accepting, ok := l.Fields["accepting"].(bool)
 	state := l.text("state")
-	return ok && !accepting || l.is("entry of a target is gone", "older weights may not answer any more", "lapsed targets did not come back") ||
-		l.is("target") && state != "ready" || l.is(MessageEngineDied, "agent detached")
+	return ok && !accepting || l.is(MessageTargetGone, MessageTooOld, MessageTargetsLapsed) ||
+		l.is(MessageTarget) && state != "ready" || l.is(MessageEngineDied, MessageAgentDetached)
 }
 
 // noRoom explains why a request found no slot: the targets that closed before, or too many
 // requests.
-func (g *Log) noRoom(end Line) (string, Line) {
+func (g *Log) noRoom(at int) (string, int) {
+	end := g.lines[at]
 	gone := map[string]bool{}
-	var last Line
-	for _, l := range g.lines {
+	last := at
+	for i, l := range g.lines {
 		if l.Instance != end.Instance && !l.is(MessageEngineDied) || l.Time.After(end.Time) || l.Time.Before(end.Time.Add(-before)) {
 			continue
 		}
 		target := l.text("target")
 		switch {
 		case closes(l):
-			gone[target], last = true, l
+			gone[target], last = true, i
 		case isTargetChange(l):
 			delete(gone, target)
 		}
@@ -238,15 +225,17 @@
 	if len(gone) > 0 {
 		return fmt.Sprintf("no slot was free; targets that took no requests: %d", len(gone)), last
 	}
-	return "no slot was free: more requests came than the targets take at once", end
+	return "no slot was free: more requests came than the targets take at once", at
 }
 
-// lost explains why a target gave no whole answer.
-func (g *Log) lost(end Line, target string) (string, Line) {
-	if l, ok := g.last(shifted(end, near), end.ms("took")+2*near, func(l Line) bool {
-		return l.concerns(target) && (closes(l) || l.is("engine", MessageEngineDied, "sidecar stopped", "process was paused: looking at the engine anew"))
+// lost explains why the target that a line names gave no whole answer.
+func (g *Log) lost(at int) (string, int) {
+	end := g.lines[at]
+	target := end.text("target")
+	if i, ok := g.last(end.Time.Add(near), end.ms("took")+2*near, func(l Line) bool {
+		return l.concerns(target) && (closes(l) || l.is(MessageEngine, MessageEngineDied, MessageSidecarStopped, MessageAgentPaused))
 	}); ok {
-		return "the target went away or stopped taking requests", l
+		return "the target went away or stopped taking requests", i
 	}
 	alike, served := 0, 0
 	for _, l := range g.lines {
@@ -261,26 +250,20 @@
 	}
 	switch {
 	case alike >= deadTargets && alike > served:
-		return fmt.Sprintf("the target failed: %d of %d requests on it within %v", alike, alike+served, near), end
+		return fmt.Sprintf("the target failed: %d of %d requests on it within %v", alike, alike+served, near), at
 	case fleet.Reason(end.text("reason")) == fleet.ReasonDeadline:
-		return "the target did not answer in time", end
+		return "the target did not answer in time", at
 	}
-	return "the connection to the target ended before the whole answer", end
-}
-
-// shifted returns a line that is later.
-func shifted(l Line, d time.Duration) Line {
-	l.Time = l.Time.Add(d)
-	return l
+	return "the connection to the target ended before the whole answer", at
 }
 
-// last returns the last line up to end, at most d before it, that fits.
-func (g *Log) last(end Line, d time.Duration, fits func(Line) bool) (Line, bool) {
+// last returns the index of the last line up to end, at most d before it, that fits.
+func (g *Log) last(end time.Time, d time.Duration, fits func(Line) bool) (int, bool) {
 	for i := len(g.lines) - 1; i >= 0; i-- {
 		l := g.lines[i]
-		if !l.Time.After(end.Time) && end.Time.Sub(l.Time) <= d && fits(l) {
-			return l, true
+		if !l.Time.After(end) && end.Sub(l.Time) <= d && fits(l) {
+			return i, true
 		}
 	}
-	return Line{}, false
+	return 0, false
 }
--- a/io/peer/pack.go
+++ b/io/peer/pack.go
@@ -19,10 +19,17 @@
 	maxUnpacked = 64 << 20
 )
 
+// The coders are shared: both may be used by several goroutines at once.
+var (
+	encoder = sync.OnceValues(func() (*zstd.Encoder, error) { return zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1)) })
+	decoder = sync.OnceValues(func() (*zstd.Decoder, error) {
+		return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxUnpacked))
+	})
+)
+
 // packer compresses large values once for all followers.
 type packer struct {
 	mu    sync.Mutex // guards all below
-	enc   *zstd.Encoder
 	kept  map[mirror.Revision][]byte
 	order []mirror.Revision
 }
@@ -37,14 +44,14 @@
 	if b, ok := p.kept[e.Revision]; ok {
 		return b, true
 	}
-	if p.enc == nil {
-		enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
-		if err != nil {
-			return e.Value, false // only wrong options give an error
-		}
-		p.enc, p.kept = enc, map[mirror.Revision][]byte{}
+	enc, err := encoder()
+	if err != nil {
+		return e.Value, false // only wrong options give an error
+	}
+	b := enc.EncodeAll(e.Value, nil)
+	if p.kept == nil {
+		p.kept = map[mirror.Revision][]byte{}
 	}
-	b := p.enc.EncodeAll(e.Value, nil)
 	if len(p.order) >= packedKept {
 		delete(p.kept, p.order[0])
 		p.order = p.order[1:]
@@ -56,10 +63,9 @@
 
 // unpack returns a value that packer compressed.
 func unpack(b []byte) ([]byte, error) {
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxUnpacked))
+	dec, err := decoder()
 	if err != nil {
 		return nil, err
 	}
-	defer dec.Close()
 	return dec.DecodeAll(b, nil)
 }
