Log how old a declaration is taken to be, and canceled attempts

The incident's hypotheses differ in the time from which an entry counts a declaration's limit, and in whether a request that began late had been canceled before. Neither was in the logs: the line of a declaration now has the age of the copy and the age that is assumed, and a cancellation for old weights has a line of its own, at most one per attempt.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -80,6 +80,8 @@
 		started := a.responseStarted
 		a.handler.g.mu.Unlock()
 		if !started {
+			a.handler.g.log.requests.Info().Str("request", string(a.handler.call.ID)).Str("target", string(a.handler.target)).
+				Dur("took", a.handler.g.now().Sub(a.handler.startedAt)).Msg("attempt canceled: weights are too old")
 			a.canceled.Store(true)
 			cancel()
 		}
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -211,8 +211,10 @@
 				d = &declaredVersions{}
 				g.declared[c.Declared.Model] = d
 			}
-			if d.Add(c.Declared.Version, g.declaredSince(previous, now)) {
-				g.log.config.Info().Str("model", string(c.Declared.Model)).Uint64("version", c.Declared.Version).Msg("weights version declared")
+			since := g.declaredSince(previous, now)
+			if d.Add(c.Declared.Version, since) {
+				g.log.config.Info().Str("model", string(c.Declared.Model)).Uint64("version", c.Declared.Version).Uint64("revision", uint64(e.Revision)).
+					Dur("copy_age", now.Sub(previous)).Dur("declared_ago", now.Sub(since)).Msg("weights version declared")
 			}
 			needsRefresh = true
 		case c.Target != nil:
