A frozen entry no longer extends the time of an old version

Callers: with half of the machines frozen for three seconds across a declaration, requests began on version 1 up to 2.4 s after its limit.

Cause: an entry counts a version's limit from the receipt of the declaration, at most 1.35 s earlier. An entry that was frozen receives it when it wakes. What arrived during the pause also moved the time at which the copy of the store was known to be current, and a call that timed out during the pause counted as a loss of the store.

Change: a pause is noticed when data is handled, also before the next tick. What was awaited across a pause is applied but does not show that the copy is current, a failed call across a pause is repeated, and a stream of updates is opened anew. A declaration that becomes known after a pause counts from when the copy was last current.

Ruled out here: a canceled request that begins all the same.

Conclusion: one of the causes.

--- a/app/gateway/follow.go
+++ b/app/gateway/follow.go
@@ -90,14 +90,20 @@
 	g.mu.Lock()
 	at := g.mirror.Revision()
 	g.mu.Unlock()
-	err := g.pool.Follow(ctx, addr, at, followHeartbeatInterval, followTimeout, g.handleStoreUpdate)
+	awaitedSince := g.now()
+	err := g.pool.Follow(ctx, addr, at, followHeartbeatInterval, followTimeout, func(update peer.StoreChanges) bool {
+		ok := g.handleStoreUpdate(update, awaitedSince)
+		awaitedSince = g.now()
+		return ok
+	})
 	g.metrics.Count("store_streams_ended", 1)
 	g.log.config.Debug().Str("entry", addr).Err(err).Msg("stream of store updates ended")
 }
 
 // handleStoreUpdate applies an update from the entry that reads the store, and reports
-// whether to continue following it.
-func (g *Gateway) handleStoreUpdate(update peer.StoreChanges) bool {
+// whether to continue following it. After a pause the messages in the stream's buffer are of
+// unknown age, so a new stream is needed.
+func (g *Gateway) handleStoreUpdate(update peer.StoreChanges, awaitedSince time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
@@ -109,6 +115,7 @@
 	case update.Age < directReadAge:
 		g.recordStoreResultLocked(nil)
 	}
-	g.applyUpdate(update.Events, update.Revision, now.Add(-update.Age))
-	return !update.StoreUnavailable && !g.entryList.IsReader(now)
+	asOf := g.currentAsOf(awaitedSince, update.Age)
+	g.applyUpdate(update.Events, update.Revision, asOf)
+	return !update.StoreUnavailable && !asOf.IsZero() && !g.entryList.IsReader(now)
 }
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -47,8 +47,14 @@
 	"amaranthturn/platform"
 )
 
-// pauseThreshold is the gap between two ticks above which the process counts as paused.
-const pauseThreshold = time.Second
+const (
+	// pauseThreshold is the gap between two ticks above which the process counts as paused.
+	pauseThreshold = time.Second
+	// copyPauseThreshold is the gap between two ticks above which what was received meanwhile
+	// does not show that the copy of the store is current. It is less than
+	// versionChangeMargin, which allows for shorter gaps.
+	copyPauseThreshold = 250 * time.Millisecond
+)
 
 // Gateway is one entry daemon.
 type Gateway struct {
@@ -81,6 +87,7 @@
 	budget           *retry.Budget
 	ledger           *crashblame.Ledger
 	pauseDetector    *clock.PauseDetector
+	copyPauses       *clock.PauseDetector // pauses after which received data may be outdated
 }
 
 // declaredVersions holds the versions of a model's weights that the operator has declared.
@@ -122,6 +129,7 @@
 		loads:    map[fleet.InstanceID]peer.TargetLoad{}, loadWatches: map[string]*loadWatch{},
 		services: map[fleet.Service]*service{}, waiters: map[admit.RequestID]chan admit.Verdict{},
 		ledger: crashblame.NewLedger(crashSettings), pauseDetector: clock.NewPauseDetector(pauseThreshold),
+		copyPauses: clock.NewPauseDetector(copyPauseThreshold),
 	}
 	g.budget = retry.NewBudget(settings.Bounds.RetryShare*budgetSafetyFactor, settings.Bounds.RetryExtra*budgetSafetyFactor/minBudgetEntries)
 	return g
@@ -253,6 +261,7 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.copyPauses.Observe(now)
 	if g.pauseDetector.Observe(now) {
 		g.log.process.Warn().Msg(trace.MessageGatewayPaused)
 		g.metrics.Count("pauses", 1)
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -39,7 +39,7 @@
 	g, c := newTestGateway(t)
 	g.roster.Update(roster.Target{ID: "a", Service: "s", Address: "x", State: roster.StateReady})
 	g.recordStoreResult(errors.New("store unreachable"))
-	g.handleStoreUpdate(peer.StoreChanges{Revision: 5})
+	g.handleStoreUpdate(peer.StoreChanges{Revision: 5}, c.t)
 	c.t = c.t.Add(roster.DefaultSettings.ExpiryGrace + time.Second)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -51,7 +51,7 @@
 func TestStoreLossThroughAnotherEntry(t *testing.T) {
 	g, c := newTestGateway(t)
 	g.roster.Update(roster.Target{ID: "a", Service: "s", Address: "x", State: roster.StateReady})
-	g.handleStoreUpdate(peer.StoreChanges{Revision: 5, StoreUnavailable: true})
+	g.handleStoreUpdate(peer.StoreChanges{Revision: 5, StoreUnavailable: true}, c.t)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	assert.Assert(t, !g.roster.Remove("a", c.t))
@@ -91,6 +91,25 @@
 	}
 }
 
+// An entry is frozen while a version is declared, and handles the update when it wakes.
+func TestFrozenEntryDoesNotExtendOldVersion(t *testing.T) {
+	for _, observed := range []bool{false, true} {
+		g, c := newTestGateway(t)
+		g.initialReadDone = true
+		g.tick()
+		g.handleStoreUpdate(peer.StoreChanges{Revision: 5}, c.t)
+		frozenAt := c.t
+		c.t = c.t.Add(3 * time.Second)
+		if observed {
+			g.tick()
+		}
+		assert.Assert(t, !g.handleStoreUpdate(peer.StoreChanges{Revision: 5}, frozenAt), "what follows in the buffer is outdated")
+		g.mu.Lock()
+		assert.Equal(t, g.declaredSince(g.mirror.CurrentAt(), c.t), frozenAt, "pause observed by a tick: %v", observed)
+		g.mu.Unlock()
+	}
+}
+
 // A popular request whose responses are lost twice in a row, while other copies of it
 // succeed, must still be served. A request that crashes each target is blocked, even if
 // it is repeated only every five seconds.
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -81,10 +81,11 @@
 	g.mu.Lock()
 	at := g.mirror.Revision()
 	g.mu.Unlock()
+	startedAt := g.now()
 	err := g.pool.Follow(ctx, addr, at, followHeartbeatInterval, catchUpTimeout, func(update peer.StoreChanges) bool {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if n := g.applyUpdate(update.Events, update.Revision, g.now().Add(-update.Age)); n > 0 {
+		if n := g.applyUpdate(update.Events, update.Revision, g.currentAsOf(startedAt, update.Age)); n > 0 {
 			g.metrics.Count("store_news_from_entries", int64(n))
 		}
 		return false
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -48,10 +48,14 @@
 			daemon.Sleep(ctx, readCheckInterval)
 			continue
 		}
+		startedAt := s.g.now()
 		err := s.read(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		if err != nil && s.g.pausedSince(startedAt) {
+			continue // the pause explains the timeout
+		}
 		s.g.recordStoreResult(err)
 		if err == nil {
 			s.backoff = 0
@@ -78,6 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+watchTimeoutSlack)
 	defer cancel()
 	g.metrics.Count("store_calls", 1)
+	startedAt := g.now()
 	events, now, err := g.store.Watch(ctx, at, wait)
 	var se *platform.StoreError
 	if errors.As(err, &se) && se.IsCompacted() {
@@ -89,7 +94,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s.hasChanges = g.applyUpdate(events, now, g.now()) > 0
+	s.hasChanges = g.applyUpdate(events, now, g.currentAsOf(startedAt, 0)) > 0
 	if !s.hasChanges {
 		g.notifyFollowers() // the copy is known to be current
 	}
@@ -121,6 +126,7 @@
 	var earliest mirror.Revision
 	for _, prefix := range platform.KeyPrefixes {
 		g.metrics.Count("store_calls", 1)
+		startedAt := g.now()
 		items, at, err := g.store.Range(ctx, prefix)
 		if err != nil {
 			return err
@@ -131,7 +137,7 @@
 			earliest = at
 		}
 		g.mu.Lock()
-		g.handleChanges(g.mirror.Load(prefix, items, earliest, g.now()), previous)
+		g.handleChanges(g.mirror.Load(prefix, items, earliest, g.currentAsOf(startedAt, 0)), previous)
 		g.mu.Unlock()
 	}
 	g.mu.Lock()
@@ -140,6 +146,24 @@
 	return nil
 }
 
+// pausedSince reports whether the process was paused after the given time.
+func (g *Gateway) pausedSince(t time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.copyPauses.PausedSince(t, g.now())
+}
+
+// currentAsOf returns the time at which a copy was current that is received now, was awaited
+// since the given time and had the given age when it was sent. It is zero if the process was paused
+// meanwhile, since the data may then have waited in a buffer. mu must be held.
+func (g *Gateway) currentAsOf(awaitedSince time.Time, age time.Duration) time.Time {
+	now := g.now()
+	if g.copyPauses.PausedSince(awaitedSince, now) {
+		return time.Time{}
+	}
+	return now.Add(-age)
+}
+
 // recordStoreResult records whether a read of the store succeeded.
 func (g *Gateway) recordStoreResult(err error) {
 	g.mu.Lock()
@@ -242,13 +266,16 @@
 // declaredSince returns the time from which VersionChangeLimit is counted for a version whose
 // declaration is received now. The copy of the store was last current at previous. If the
 // declaration may be older than this process, older weights are used only during the stable
-// period, in which the limit does not apply to a process that has just started. After a watch
-// or stream has stalled, an update may be late by at most directReadAge, since an entry then
-// reads the store itself.
+// period, in which the limit does not apply to a process that has just started. After a pause
+// of the process nothing is known but that the declaration is not older than the copy. After
+// a watch or stream has stalled, an update may be late by at most directReadAge, since an
+// entry then reads the store itself.
 func (g *Gateway) declaredSince(previous, now time.Time) time.Time {
 	switch {
 	case !g.initialReadDone:
 		return now.Add(g.settings.Bounds.StablePeriod - g.settings.Bounds.VersionChangeLimit)
+	case g.copyPauses.PausedSince(previous, now):
+		return previous
 	case now.Sub(previous) <= watchWait:
 		return now
 	}
--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -28,8 +28,9 @@
 // PauseDetector detects that more time passed between two polls than a running process needs,
 // which means that the process was paused. The zero PauseDetector is not usable.
 type PauseDetector struct {
-	limit time.Duration
-	last  time.Time
+	limit     time.Duration
+	last      time.Time
+	resumedAt time.Time // end of the last pause
 }
 
 // NewPauseDetector returns a detector that reports gaps longer than limit.
@@ -46,6 +47,19 @@
 	if last.IsZero() {
 		return false
 	}
-	wall := now.Round(0).Sub(last.Round(0))
-	return now.Sub(last) > d.limit || wall > d.limit
+	if d.gap(last, now) <= d.limit {
+		return false
+	}
+	d.resumedAt = now
+	return true
+}
+
+// PausedSince reports whether the process was paused at any time between since and now. It
+// also notices a pause that has just ended and that no poll has observed yet.
+func (d *PauseDetector) PausedSince(since, now time.Time) bool {
+	return d.resumedAt.After(since) || !d.last.IsZero() && d.gap(d.last, now) > d.limit
+}
+
+func (d *PauseDetector) gap(last, now time.Time) time.Duration {
+	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
 }
