Entries exchange how long they have known a declaration

Callers: an entry that learns of a declaration late, by whatever cause, lets requests begin on the old version for as long as it was late.

Cause: each entry counts the limit by itself, from its own receipt of the declaration. Late are an entry behind a full link, one that is turned away by the store and learns from others, one that restarts, and one whose machine was suspended; none of them can know by itself how late.

Change: the exchange between entries states for each declaration how long the first entry known to the sender has known it. The receiver takes the earliest time, also for a version that the store has not shown it yet. Estimates of a time before the receipt (after a restart or a pause) are not passed on, so that one cautious entry does not close old versions everywhere. Agents take the ages too: their schedule of loads counted from a late receipt as well.

Not covered: the time until the first entry of the fleet learns of a declaration, and the half second or so until the next exchange.

Tests, with the line that takes the earlier time taken out: TestLateDeclarationIsCorrectedByExchange: 8 s after the late receipt instead of 5 s TestLateDeclarationCountsFromTheFirstDaemonThatKnewIt: MinVersion 2 instead of 3 TestEstimatedDeclarationTimeIsNotPassedOn guards against the opposite.

--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -64,7 +64,7 @@
 	g, c := newTestGateway(t)
 	d := &declaredVersions{}
 	g.declared["m"] = d
-	d.Add(2, g.declaredSince(c.t, c.t))
+	d.Add(2, g.declaredSince(c.t, c.t), c.t)
 	target := roster.Target{ID: "a", Loaded: []roster.LoadedVersion{{Model: "m", Version: 1}}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -110,6 +110,27 @@
 	}
 }
 
+// An entry that learned of a version late, by whatever cause, hears from another entry how long
+// that one has known it.
+func TestLateDeclarationIsCorrectedByExchange(t *testing.T) {
+	early, c := newTestGateway(t)
+	late, _ := newTestGateway(t)
+	late.clock = c
+	for _, g := range []*Gateway{early, late} {
+		g.initialReadDone = true
+	}
+	early.declarationsOf("m").Add(2, c.t, c.t)
+	declaredAt := c.t
+	c.t = c.t.Add(3 * time.Second)
+	late.declarationsOf("m").Add(2, c.t, c.t)
+	early.Exchange(late.Exchange(peer.ExchangeMessage{}))
+	late.Exchange(early.Exchange(peer.ExchangeMessage{}))
+	for _, g := range []*Gateway{early, late} {
+		at, _ := g.declared["m"].ServeDeadline(1, 8*time.Second)
+		assert.Equal(t, at, declaredAt.Add(8*time.Second))
+	}
+}
+
 // A popular request whose responses are lost twice in a row, while other copies of it
 // succeed, must still be served. A request that crashes each target is blocked, even if
 // it is repeated only every five seconds.
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"amaranthturn/app/daemon"
+	"amaranthturn/core/fleet"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/trace"
+	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer"
 )
 
@@ -97,13 +99,28 @@
 
 // entryUpdate returns the message to another entry. mu must be held.
 func (g *Gateway) entryUpdate(now time.Time) peer.ExchangeMessage {
-	return peer.ExchangeMessage{Records: g.entryList.Records(now), Blamed: g.ledger.MostBlamed(maxBlamedRequests, now), StoreRevision: g.mirror.Revision()}
+	declared := map[fleet.Model][]upgrade.Age{}
+	for m, d := range g.declared {
+		declared[m] = d.Ages(declarationAgeFactor*g.settings.Bounds.VersionChangeLimit, now)
+	}
+	return peer.ExchangeMessage{
+		Records: g.entryList.Records(now), Blamed: g.ledger.MostBlamed(maxBlamedRequests, now), StoreRevision: g.mirror.Revision(), Declared: declared,
+	}
 }
 
+// declarationAgeFactor is how long a declaration is sent to other entries, as a multiple of
+// the time within which a new version has to be in use.
+const declarationAgeFactor = 3
+
 // mergeEntryUpdate merges a message from another entry. mu must be held.
 func (g *Gateway) mergeEntryUpdate(update peer.ExchangeMessage, now time.Time) {
 	g.entryList.Merge(update.Records, now)
 	g.ledger.Merge(update.Blamed, now)
+	for m, ages := range update.Declared {
+		if g.declarationsOf(m).Merge(ages, now) {
+			g.log.config.Info().Str("model", string(m)).Uint64("version", g.declared[m].Newest()).Msg("weights version declared, known from an entry")
+		}
+	}
 }
 
 // watchTargets maintains a load watch on the agent of each model's target.
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -230,13 +230,8 @@
 				Int("routes", c.Document.Routes()).Msg(trace.MessageConfiguration)
 			needsRefresh = true
 		case c.Declared != nil:
-			d, ok := g.declared[c.Declared.Model]
-			if !ok {
-				d = &declaredVersions{}
-				g.declared[c.Declared.Model] = d
-			}
 			since := g.declaredSince(previous, now)
-			if d.Add(c.Declared.Version, since) {
+			if g.declarationsOf(c.Declared.Model).Add(c.Declared.Version, since, now) {
 				g.log.config.Info().Str("model", string(c.Declared.Model)).Uint64("version", c.Declared.Version).Uint64("revision", uint64(e.Revision)).
 					Dur("copy_age", now.Sub(previous)).Dur("declared_ago", now.Sub(since)).Msg("weights version declared")
 			}
@@ -257,6 +252,16 @@
 	}
 }
 
+// declarationsOf returns the declared versions of a model. mu must be held.
+func (g *Gateway) declarationsOf(m fleet.Model) *declaredVersions {
+	d, ok := g.declared[m]
+	if !ok {
+		d = &declaredVersions{}
+		g.declared[m] = d
+	}
+	return d
+}
+
 // notifyFollowers wakes the streams of store updates. mu must be held.
 func (g *Gateway) notifyFollowers() {
 	close(g.changed)
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -120,6 +120,9 @@
 			}
 			s.mu.Lock()
 			s.entryList.Merge(update.Records, s.now())
+			for m, ages := range update.Declared {
+				s.declarationsOf(m).Merge(ages, s.now())
+			}
 			s.mu.Unlock()
 		}
 		delay := exchangeInterval
@@ -229,7 +232,7 @@
 			if isFirst {
 				since = time.Time{}
 			}
-			if s.declarationsOf(c.Declared.Model).Add(c.Declared.Version, since) {
+			if s.declarationsOf(c.Declared.Model).Add(c.Declared.Version, since, now) {
 				s.log.weights.Info().Str("model", string(c.Declared.Model)).Uint64("version", c.Declared.Version).Msg("weights version declared")
 			}
 		case c.Target != nil:
--- a/core/upgrade/declarations.go
+++ b/core/upgrade/declarations.go
@@ -1,6 +1,9 @@
 package upgrade
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Declaration is a version that the operator declared as wanted, and when.
 type Declaration struct {
@@ -8,22 +11,79 @@
 	// DeclaredAt is zero for a version that was declared before this process began to
 	// receive declarations.
 	DeclaredAt time.Time
+	// KnownAt is when the first daemon that this one has heard of received the declaration.
+	// Unlike DeclaredAt it is never an estimate of an earlier time.
+	KnownAt time.Time
+}
+
+// Age is how long a declaration has been known to a daemon.
+type Age struct {
+	Version uint64
+	Known   time.Duration
 }
 
 // Declarations are the declared versions of one model in order of declaration. A version may
 // be declared before the previous one has been fetched; each has its own time limit.
 type Declarations []Declaration
 
-// Add records a version and reports whether it is newer than all others. An older version
-// is ignored.
-func (d *Declarations) Add(version uint64, declaredAt time.Time) bool {
+// Add records a version that becomes known now, and reports whether it is newer than all
+// others. An older version is ignored.
+func (d *Declarations) Add(version uint64, declaredAt, now time.Time) bool {
 	if version <= d.Newest() {
 		return false
 	}
-	*d = append(*d, Declaration{version, declaredAt})
+	*d = append(*d, Declaration{Version: version, DeclaredAt: declaredAt, KnownAt: now})
 	return true
 }
 
+// Merge applies the ages that another daemon states, and reports whether a version is new. A
+// daemon that learned of a version late counts its time from when the first one knew it.
+func (d *Declarations) Merge(ages []Age, now time.Time) bool {
+	added := false
+	for _, a := range ages {
+		if a.Version == 0 || a.Known < 0 {
+			continue
+		}
+		knownAt := now.Add(-a.Known)
+		i, ok := slices.BinarySearchFunc(*d, a.Version, func(x Declaration, v uint64) int {
+			switch {
+			case x.Version < v:
+				return -1
+			case x.Version > v:
+				return 1
+			}
+			return 0
+		})
+		if !ok {
+			*d = slices.Insert(*d, i, Declaration{Version: a.Version, DeclaredAt: knownAt, KnownAt: knownAt})
+			added = true
+			continue
+		}
+		known := &(*d)[i]
+		known.KnownAt = earlier(known.KnownAt, knownAt)
+		known.DeclaredAt = earlier(known.DeclaredAt, knownAt)
+	}
+	return added
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Ages returns the declarations that became known at most limit ago.
+func (d Declarations) Ages(limit time.Duration, now time.Time) []Age {
+	var out []Age
+	for _, declaration := range d {
+		if known := now.Sub(declaration.KnownAt); known <= limit {
+			out = append(out, Age{declaration.Version, known})
+		}
+	}
+	return out
+}
+
 // Newest returns the newest version, or 0 if none is declared.
 func (d Declarations) Newest() uint64 {
 	if len(d) == 0 {
--- a/core/upgrade/upgrade_test.go
+++ b/core/upgrade/upgrade_test.go
@@ -66,9 +66,9 @@
 // second is declared.
 func TestEachDeclarationHasItsLimit(t *testing.T) {
 	var d upgrade.Declarations
-	assert.Assert(t, d.Add(2, t0))
-	assert.Assert(t, d.Add(3, t0.Add(2*time.Second)))
-	assert.Assert(t, !d.Add(2, t0.Add(3*time.Second)), "a version can be declared only once")
+	assert.Assert(t, d.Add(2, t0, t0))
+	assert.Assert(t, d.Add(3, t0.Add(2*time.Second), t0.Add(2*time.Second)))
+	assert.Assert(t, !d.Add(2, t0.Add(3*time.Second), t0.Add(3*time.Second)), "a version can be declared only once")
 	limit := 8 * time.Second
 	assert.Equal(t, d.MinVersion(limit, t0.Add(7*time.Second)), uint64(0))
 	assert.Equal(t, d.MinVersion(limit, t0.Add(8*time.Second)), uint64(2))
@@ -84,7 +84,34 @@
 // declared. Only the newest is fetched.
 func TestOnlyNewestOfSimultaneousVersionsIsFetched(t *testing.T) {
 	var d upgrade.Declarations
-	d.Add(2, t0)
-	d.Add(3, t0.Add(100*time.Millisecond))
+	d.Add(2, t0, t0)
+	d.Add(3, t0.Add(100*time.Millisecond), t0.Add(100*time.Millisecond))
 	assert.DeepEqual(t, d.VersionsToFetch(1), []uint64{3})
 }
+
+// A daemon that learned of two versions late hears from one that knew them early. The limit of
+// each counts from the earlier time, also that of a version that the daemon has not seen.
+func TestLateDeclarationCountsFromTheFirstDaemonThatKnewIt(t *testing.T) {
+	limit := 8 * time.Second
+	var early, late upgrade.Declarations
+	early.Add(2, t0, t0)
+	early.Add(3, t0.Add(time.Second), t0.Add(time.Second))
+	now := t0.Add(4 * time.Second)
+	late.Add(3, now, now)
+	assert.Assert(t, late.Merge(early.Ages(time.Minute, now), now), "version 2 is new")
+	assert.Equal(t, late.MinVersion(limit, t0.Add(limit)), uint64(2))
+	assert.Equal(t, late.MinVersion(limit, t0.Add(limit+time.Second)), uint64(3))
+	assert.Assert(t, !early.Merge(late.Ages(time.Minute, now), now))
+	assert.Assert(t, !early.Merge([]upgrade.Age{{Version: 2, Known: time.Second}, {Version: 0, Known: time.Second}, {Version: 9, Known: -1}}, now))
+	assert.Equal(t, early.MinVersion(limit, t0.Add(limit-1)), uint64(0))
+	assert.Equal(t, early.Newest(), uint64(3))
+}
+
+// A restarted daemon assumes an early time, which is an estimate and not passed on.
+func TestEstimatedDeclarationTimeIsNotPassedOn(t *testing.T) {
+	var restarted, running upgrade.Declarations
+	restarted.Add(2, t0.Add(-5*time.Second), t0)
+	running.Add(2, t0.Add(-time.Second), t0.Add(-time.Second))
+	running.Merge(restarted.Ages(time.Minute, t0), t0)
+	assert.Equal(t, running.MinVersion(5*time.Second, t0), uint64(0))
+}
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -10,6 +10,7 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/gossip"
 	"amaranthturn/core/mirror"
+	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer/peerpb"
 )
 
@@ -19,6 +20,8 @@
 	Blamed  []crashblame.Blame
 	// StoreRevision is the latest revision of the store that the sender knows.
 	StoreRevision mirror.Revision
+	// Declared holds the declared versions of weights that the sender knows.
+	Declared map[fleet.Model][]upgrade.Age
 }
 
 // StoreChanges is a set of changes of the platform's store, sent by another daemon.
@@ -113,6 +116,11 @@
 	for _, b := range m.Blamed {
 		out.Blamed = append(out.Blamed, &peerpb.BlamedRequest{Fingerprint: uint64(b.Fingerprint), Blame: b.Value})
 	}
+	for m, ages := range m.Declared {
+		for _, a := range ages {
+			out.Declared = append(out.Declared, &peerpb.DeclaredVersion{Model: string(m), Version: a.Version, KnownMs: uint64(a.Known.Milliseconds())})
+		}
+	}
 	return out
 }
 
