status: a watch waits for an entry that does not respond yet

Cause: the watch ended at the first error of any kind, and its first request is sent at once. An entry that starts, or that restarts during the watch, refuses connections for a moment. When its time is over it exits 2 if the entry does not respond and 1 if the fleet has not converged. An address that is no entry or no URL of one still ends it at once, and so does a single status with exit code 2, as before. Ruled out: the limit of 40 s in the script, which was not reached; the client's timeout of 10 s (the error is "connection refused", at once). Result: TestWatchWaitsForEntry and TestWatchOutlastsLostEntry fail on the code before: cmds_test.go:194: assertion failed: 2 (<-code int) != 0 (ExitOK int): amaranthturn: entry http://127.0.0.1:50727: Get "http://127.0.0.1:50727/v1/status": dial tcp 127.0.0.1:50727: connect: connection refused cmds_test.go:206: assertion failed: 2 (code int) != 0 (ExitOK int) and pass 20 of 20 runs of the package with -race. Conclusion: scripts and operators may begin a watch before the entry listens.

--- a/cmd/amaranthturn/cmds/cmds.go
+++ b/cmd/amaranthturn/cmds/cmds.go
@@ -62,7 +62,7 @@
 		{name: "serve", short: "run a daemon on a machine of the users' platform", handler: &serveCommand{},
 			long: "serve entry runs an entry for callers; serve agent runs the agent of a model's target. Addresses come from the platform's settings file. Logs go to standard output as JSON lines."},
 		{name: "status", aliases: []string{"st"}, short: "show whether the fleet has converged", handler: &statusCommand{},
-			long: "Queries one entry for the state of the entire fleet. Exits 0 when the fleet has converged, 1 when it has not, 2 when the entry does not respond."},
+			long: "Queries one entry for the state of the entire fleet. Exits 0 when the fleet has converged, 1 when it has not, 2 when the entry does not respond. With --watch, waits for both until it is interrupted or --timeout is over."},
 		{name: "explain", short: "show the settings and state of an instance and their reasons", handler: &explainCommand{},
 			long: "Shows which default or exception determines each setting of an instance and what the instance waits for."},
 		{name: "config-check", aliases: []string{"check"}, short: "check a configuration", handler: &checkCommand{},
--- a/cmd/amaranthturn/cmds/cmds_test.go
+++ b/cmd/amaranthturn/cmds/cmds_test.go
@@ -3,12 +3,18 @@
 import (
 	"bytes"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"amaranthturn/io/operator"
 )
 
 func run(args ...string) (code int, out, errOut string) {
@@ -108,6 +114,124 @@
 	assert.Assert(t, strings.Contains(out, "complete -o default"))
 }
 
+// closedPort is a TCP port of loopback that belongs to the test and refuses connections until it
+// is opened.
+type closedPort struct {
+	file *os.File
+	url  string
+}
+
+func newClosedPort(t *testing.T) *closedPort {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	assert.NilError(t, err)
+	file := os.NewFile(uintptr(fd), "port")
+	t.Cleanup(func() { _ = file.Close() })
+	assert.NilError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := syscall.Getsockname(fd)
+	assert.NilError(t, err)
+	addr := net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: name.(*syscall.SockaddrInet4).Port}
+	return &closedPort{file: file, url: "http://" + addr.String()}
+}
+
+// open serves h on the port.
+func (p *closedPort) open(t *testing.T, h http.Handler) {
+	t.Helper()
+	assert.NilError(t, syscall.Listen(int(p.file.Fd()), syscall.SOMAXCONN))
+	listener, err := net.FileListener(p.file)
+	assert.NilError(t, err)
+	server := &http.Server{Handler: h}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+}
+
+// entryResponses is an entry that returns one response after another, the last one repeatedly.
+// An empty response closes the connection.
+type entryResponses struct {
+	bodies []string
+	served atomic.Int32
+}
+
+const (
+	convergedResponse    = `{"converged":true,"entry":"entry-1"}`
+	notConvergedResponse = `{"converged":false,"entry":"entry-1"}`
+)
+
+func (r *entryResponses) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	n := int(r.served.Add(1))
+	body := r.bodies[min(n, len(r.bodies))-1]
+	if body == "" {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write([]byte(body))
+}
+
+// firstWrite is a buffer that closes a channel at the first write.
+type firstWrite struct {
+	bytes.Buffer
+	once    sync.Once
+	written chan struct{}
+}
+
+func (w *firstWrite) Write(b []byte) (int, error) {
+	n, err := w.Buffer.Write(b)
+	w.once.Do(func() { close(w.written) })
+	return n, err
+}
+
+// TestWatchWaitsForEntry starts a watch before its entry listens: the watch says that it waits, and
+// follows the fleet as soon as the entry responds.
+func TestWatchWaitsForEntry(t *testing.T) {
+	port := newClosedPort(t)
+	errOut := &firstWrite{written: make(chan struct{})}
+	var out bytes.Buffer
+	code := make(chan int)
+	go func() {
+		code <- Main([]string{"status", "--watch", "--every", "5ms", "--timeout", "30s", "--entry", port.url}, &out, errOut)
+	}()
+	<-errOut.written
+	port.open(t, &entryResponses{bodies: []string{notConvergedResponse, convergedResponse}})
+	assert.Equal(t, <-code, ExitOK, errOut.String())
+	assert.Assert(t, strings.HasPrefix(out.String(), "converged"), out.String())
+	assert.Equal(t, strings.Count(errOut.String(), "waiting for entry "+port.url), 1, errOut.String())
+	assert.Assert(t, strings.Contains(errOut.String(), "connection refused"), errOut.String())
+}
+
+// TestWatchOutlastsLostEntry loses the entry during a watch, as a restart does. Two connections are
+// closed, because the client repeats a request at once when a kept-alive one is.
+func TestWatchOutlastsLostEntry(t *testing.T) {
+	port := newClosedPort(t)
+	port.open(t, &entryResponses{bodies: []string{notConvergedResponse, "", "", notConvergedResponse, convergedResponse}})
+	code, out, errOut := run("status", "--watch", "--every", "5ms", "--timeout", "30s", "--entry", port.url)
+	assert.Equal(t, code, ExitOK, errOut)
+	assert.Assert(t, strings.HasPrefix(out, "converged"), out)
+	assert.Equal(t, strings.Count(errOut, "waiting for entry"), 1, errOut)
+}
+
+// TestWatchEnds checks the exit code of a watch that ends without a converged fleet, and that it
+// does not wait for an address at which no entry can appear.
+func TestWatchEnds(t *testing.T) {
+	closed, open, other := newClosedPort(t), newClosedPort(t), newClosedPort(t)
+	open.open(t, &entryResponses{bodies: []string{notConvergedResponse}})
+	other.open(t, http.NotFoundHandler())
+	for _, test := range []struct {
+		name, entry, timeout string
+		code                 int
+		line                 string
+	}{
+		{"entry never listens", closed.url, "100ms", ExitUsage, "connection refused"},
+		{"fleet does not converge", open.url, "100ms", ExitFailure, "serving"},
+		{"not an entry", other.url, "1h", ExitUsage, operator.ErrNoInstance.Error()},
+		{"unknown scheme", "ftp://127.0.0.1", "1h", ExitUsage, "unsupported protocol scheme"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			code, _, errOut := run("status", "--watch", "--every", "5ms", "--timeout", test.timeout, "--entry", test.entry)
+			assert.Equal(t, code, test.code, errOut)
+			assert.Assert(t, strings.Contains(errOut, test.line), "%q", errOut)
+		})
+	}
+}
+
 func TestConfigCheckAndDiff(t *testing.T) {
 	good := writeFile(t, "good.toml", testDocument)
 	other := writeFile(t, "other.toml", strings.Replace(testDocument, "aaaa", "bbbb", 1))
--- a/cmd/amaranthturn/cmds/query.go
+++ b/cmd/amaranthturn/cmds/query.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -25,13 +26,14 @@
 
 type statusCommand struct {
 	queryOptions
-	Watch bool          `long:"watch" description:"refresh until the fleet has converged"`
-	Every time.Duration `long:"every" default:"1s" description:"time between refreshes"`
+	Watch   bool          `long:"watch" description:"refresh until the fleet has converged; waits for an entry that does not respond yet"`
+	Every   time.Duration `long:"every" default:"1s" description:"time between refreshes"`
+	Timeout time.Duration `long:"timeout" default:"0s" description:"end the watch after this time; 0: when it is interrupted"`
 }
 
 func (c *statusCommand) run(p *program, args []string) int {
 	if len(args) > 0 {
-		return p.usageError("status [--entry URL] [--format table|json] [--watch]")
+		return p.usageError("status [--entry URL] [--format table|json] [--watch [--every TIME] [--timeout TIME]]")
 	}
 	client := operator.NewClient(c.Entry)
 	if c.Watch {
@@ -60,35 +62,86 @@
 	PrintStatus(p.out, st)
 }
 
-// watch draws a progress bar until the fleet has converged.
+// statusWatch refreshes the state of the fleet until it has converged.
+type statusWatch struct {
+	c           *statusCommand
+	p           *program
+	client      *operator.Client
+	bar         *progressbar.ProgressBar
+	unavailable error // the entry's last error; nil while it responds
+}
+
+// watch refreshes until the fleet has converged or the time is over.
 func (c *statusCommand) watch(p *program, client *operator.Client) int {
-	var bar *progressbar.ProgressBar
+	ctx := p.ctx
+	if c.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.Timeout)
+		defer cancel()
+	}
+	w := &statusWatch{c: c, p: p, client: client}
 	for {
-		st, err := client.Status(p.ctx)
-		if err != nil {
+		st, err := client.Status(ctx)
+		switch {
+		case err == nil:
+			w.showProgress(st)
+			if st.Converged {
+				w.endLine()
+				c.print(p, st)
+				return ExitOK
+			}
+		case ctx.Err() != nil: // the request was canceled, which is no news of the entry
+		case !operator.IsUnavailable(err):
+			w.endLine()
 			return p.fail(ExitUsage, err)
-		}
-		done, total := progress(st)
-		if bar == nil {
-			bar = progressbar.NewOptions(total, progressbar.OptionSetWriter(p.err), progressbar.OptionSetWidth(40),
-				progressbar.OptionSetDescription("serving"), progressbar.OptionShowCount())
-		}
-		bar.ChangeMax(total)
-		_ = bar.Set(done)
-		if st.Converged {
-			_, _ = fmt.Fprintln(p.err)
-			c.print(p, st)
-			return ExitOK
+		default:
+			w.showUnavailable(err)
 		}
 		select {
-		case <-p.ctx.Done():
-			_, _ = fmt.Fprintln(p.err)
-			return ExitFailure
+		case <-ctx.Done():
+			return w.end()
 		case <-time.After(c.Every):
 		}
 	}
 }
 
+// showProgress draws the progress bar.
+func (w *statusWatch) showProgress(st operator.Status) {
+	w.unavailable = nil
+	done, total := progress(st)
+	if w.bar == nil {
+		w.bar = progressbar.NewOptions(total, progressbar.OptionSetWriter(w.p.err), progressbar.OptionSetWidth(40),
+			progressbar.OptionSetDescription("serving"), progressbar.OptionShowCount())
+	}
+	w.bar.ChangeMax(total)
+	_ = w.bar.Set(done)
+}
+
+// showUnavailable states that the entry does not respond, once until it responds again.
+func (w *statusWatch) showUnavailable(err error) {
+	if w.unavailable == nil {
+		w.endLine()
+		w.p.fail(ExitUsage, fmt.Errorf("waiting for %w", err))
+	}
+	w.unavailable = err
+}
+
+// end returns the exit code of a watch whose time is over.
+func (w *statusWatch) end() int {
+	w.endLine()
+	if w.unavailable != nil {
+		return w.p.fail(ExitUsage, w.unavailable)
+	}
+	return ExitFailure
+}
+
+// endLine ends the line of the progress bar.
+func (w *statusWatch) endLine() {
+	if w.bar != nil {
+		_, _ = fmt.Fprintln(w.p.err)
+	}
+}
+
 // progress counts the instances that do not lag behind, and all instances.
 func progress(st operator.Status) (done, total int) {
 	for _, in := range st.Instances {
--- a/io/operator/http.go
+++ b/io/operator/http.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -70,6 +71,15 @@
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
 
+// IsUnavailable reports whether an error of a Client may end when the entry starts: it could not be
+// connected to, lost the connection or did not respond in time.
+func IsUnavailable(err error) bool {
+	var network *net.OpError
+	var timeout net.Error
+	return errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // clientTimeout limits a request, during which the entry queries all other entries.
 const clientTimeout = 10 * time.Second
 
