A declaration applies to requests that already wait at an engine

Callers: a request that is sent before an entry knows of a declaration, or before a late one is corrected, can wait at its engine and begin on the old version after the limit.

Cause: the time until a target's weights are too old was looked up once, when an attempt began, and a timer was set. A version that becomes known later, or whose time is corrected by another entry, had no effect on attempts under way. Routes that are not streams had no limit at all.

Change: the entry keeps the attempts that have no response yet and checks them at each tick against the declarations as known then, whatever the route's kind. A target that has loaded newer weights meanwhile counts with these, so its requests are not canceled any more. The one timer per attempt is gone, as is Declarations.ServeDeadline, which only it used; the tests check the same times with MinVersion.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -21,6 +21,9 @@
 type targetAttempt struct {
 	handler         *requestHandler
 	service         *service
+	target          roster.Target
+	startVersions   []roster.LoadedVersion // the target's weights when the attempt began
+	cancel          context.CancelFunc
 	result          loadbalance.Result
 	prefillTokens   int
 	crashed         bool
@@ -32,6 +35,9 @@
 	h := a.handler
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
+	a.target, a.cancel = t, cancel
+	h.g.watchUntilStarted(a)
+	defer h.g.stopWatching(a)
 	streaming := h.route.Kind == routeconfig.KindStreaming
 	var stallTimer *time.Timer
 	if streaming && h.route.Repeatable() {
@@ -41,12 +47,6 @@
 		})
 		defer stallTimer.Stop()
 	}
-	if d, ok := h.g.timeUntilTooOld(t); ok && streaming {
-		// A request that is still in the engine's queue by then would start on weights that
-		// are too old.
-		versionTimer := time.AfterFunc(d, a.cancelUnlessStarted(cancel))
-		defer versionTimer.Stop()
-	}
 	sent, err := h.g.targets.Send(ctx, forward.Attempt{
 		Call: h.call, Target: t.ID, Address: t.Address, Workspace: h.workspace, Remaining: h.deadline.Sub(h.g.now()),
 		LastEventID: h.stream.LastEventID(), Version: h.stream.Version(), NewConnection: h.route.Kind == routeconfig.KindNonIdempotent,
@@ -72,22 +72,6 @@
 	return a.forwardFull(parent, sent)
 }
 
-// cancelUnlessStarted returns a function that cancels the attempt unless its response has
-// started.
-func (a *targetAttempt) cancelUnlessStarted(cancel context.CancelFunc) func() {
-	return func() {
-		a.handler.g.mu.Lock()
-		started := a.responseStarted
-		a.handler.g.mu.Unlock()
-		if !started {
-			a.handler.g.log.requests.Info().Str("request", string(a.handler.call.ID)).Str("target", string(a.handler.target)).
-				Dur("took", a.handler.g.now().Sub(a.handler.startedAt)).Msg("attempt canceled: weights are too old")
-			a.canceled.Store(true)
-			cancel()
-		}
-	}
-}
-
 // maxRejectionBytes limits the body of a rejection that is read.
 const maxRejectionBytes = 64 << 10
 
@@ -172,10 +156,61 @@
 	h.g.mu.Lock()
 	defer h.g.mu.Unlock()
 	a.responseStarted = true
+	delete(h.g.unstarted, a)
 	a.service.balancer.RecordFirstEvent(h.target, a.prefillTokens)
 	a.prefillTokens = 0
 }
 
+// watchUntilStarted adds an attempt to those that are canceled if they may not start any more.
+func (g *Gateway) watchUntilStarted(a *targetAttempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a.startVersions = g.loadedVersions(a.target)
+	g.unstarted[a] = struct{}{}
+}
+
+func (g *Gateway) stopWatching(a *targetAttempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.unstarted, a)
+}
+
+// cancelOutdatedAttempts cancels the attempts that wait at a target whose weights have become
+// too old to start a response. mu must be held.
+func (g *Gateway) cancelOutdatedAttempts(now time.Time) {
+	for a := range g.unstarted {
+		if !g.isTooOldToStart(a, now) {
+			continue
+		}
+		delete(g.unstarted, a)
+		a.canceled.Store(true)
+		a.cancel()
+		g.log.requests.Info().Str("request", string(a.handler.call.ID)).Str("target", string(a.target.ID)).
+			Dur("took", now.Sub(a.handler.startedAt)).Msg("attempt canceled: weights are too old")
+	}
+}
+
+// isTooOldToStart reports whether the weights of an attempt's target are too old to start a
+// response. A target that has loaded newer weights since counts with these. mu must be held.
+func (g *Gateway) isTooOldToStart(a *targetAttempt, now time.Time) bool {
+	for _, loaded := range a.startVersions {
+		d, ok := g.declared[loaded.Model]
+		if !ok {
+			continue
+		}
+		version := loaded.Version
+		for _, current := range g.loadedVersions(a.target) {
+			if current.Model == loaded.Model {
+				version = max(version, current.Version)
+			}
+		}
+		if version < d.MinVersion(g.settings.Bounds.VersionChangeLimit-responseStartMargin, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // transportFailure returns the failure of an attempt that ended without a complete response.
 func (a *targetAttempt) transportFailure(parent context.Context, err error) dispatch.Failure {
 	var notSent *target.NotSentError
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -83,6 +83,7 @@
 	loadWatches      map[string]*loadWatch                // by address of the target
 	services         map[fleet.Service]*service
 	waiters          map[admit.RequestID]chan admit.Verdict
+	unstarted        map[*targetAttempt]struct{} // sent to a target, no response yet
 	nextID           admit.RequestID
 	budget           *retry.Budget
 	ledger           *crashblame.Ledger
@@ -127,7 +128,7 @@
 		}),
 		declared: map[fleet.Model]*declaredVersions{},
 		loads:    map[fleet.InstanceID]peer.TargetLoad{}, loadWatches: map[string]*loadWatch{},
-		services: map[fleet.Service]*service{}, waiters: map[admit.RequestID]chan admit.Verdict{},
+		services: map[fleet.Service]*service{}, waiters: map[admit.RequestID]chan admit.Verdict{}, unstarted: map[*targetAttempt]struct{}{},
 		ledger: crashblame.NewLedger(crashSettings), pauseDetector: clock.NewPauseDetector(pauseThreshold),
 		copyPauses: clock.NewPauseDetector(copyPauseThreshold),
 	}
@@ -280,6 +281,7 @@
 			g.refreshBalancers(now)
 		}
 	}
+	g.cancelOutdatedAttempts(now)
 	for _, s := range g.services {
 		g.notifyWaiters(s.queue.Tick(now))
 	}
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -126,8 +126,8 @@
 	early.Exchange(late.Exchange(peer.ExchangeMessage{}))
 	late.Exchange(early.Exchange(peer.ExchangeMessage{}))
 	for _, g := range []*Gateway{early, late} {
-		at, _ := g.declared["m"].ServeDeadline(1, 8*time.Second)
-		assert.Equal(t, at, declaredAt.Add(8*time.Second))
+		assert.Equal(t, g.declared["m"].MinVersion(8*time.Second, declaredAt.Add(8*time.Second-1)), uint64(0))
+		assert.Equal(t, g.declared["m"].MinVersion(8*time.Second, declaredAt.Add(8*time.Second)), uint64(2))
 	}
 }
 
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -356,20 +356,6 @@
 // response, to allow for the propagation delay of a cancellation.
 const responseStartMargin = 250 * time.Millisecond
 
-// timeUntilTooOld returns the time until a target's weights are too old to start a response.
-func (g *Gateway) timeUntilTooOld(t roster.Target) (time.Duration, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, loaded := range g.loadedVersions(t) {
-		if d, ok := g.declared[loaded.Model]; ok {
-			if at, ok := d.ServeDeadline(loaded.Version, g.settings.Bounds.VersionChangeLimit-responseStartMargin); ok {
-				return at.Sub(g.now()), true
-			}
-		}
-	}
-	return 0, false
-}
-
 // loadedVersions returns the versions that a target serves, as reported by its agent or else
 // by its record in the store. mu must be held.
 func (g *Gateway) loadedVersions(t roster.Target) []roster.LoadedVersion {
--- a/core/upgrade/declarations.go
+++ b/core/upgrade/declarations.go
@@ -116,17 +116,6 @@
 	return oldest
 }
 
-// ServeDeadline returns when a version must stop serving requests, or false if no newer
-// version is declared.
-func (d Declarations) ServeDeadline(version uint64, limit time.Duration) (time.Time, bool) {
-	for _, declaration := range d {
-		if declaration.Version > version {
-			return declaration.DeclaredAt.Add(limit), true
-		}
-	}
-	return time.Time{}, false
-}
-
 // minDeclarationGap is the time between two declarations below which the older version is
 // not fetched: none of it has been received when the newer one becomes known.
 const minDeclarationGap = 500 * time.Millisecond
--- a/core/upgrade/upgrade_test.go
+++ b/core/upgrade/upgrade_test.go
@@ -73,9 +73,7 @@
 	assert.Equal(t, d.MinVersion(limit, t0.Add(7*time.Second)), uint64(0))
 	assert.Equal(t, d.MinVersion(limit, t0.Add(8*time.Second)), uint64(2))
 	assert.Equal(t, d.MinVersion(limit, t0.Add(10*time.Second)), uint64(3))
-	at, ok := d.ServeDeadline(1, limit)
-	assert.Assert(t, ok)
-	assert.Equal(t, at, t0.Add(limit))
+	assert.Equal(t, d.MinVersion(limit, t0.Add(8*time.Second-1)), uint64(0), "the limit of version 1 is that of the first newer version")
 	assert.DeepEqual(t, d.VersionsToFetch(1), []uint64{2, 3})
 	assert.Equal(t, d.NewerDeclaredAt(2), t0.Add(2*time.Second))
 }
