Events without end: a limit on every event, and no event ended by a long line

What callers saw: a stream whose target sent one event without end stalled, while the entry kept all of its lines. A line of exactly 4,096 bytes ended its event early, so the rest was taken for an event without an id and the stream was broken off; the rest of a long line could be taken for an id. Cause: the limit of 1 MiB was only checked when one line filled the buffer, so short lines had none. Each piece of a long line was looked at as if it were a line. Ruled out: a stream that ends within an event was already io.ErrUnexpectedEOF.

--- a/io/target/events.go
+++ b/io/target/events.go
@@ -5,13 +5,13 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"amaranthturn/io/bounded"
 )
 
 // maxEventBytes is the maximum size of an event.
 const maxEventBytes = 1 << 20
 
-var errEventTooLong = errors.New("event exceeds 1 MiB")
-
 // Event is a complete event of a stream, including the empty line that ends it.
 type Event struct {
 	Raw []byte
@@ -26,29 +26,31 @@
 // NewEventReader returns a reader of the events in r.
 func NewEventReader(r io.Reader) *EventReader { return &EventReader{rd: bufio.NewReaderSize(r, 4<<10)} }
 
-// Next returns the next event. It returns io.EOF if the stream ended after a complete event
-// and io.ErrUnexpectedEOF if it ended within one.
+// Next returns the next event. It returns io.EOF if the stream ended after a complete event,
+// io.ErrUnexpectedEOF if it ended within one and *bounded.TooLargeError if the event is too
+// large.
 func (e *EventReader) Next() (Event, error) {
 	var ev Event
+	lineStart := 0
 	for {
-		line, err := e.rd.ReadSlice('\n')
-		ev.Raw = append(ev.Raw, line...)
+		part, err := e.rd.ReadSlice('\n')
+		ev.Raw = append(ev.Raw, part...)
 		switch {
+		case len(ev.Raw) > maxEventBytes:
+			return Event{}, &bounded.TooLargeError{Part: bounded.PartEvent, Limit: maxEventBytes}
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(ev.Raw) > maxEventBytes {
-				return Event{}, errEventTooLong
-			}
-			continue
+			continue // the line is longer than the buffer
 		case errors.Is(err, io.EOF) && len(ev.Raw) > 0:
 			return Event{}, io.ErrUnexpectedEOF
 		case err != nil:
 			return Event{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
+		line := bytes.TrimRight(ev.Raw[lineStart:], "\r\n")
+		lineStart = len(ev.Raw)
+		if len(line) == 0 {
 			return ev, nil
 		}
-		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			ev.ID = string(bytes.TrimSpace(id))
 		}
 	}
