Responses without end: a limit on the header and on all bodies held

What callers saw: a target that sent a status line, a header line or headers without end kept its request until the deadline and the entry's memory grew with each byte; 504 after 2 s. Cause: http.ReadResponse has no limit of its own. net/http's transport, which io/target doesn't use, has one on the connection. ReadBody reads a body with a limit and counts what all responses of the pool hold: at most 48 MiB beyond 256 KiB for each, so that targets in trouble neither fill the memory nor fail small responses. Discard limits the time as well. A body above the limit for earlier responses has the same typed error. A body without length or chunks was already complete when its connection ended cleanly and an error when it was reset. Conclusion: what a target sends is limited in head and body.

--- a/io/target/target.go
+++ b/io/target/target.go
@@ -33,10 +33,13 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"amaranthturn/io/bounded"
 )
 
 // Timeouts and limits of connections.
@@ -63,6 +66,9 @@
 	maxResponsesRead = 4
 	// maxStaleBodyBytes limits the body of a response to an earlier request.
 	maxStaleBodyBytes = 1 << 20
+	// maxHeadBytes limits the status line and header of each response, and what the
+	// connection's buffer reads beyond them.
+	maxHeadBytes = bounded.MaxHeaderBytes
 )
 
 // Request is a request as it is sent to the target.
@@ -106,10 +112,21 @@
 
 var errStaleResponses = errors.New("too many responses to other requests")
 
+// Limits of the bodies that ReadBody holds in memory.
+const (
+	// maxHeldBytes is the maximum for all bodies of a pool. Targets in trouble may answer
+	// many requests with more than the process has memory for.
+	maxHeldBytes = 48 << 20
+	// freeBodyBytes is the part of each body that does not count towards maxHeldBytes, so
+	// that large responses do not fail small ones.
+	freeBodyBytes = 256 << 10
+)
+
 // Pool keeps idle connections by address.
 type Pool struct {
 	mu   sync.Mutex // guards idle
 	idle map[string][]*conn
+	held atomic.Int64 // bytes of bodies beyond freeBodyBytes
 }
 
 // NewPool returns an empty pool.
@@ -118,11 +135,29 @@
 type conn struct {
 	net.Conn
 	rd          *bufio.Reader
+	head        *bounded.Reader // the current response's header; nil while a body is read
 	addr        string
 	idleSince   time.Time     // start of the current idle period
 	idleTimeout time.Duration // maximum idle period
 }
 
+// Read implements io.Reader for rd. It limits the bytes of a header.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.head != nil {
+		return c.head.Read(p)
+	}
+	return c.Conn.Read(p)
+}
+
+// readResponse reads the status line and header of a response.
+func (c *conn) readResponse(hr *http.Request) (*http.Response, error) {
+	c.head = &bounded.Reader{R: c.Conn, Part: bounded.PartHeader, Limit: maxHeadBytes}
+	defer c.endHeader()
+	return http.ReadResponse(c.rd, hr)
+}
+
+func (c *conn) endHeader() { c.head = nil }
+
 // Response is a response whose body is being read.
 type Response struct {
 	Status int
@@ -137,6 +172,7 @@
 	stop         func() bool
 	written      chan error
 	bodyComplete bool
+	held         int64 // bytes of the body that count towards the pool's maximum
 }
 
 // Do sends a request and returns when the header of its response has arrived. When ctx ends,
@@ -196,7 +232,7 @@
 // and responses to earlier requests.
 func (resp *Response) readHeader(hr *http.Request, r *Request) error {
 	for range maxResponsesRead {
-		httpResp, err := http.ReadResponse(resp.conn.rd, hr) //nolint:bodyclose // Response reads the body and closes the connection
+		httpResp, err := resp.conn.readResponse(hr) //nolint:bodyclose // Response reads the body and closes the connection
 		if err != nil {
 			return err
 		}
@@ -204,7 +240,8 @@
 			continue
 		}
 		if !r.Matches(httpResp.StatusCode, httpResp.Header) {
-			if n, err := io.Copy(io.Discard, io.LimitReader(httpResp.Body, maxStaleBodyBytes)); err != nil || n == maxStaleBodyBytes || httpResp.Close {
+			body := &bounded.Reader{R: httpResp.Body, Part: bounded.PartBody, Limit: maxStaleBodyBytes}
+			if _, err := io.Copy(io.Discard, body); err != nil || httpResp.Close {
 				return errors.Join(errStaleResponses, err)
 			}
 			continue
@@ -228,9 +265,48 @@
 	return n, err
 }
 
+// ReadBody reads the body to its end. It returns a *bounded.TooLargeError if the body is
+// larger than limit, or than what the pool's other responses leave. The bytes count as held
+// until Close.
+func (resp *Response) ReadBody(limit int64) ([]byte, error) {
+	if resp.Length > limit {
+		return nil, &bounded.TooLargeError{Part: bounded.PartBody, Limit: limit}
+	}
+	return bounded.ReadAll(&heldReader{resp: resp}, bounded.PartBody, limit)
+}
+
+// heldReader counts the bytes of a body that are held in memory.
+type heldReader struct {
+	resp *Response
+	read int64
+}
+
+// Read implements io.Reader.
+func (r *heldReader) Read(p []byte) (int, error) {
+	n, err := r.resp.Body.Read(p)
+	r.read += int64(n)
+	if more := r.read - freeBodyBytes - r.resp.held; more > 0 {
+		r.resp.held += more
+		if r.resp.pool.held.Add(more) > maxHeldBytes {
+			return 0, &bounded.TooLargeError{Part: bounded.PartAllBodies, Limit: maxHeldBytes}
+		}
+	}
+	return n, err
+}
+
+// Discard reads the body to its end so that the connection can be reused. A body that is
+// larger than limit or takes longer than timeout is left, and Close closes the connection.
+func (resp *Response) Discard(limit int64, timeout time.Duration) {
+	timer := time.AfterFunc(timeout, func() { _ = resp.conn.Close() })
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, &bounded.Reader{R: resp.Body, Part: bounded.PartBody, Limit: limit})
+}
+
 // Close returns the connection to the pool if the response was read completely and nothing
 // follows it, and closes the connection otherwise.
 func (resp *Response) Close() {
+	resp.pool.held.Add(-resp.held)
+	resp.held = 0
 	stopped := resp.stop()
 	sent := false
 	select {
@@ -288,7 +364,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, rd: bufio.NewReaderSize(nc, 4<<10), addr: addr}, nil
+	c := &conn{Conn: nc, addr: addr}
+	c.rd = bufio.NewReaderSize(c, 4<<10)
+	return c, nil
 }
 
 func (p *Pool) pop(addr string) *conn {
