Bodies of targets: a cut body is an error, and a rejection's body doesn't hold its request

What callers saw: a body without end came as 200 with its first 32 MiB and a length that fitted, so it looked complete; a 500 the same. A target that rejected a request and let the body trickle held it until the deadline, though it had not run. Cause: io.LimitReader ends a body as if it were complete. The rejection's body was read before the request went on, limited in bytes and not in time. Change: ReadBody's error ends the attempt as lost: 502, or the next target where the request may be repeated; the outcome stays unknown and the connection is closed. It is logged once for each attempt. A target's own failure is kept up to 256 KiB. A rejection is read for at most 50 ms. Ruled out: streams and unframed responses. Conclusion: no response that was cut looks complete.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"amaranthturn/core/loadbalance"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routeconfig"
+	"amaranthturn/io/bounded"
 	"amaranthturn/io/target"
 	"amaranthturn/platform"
 )
@@ -57,7 +58,7 @@
 	switch forward.Classify(sent.Reply) {
 	case forward.VerdictNoCapacity, forward.VerdictWrongTarget:
 		defer sent.Close()
-		_, _ = io.Copy(io.Discard, io.LimitReader(sent.Body, maxRejectionBytes)) // allows the connection to be reused
+		sent.Discard(maxRejectionBytes, rejectionTimeout) // allows the connection to be reused
 		a.result = loadbalance.ResultFull
 		return dispatch.Failure{Kind: dispatch.KindRefused, Refusal: fleet.NotRun(fleet.ReasonTargetBusy, h.retryAfter())}, false
 	case forward.VerdictFailed:
@@ -86,15 +87,22 @@
 	}
 }
 
-// maxRejectionBytes limits the body of a rejection that is read.
-const maxRejectionBytes = 64 << 10
+const (
+	// maxRejectionBytes and rejectionTimeout limit the body of a rejection that is read. The
+	// request waits meanwhile.
+	maxRejectionBytes = 64 << 10
+	rejectionTimeout  = 50 * time.Millisecond
+	// maxFailureBytes limits the error response of a target, which is kept during the next
+	// attempt.
+	maxFailureBytes = 256 << 10
+)
 
 // targetFailure stores the error response of a target, which is forwarded if the request is
 // not repeatable or not retried.
 func (a *targetAttempt) targetFailure(parent context.Context, sent *platform.Response) dispatch.Failure {
 	defer sent.Close()
 	h := a.handler
-	body, err := io.ReadAll(io.LimitReader(sent.Body, maxResponseBytes))
+	body, err := sent.ReadBody(maxFailureBytes)
 	if err == nil && sent.Signed && sent.Status/100 == 5 && sent.Status != 503 && h.targetFailure == nil {
 		h.targetFailure = &failedResponse{sent.Reply, body}
 	}
@@ -107,7 +115,7 @@
 // forwardFull forwards a response after it was read completely.
 func (a *targetAttempt) forwardFull(parent context.Context, sent *platform.Response) (dispatch.Failure, bool) {
 	defer sent.Close()
-	body, err := io.ReadAll(io.LimitReader(sent.Body, maxResponseBytes))
+	body, err := sent.ReadBody(maxResponseBytes)
 	if err != nil {
 		return a.transportFailure(parent, err), false
 	}
@@ -186,6 +194,10 @@
 		return dispatch.Failure{Kind: dispatch.KindNotSent}
 	}
 	a.result = loadbalance.ResultFailed
+	var tooLarge *bounded.TooLargeError
+	if errors.As(err, &tooLarge) {
+		a.handler.g.log.requests.Warn().Str("target", string(a.handler.target)).Err(err).Msg("response exceeds a limit")
+	}
 	a.crashed = !a.canceled.Load()
 	return dispatch.Failure{Kind: dispatch.KindLost}
 }
