Store, engine and origin: typed limits on headers, bodies and pages

What was seen: a store's, engine's or origin's body without end became a JSON error, a success or a chunk of 64 MiB; pages without end were read until the caller's time was over; a header without end was read up to 10 MiB. Cause: io.LimitReader cuts silently; pages had no limit; net/http's own limit on headers is 10 MiB. Change: *bounded.TooLargeError for each body (within *StoreError for the store); all pages of one range hold at most 32 MiB; a chunk may have its size in the manifest and no more; a manifest swarm.MaxManifestBytes; headers 64 KiB. Of an unsuccessful response 4 KiB are read and the status counts, whatever its body. Ruled out: interim responses (net/http counts them as headers) and the status of a call without end (TestStatusOfCallWithoutEnd passes on the old code). Measured: on the old code TestStoreBodyWithoutEnd fails with "unexpected EOF", TestStorePagesWithoutEnd with no error after 100 pages, TestCallBodiesWithoutEnd with "invalid character 'x'", TestCallHeaderWithoutEnd after 10,485,760 bytes. With the change all pass under the race detector. Conclusion: what the platform's other services send is limited, with an error that names the limit.

--- a/app/daemon/daemon.go
+++ b/app/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"amaranthturn/app/telemetry"
 	"amaranthturn/core/clock"
 	"amaranthturn/core/keys"
+	"amaranthturn/io/bounded"
 	"amaranthturn/io/peer"
 )
 
@@ -184,7 +185,7 @@
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
 	return &http.Client{Transport: &http.Transport{
-		Proxy: nil, DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute,
+		Proxy: nil, DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
 	}}
 }
 
--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -122,7 +122,7 @@
 func (c *engineDriver) verifyStaged(ctx context.Context, m fleet.Model, w *versionWeights) bool {
 	ok, replaced := true, 0
 	for i := range w.manifest.Chunks {
-		data, err := c.s.engine.StagedChunk(ctx, m, i)
+		data, err := c.s.engine.StagedChunk(ctx, m, i, w.manifest.Chunks[i].Size)
 		if err == nil && w.manifest.Verify(i, data) {
 			continue
 		}
--- a/app/sidecar/module.go
+++ b/app/sidecar/module.go
@@ -13,6 +13,7 @@
 	"amaranthturn/app/telemetry"
 	"amaranthturn/core/clock"
 	"amaranthturn/core/trace"
+	"amaranthturn/io/bounded"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
@@ -42,6 +43,7 @@
 	dialer := net.Dialer{Timeout: callTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxConnsPerHost: maxOriginConns, MaxIdleConnsPerHost: maxOriginConns, IdleConnTimeout: originIdleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
 	}}
 }
 
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -255,7 +255,7 @@
 		return false
 	}
 	for i := range w.manifest.Chunks {
-		data, err := w.s.engine.StagedChunk(ctx, w.model, i)
+		data, err := w.s.engine.StagedChunk(ctx, w.model, i, w.manifest.Chunks[i].Size)
 		if errors.Is(err, platform.ErrNotStaged) && i == 0 {
 			return true // a new engine has no staged chunks
 		}
@@ -459,7 +459,7 @@
 func (c *chunkFetch) download(ctx context.Context) ([]byte, error) {
 	w := c.w
 	if c.fetch.Source.Kind == swarm.SourceOrigin {
-		return w.s.origin.Chunk(ctx, w.originAddress, w.model, w.version, c.fetch.Chunk)
+		return w.s.origin.Chunk(ctx, w.originAddress, w.model, w.version, c.fetch.Chunk, w.manifest.Chunks[c.fetch.Chunk].Size)
 	}
 	return w.s.pool.Chunk(ctx, c.addr, peer.ChunkRef{Version: w.name, Index: c.fetch.Chunk, Digest: w.manifest.Chunks[c.fetch.Chunk].Digest}, func(int) {})
 }
