Peers: limits on what a message inflates to, on a chunk and on metadata

What was seen: a message of a few hundred bytes could inflate to 64 MiB for each of its values, of which a message of 16 MiB holds any number; a peer could send 64 MiB for a chunk of 32 KiB; metadata was read up to grpc's 16 MiB. Cause: the limit of decompression was that of one value; the size of a chunk wasn't compared with the manifest; grpc's limit on metadata is that large. Change: all values of one message hold at most 32 MiB (*bounded.TooLargeError); ChunkRef carries the size of the chunk; metadata 64 KiB and messages 16 MiB, both ways. Ruled out: messages received were limited already; grpc's own decompression isn't registered. Conclusion: a small message can't fill the memory of a daemon.

--- a/app/agent/distribution.go
+++ b/app/agent/distribution.go
@@ -324,7 +324,7 @@
 	if t.fetch.Source.Kind == swarm.SourceOrigin {
 		return x.cache.a.opt.Origin.Range(ctx, x.manifest.Version, x.offsets[t.fetch.Chunk], c.Size)
 	}
-	ref := peer.ChunkRef{Version: x.manifest.Version, Index: t.fetch.Chunk, Digest: c.Digest, Requester: x.cache.a.self.ID}
+	ref := peer.ChunkRef{Version: x.manifest.Version, Index: t.fetch.Chunk, Digest: c.Digest, Requester: x.cache.a.self.ID, Size: c.Size}
 	return x.cache.a.opt.Pool.Chunk(ctx, t.addr, ref, func(int) {})
 }
 
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -461,7 +461,8 @@
 	if c.fetch.Source.Kind == swarm.SourceOrigin {
 		return w.s.origin.Chunk(ctx, w.originAddress, w.model, w.version, c.fetch.Chunk, w.manifest.Chunks[c.fetch.Chunk].Size)
 	}
-	return w.s.pool.Chunk(ctx, c.addr, peer.ChunkRef{Version: w.name, Index: c.fetch.Chunk, Digest: w.manifest.Chunks[c.fetch.Chunk].Digest}, func(int) {})
+	chunk := w.manifest.Chunks[c.fetch.Chunk]
+	return w.s.pool.Chunk(ctx, c.addr, peer.ChunkRef{Version: w.name, Index: c.fetch.Chunk, Digest: chunk.Digest, Size: chunk.Size}, func(int) {})
 }
 
 func (c *chunkFetch) recordFailure(ctx context.Context, cause swarm.Cause, now time.Time) {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -20,6 +20,7 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/membership"
 	"amaranthturn/core/swarm"
+	"amaranthturn/io/bounded"
 	"amaranthturn/io/peer/peerpb"
 )
 
@@ -42,6 +43,7 @@
 	pingTimeout              = 3 * time.Second
 	callTimeout              = 3 * time.Second
 	maxMessageBytes          = 16 << 20
+	maxHeaderListBytes       = bounded.MaxHeaderBytes
 )
 
 // Pool holds one connection per address.
@@ -74,7 +76,8 @@
 			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.3, MaxDelay: maxDelay},
 			MinConnectTimeout: connectTimeout,
 		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+		grpc.WithMaxHeaderListSize(maxHeaderListBytes),
 	}
 	if o.Dial != nil {
 		opts = append(opts, grpc.WithContextDialer(o.Dial))
@@ -86,6 +89,8 @@
 func ServerOptions(creds credentials.TransportCredentials) []grpc.ServerOption {
 	out := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.MaxHeaderListSize(maxHeaderListBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingInterval / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 	}
@@ -360,6 +365,10 @@
 	if err != nil {
 		return nil, wrapError(addr, err)
 	}
+	limit := swarm.MaxChunkBytes
+	if ref.Size > 0 && ref.Size < swarm.MaxChunkBytes {
+		limit = int(ref.Size)
+	}
 	var data []byte
 	for {
 		part, err := st.Recv()
@@ -374,15 +383,13 @@
 			return nil, ErrBusy
 		}
 		data = append(data, part.GetData()...)
-		if len(data) > swarm.MaxChunkBytes {
-			return nil, wrapError(addr, errTooLarge)
+		if len(data) > limit {
+			return nil, wrapError(addr, &bounded.TooLargeError{Part: bounded.PartBody, Limit: int64(limit)})
 		}
 		onPart(len(part.GetData()))
 	}
 }
 
-var errTooLarge = errors.New("chunk exceeds the size limit")
-
 // Manifest fetches a manifest from the agent at addr. The caller verifies it.
 func (p *Pool) Manifest(ctx context.Context, addr string, v fleet.Version) ([]byte, error) {
 	c, err := p.agent(addr)
--- a/io/peer/compress.go
+++ b/io/peer/compress.go
@@ -1,11 +1,13 @@
 package peer
 
 import (
+	"errors"
 	"sync"
 
 	"github.com/klauspost/compress/zstd"
 
 	"amaranthturn/core/mirror"
+	"amaranthturn/io/bounded"
 )
 
 const (
@@ -16,8 +18,9 @@
 	// maxCachedValues is the number of compressed values that are cached. Followers
 	// request the same latest values at nearly the same time.
 	maxCachedValues = 8
-	// maxDecompressedBytes is the maximum size of a value after decompression.
-	maxDecompressedBytes = 64 << 20
+	// maxDecompressedBytes is the maximum size of all values of one message after
+	// decompression.
+	maxDecompressedBytes = 32 << 20
 )
 
 // The encoder and the decoder are shared; both are safe for concurrent use.
@@ -62,11 +65,19 @@
 	return b, true
 }
 
-// decompress reverses valueCompressor.compress.
-func decompress(b []byte) ([]byte, error) {
+// valueDecompressor reverses valueCompressor.compress for the values of one message.
+type valueDecompressor struct{ total int }
+
+// decompress returns a *bounded.TooLargeError if the message's values are too large.
+func (d *valueDecompressor) decompress(b []byte) ([]byte, error) {
 	dec, err := decoder()
 	if err != nil {
 		return nil, err
 	}
-	return dec.DecodeAll(b, nil)
+	out, err := dec.DecodeAll(b, nil)
+	d.total += len(out)
+	if errors.Is(err, zstd.ErrDecoderSizeExceeded) || errors.Is(err, zstd.ErrWindowSizeExceeded) || d.total > maxDecompressedBytes {
+		return nil, &bounded.TooLargeError{Part: bounded.PartMessage, Limit: maxDecompressedBytes}
+	}
+	return out, err
 }
--- a/io/peer/compress_test.go
+++ b/io/peer/compress_test.go
@@ -26,7 +26,7 @@
 		again, _ := c.compress(e)
 		assert.Assert(t, &again[0] == &first[0], "value was compressed again")
 	}
-	got, err := decompress(first)
+	got, err := (&valueDecompressor{}).decompress(first)
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Equal(got, doc.Bytes()))
 	small, packed := c.compress(mirror.Event{Value: []byte("x"), Revision: 8})
@@ -35,6 +35,6 @@
 		c.compress(mirror.Event{Value: doc.Bytes(), Revision: mirror.Revision(100 + i)})
 	}
 	assert.Equal(t, len(c.cache), maxCachedValues)
-	_, err = decompress([]byte("not zstd"))
+	_, err = (&valueDecompressor{}).decompress([]byte("not zstd"))
 	assert.Assert(t, err != nil)
 }
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -172,10 +172,11 @@
 			return wrapError(addr, err)
 		}
 		changes := StoreChanges{Revision: mirror.Revision(m.GetAt()), Age: time.Duration(m.GetAgeMs()) * time.Millisecond, StoreUnavailable: m.GetLost()}
+		var values valueDecompressor
 		for _, e := range m.GetEvents() {
 			value := e.GetValue()
 			if e.GetPacked() {
-				if value, err = decompress(value); err != nil {
+				if value, err = values.decompress(value); err != nil {
 					return wrapError(addr, err)
 				}
 			}
--- a/io/peer/types.go
+++ b/io/peer/types.go
@@ -152,6 +152,7 @@
 	Index     int
 	Digest    fleet.Digest
 	Requester fleet.InstanceID // the requesting instance
+	Size      fleet.Bytes      // size of the chunk, not sent; 0 if unknown
 }
 
 // ChunksHeld is one message of a chunk watch.
