Engine, origin, service, platform, operator, caller: typed limits on the other request path

What was seen: the state, events and cache of an engine, and the state of an entry, were read without any limit; an engine could send lines that are no token without end; a list, a document, a manifest or a range was cut silently and then failed as JSON or by its digest; a caller's body above 1 MiB was refused with 400; a service's header was read up to 10 MiB. Cause: each client had a limit of its own or none. Change: io/bounded in all of them, within the error that each had; 413 for a caller's body. Ruled out: a service's body was limited already (its error names the limit now and is ErrNoResponse as before). Conclusion: both request paths have the same limits.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -24,6 +24,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -380,7 +381,12 @@
 
 func readBody(c *gin.Context) ([]byte, bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes))
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		refuse(c, fleet.NotRun(fleet.ReasonBodyTooLarge, 0))
+		return nil, false
+	case err != nil:
 		refuse(c, fleet.NotRun(fleet.ReasonBadRequest, 0))
 		return nil, false
 	}
@@ -431,6 +437,8 @@
 	switch r.Reason {
 	case fleet.ReasonBadRequest, fleet.ReasonBadTicket:
 		return http.StatusBadRequest
+	case fleet.ReasonBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
 	case fleet.ReasonUnknownModel, fleet.ReasonUnknownService:
 		return http.StatusNotFound
 	case fleet.ReasonTicketRequired, fleet.ReasonNotRepeatable:
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -112,6 +112,15 @@
 	}
 }
 
+// A body above the limit is refused as too large and as not run, not as malformed.
+func TestBodyAboveItsLimit(t *testing.T) {
+	for _, path := range []string{"/v1/chat/completions", "/v1/services/s/x", "/v1/orders/ticket"} {
+		w := send(&fakeService{}, "POST", path, strings.Repeat("x", maxBodyBytes+1))
+		assert.Equal(t, w.Code, http.StatusRequestEntityTooLarge)
+		assert.Equal(t, w.Header().Get(HeaderOutcome), fleet.OutcomeNotRun.String())
+	}
+}
+
 // BenchmarkStreamToken measures the time to send one token to a caller.
 func BenchmarkStreamToken(b *testing.B) {
 	const tokens = 200
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -32,6 +32,7 @@
 	"github.com/rotisserie/eris"
 
 	"amaranthturn/core/fleet"
+	"amaranthturn/io/bounded"
 )
 
 // Headers of the engine's protocol.
@@ -189,7 +190,11 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return io.ReadAll(resp.Body)
+	body, err := bounded.ReadAll(resp.Body, bounded.PartBody, maxCacheBytes)
+	if err != nil {
+		return nil, &FailedError{Op: "export cache", Cause: err}
+	}
+	return body, nil
 }
 
 // ImportCache sends the cached keys and values of a prefix to the engine.
@@ -219,13 +224,23 @@
 	return readTokens(resp.Body, onToken)
 }
 
-// maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 1 << 20
+// Size limits of responses.
+const (
+	// maxEventBytes limits what an engine sends up to the next token.
+	maxEventBytes = 1 << 20
+	maxStateBytes = 4 << 20
+	maxCacheBytes = 64 << 20
+)
 
 func readTokens(body io.Reader, onToken func(Token) error) error {
+	tooLarge := &bounded.TooLargeError{Part: bounded.PartEvent, Limit: maxEventBytes}
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	skipped := 0
 	for scanner.Scan() {
+		if skipped += len(scanner.Bytes()) + 1; skipped > maxEventBytes {
+			return &FailedError{Op: "generate", Cause: tooLarge}
+		}
 		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
 		if !ok {
 			continue
@@ -240,6 +255,10 @@
 		if t.Done {
 			return nil
 		}
+		skipped = 0
+	}
+	if errors.Is(scanner.Err(), bufio.ErrTooLong) {
+		return &FailedError{Op: "generate", Cause: tooLarge}
 	}
 	return &FailedError{Op: "generate", Cause: eris.Wrap(firstError(scanner.Err(), io.ErrUnexpectedEOF), "stream ended before the last token")}
 }
@@ -278,7 +297,11 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
+	body, err := bounded.ReadAll(resp.Body, bounded.PartBody, maxStateBytes)
+	if err != nil {
+		return &FailedError{Op: op, Cause: err}
+	}
+	if err := json.Unmarshal(body, v); err != nil {
 		return &FailedError{Op: op, Cause: err}
 	}
 	return nil
--- /dev/null
+++ b/io/engine/engine_test.go
@@ -0,0 +1,60 @@
+package engine_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/io/bounded"
+	"amaranthturn/io/engine"
+)
+
+// maxEndlessBytes keeps a test of code without a limit from filling the memory.
+const maxEndlessBytes = 96 << 20
+
+func serveWithoutEnd(t *testing.T, start, text string) *engine.Client {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := io.WriteString(w, start)
+		block := strings.Repeat(text, 1+(64<<10)/len(text))
+		for n := 0; err == nil && n < maxEndlessBytes; n += len(block) {
+			_, err = io.WriteString(w, block)
+		}
+	}))
+	t.Cleanup(srv.Close)
+	return engine.NewClient(srv.URL, srv.Client(), "")
+}
+
+func assertTooLarge(t *testing.T, err error, part bounded.Part) {
+	t.Helper()
+	var failed *engine.FailedError
+	assert.Assert(t, errors.As(err, &failed), "%v", err)
+	var tooLarge *bounded.TooLargeError
+	assert.Assert(t, errors.As(err, &tooLarge), "%v", err)
+	assert.Equal(t, tooLarge.Part, part)
+}
+
+// An engine may answer a question about its state without end.
+func TestStateWithoutEnd(t *testing.T) {
+	_, err := serveWithoutEnd(t, `{"models":[`, `{"name":"m"},`).State(t.Context())
+	assertTooLarge(t, err, bounded.PartBody)
+	_, err = serveWithoutEnd(t, `[`, `{"sequence":1},`).Events(t.Context(), 0)
+	assertTooLarge(t, err, bounded.PartBody)
+	_, err = serveWithoutEnd(t, "", "x").ExportCache(t.Context(), "v", 1)
+	assertTooLarge(t, err, bounded.PartBody)
+}
+
+// What is no token may come without end, in one line or in many.
+func TestStreamWithoutTokens(t *testing.T) {
+	for name, text := range map[string]string{"one line": "x", "comments": ": x\n", "empty lines": "\n"} {
+		t.Run(name, func(t *testing.T) {
+			err := serveWithoutEnd(t, "", text).Generate(t.Context(), engine.GenerateRequest{}, func(engine.Token) error { return nil })
+			assertTooLarge(t, err, bounded.PartEvent)
+		})
+	}
+}
--- a/io/operator/http.go
+++ b/io/operator/http.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+
+	"amaranthturn/io/bounded"
 )
 
 // ErrNoInstance reports that the fleet does not list an instance.
@@ -73,6 +75,9 @@
 // clientTimeout limits a request, during which the entry queries all other entries.
 const clientTimeout = 10 * time.Second
 
+// maxStateBytes limits a response. The state of one instance has some hundred bytes.
+const maxStateBytes = 64 << 20
+
 // Client queries one entry.
 type Client struct {
 	base string
@@ -81,7 +86,9 @@
 
 // NewClient returns a client of the operator listener at base.
 func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{Timeout: clientTimeout}}
+	return &Client{base: base, http: &http.Client{
+		Timeout: clientTimeout, Transport: &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: bounded.MaxHeaderBytes},
+	}}
 }
 
 // Status returns the state of the fleet. Errors: *UnreachableError.
@@ -117,7 +124,11 @@
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, 256))
 		return &UnreachableError{URL: c.base, Cause: fmt.Errorf("status %d: %s", resp.StatusCode, text)}
 	}
-	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
+	body, err := bounded.ReadAll(resp.Body, bounded.PartBody, maxStateBytes)
+	if err != nil {
+		return &UnreachableError{URL: c.base, Cause: err}
+	}
+	if err := json.Unmarshal(body, v); err != nil {
 		return &UnreachableError{URL: c.base, Cause: err}
 	}
 	return nil
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -18,7 +18,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -27,6 +26,7 @@
 
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/swarm"
+	"amaranthturn/io/bounded"
 )
 
 // ThrottledError reports that the origin throttled a request.
@@ -75,7 +75,7 @@
 	if err != nil {
 		return nil, &FailedError{Version: v, Cause: err}
 	}
-	return c.do(req, v, http.StatusOK, swarm.MaxManifestBytes+1)
+	return c.do(req, v, http.StatusOK, swarm.MaxManifestBytes)
 }
 
 // Range returns size bytes of a version's weights starting at offset. The caller must
@@ -86,7 +86,7 @@
 		return nil, &FailedError{Version: v, Cause: err}
 	}
 	req.Header.Set("Range", fmt.Sprintf("bytes=%d-%d", offset, offset+size-1))
-	body, err := c.do(req, v, http.StatusPartialContent, int64(size)+1)
+	body, err := c.do(req, v, http.StatusPartialContent, int64(size))
 	if err != nil {
 		return nil, err
 	}
@@ -109,7 +109,7 @@
 	default:
 		return nil, &FailedError{Version: v, Status: resp.StatusCode}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	body, err := bounded.ReadAll(resp.Body, bounded.PartBody, limit)
 	if err != nil {
 		return nil, &FailedError{Version: v, Cause: err}
 	}
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -23,7 +23,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -33,6 +32,7 @@
 
 	"amaranthturn/core/config"
 	"amaranthturn/core/fleet"
+	"amaranthturn/io/bounded"
 )
 
 // RevisionHeader is the header with the revision of a response.
@@ -176,7 +176,7 @@
 	if err != nil {
 		return 0, nil, &UnreachableError{URL: c.base, Cause: eris.Wrap(err, RevisionHeader)}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	body, err := bounded.ReadAll(resp.Body, bounded.PartBody, limit)
 	if err != nil {
 		return 0, nil, &UnreachableError{URL: c.base, Cause: err}
 	}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -20,12 +20,15 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"amaranthturn/io/bounded"
 )
 
 // Errors of this package.
@@ -68,9 +71,10 @@
 // NewClient returns a client of the service at base.
 func NewClient(base string) *Client {
 	tr := &http.Transport{
-		DisableKeepAlives: true,
-		Proxy:             nil,
-		DialContext:       dial,
+		DisableKeepAlives:      true,
+		Proxy:                  nil,
+		DialContext:            dial,
+		MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
 	}
 	return &Client{base: base, http: &http.Client{Transport: tr, CheckRedirect: noRedirect}}
 }
@@ -111,9 +115,9 @@
 		return Response{}, eris.Wrap(ErrNoResponse, err.Error())
 	}
 	defer func() { _ = resp.Body.Close() }()
-	respBody, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil || len(respBody) > maxResponseBytes {
-		return Response{}, eris.Wrap(ErrNoResponse, "response truncated or larger than 4 MiB")
+	respBody, err := bounded.ReadAll(resp.Body, bounded.PartBody, maxResponseBytes)
+	if err != nil {
+		return Response{}, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
 	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: respBody}, nil
 }
--- a/io/service/service_test.go
+++ b/io/service/service_test.go
@@ -7,11 +7,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"amaranthturn/io/bounded"
 )
 
 // TestNoHiddenRetry closes the connection after the request was read. The service must
@@ -86,3 +89,28 @@
 	assert.Equal(t, reply.Status, http.StatusTemporaryRedirect)
 	assert.Equal(t, seen.Load(), int64(1))
 }
+
+// A service may answer without end. The call may have run, and the error names the limit.
+func TestResponseWithoutEnd(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		var err error
+		for n := 0; err == nil && n < 4*maxResponseBytes; n += 64 << 10 {
+			_, err = w.Write(make([]byte, 64<<10))
+		}
+	}))
+	defer srv.Close()
+	_, err := NewClient(srv.URL).Call(t.Context(), Request{Method: http.MethodPost, Path: "/"})
+	assert.Assert(t, errors.Is(err, ErrNoResponse), "%v", err)
+	var tooLarge *bounded.TooLargeError
+	assert.Assert(t, errors.As(err, &tooLarge), "%v", err)
+}
+
+// A header without end must not be read up to the standard limit of 10 MiB.
+func TestHeaderWithoutEnd(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", 2*bounded.MaxHeaderBytes))
+	}))
+	defer srv.Close()
+	_, err := NewClient(srv.URL).Call(t.Context(), Request{Method: http.MethodPost, Path: "/"})
+	assert.Assert(t, errors.Is(err, ErrNoResponse), "%v", err)
+}
