--- a/app/daemon/daemon.go
+++ b/app/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"amaranthturn/app/telemetry"
 	"amaranthturn/core/clock"
 	"amaranthturn/core/keys"
+	"amaranthturn/io/bounded"
 	"amaranthturn/io/peer"
 )
 
@@ -184,7 +185,7 @@
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
 	return &http.Client{Transport: &http.Transport{
-		Proxy: nil, DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute,
+		Proxy: nil, DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
 	}}
 }
 
@@ -207,9 +208,15 @@
 // Start serves in the background.
 func (s *Server) Start() { go s.run() }
 
+// Limits of the header of a request. A request above maxHeaderBytes is answered with 431.
+const (
+	readHeaderTimeout = 10 * time.Second
+	maxHeaderBytes    = 256 << 10
+)
+
 // NewHTTPServer returns a server for h.
 func NewHTTPServer(l net.Listener, h http.Handler) *Server {
-	return &Server{Listener: l, HTTP: &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}}
+	return &Server{Listener: l, HTTP: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}}
 }
 
 // MetricsServer returns the server for a daemon's metrics on the users' platform.
