--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -39,7 +39,7 @@
 	g, c := newTestGateway(t)
 	g.roster.Update(roster.Target{ID: "a", Service: "s", Address: "x", State: roster.StateReady})
 	g.recordStoreResult(errors.New("store unreachable"))
-	g.handleStoreUpdate(peer.StoreChanges{Revision: 5})
+	g.handleStoreUpdate(peer.StoreChanges{Revision: 5}, c.t)
 	c.t = c.t.Add(roster.DefaultSettings.ExpiryGrace + time.Second)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -51,7 +51,7 @@
 func TestStoreLossThroughAnotherEntry(t *testing.T) {
 	g, c := newTestGateway(t)
 	g.roster.Update(roster.Target{ID: "a", Service: "s", Address: "x", State: roster.StateReady})
-	g.handleStoreUpdate(peer.StoreChanges{Revision: 5, StoreUnavailable: true})
+	g.handleStoreUpdate(peer.StoreChanges{Revision: 5, StoreUnavailable: true}, c.t)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	assert.Assert(t, !g.roster.Remove("a", c.t))
@@ -64,7 +64,7 @@
 	g, c := newTestGateway(t)
 	d := &declaredVersions{}
 	g.declared["m"] = d
-	d.Add(2, g.declaredSince(c.t, c.t))
+	d.Add(2, g.declaredSince(c.t, c.t), c.t)
 	target := roster.Target{ID: "a", Loaded: []roster.LoadedVersion{{Model: "m", Version: 1}}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -91,6 +91,46 @@
 	}
 }
 
+// An entry is frozen while a version is declared, and handles the update when it wakes.
+func TestFrozenEntryDoesNotExtendOldVersion(t *testing.T) {
+	for _, observed := range []bool{false, true} {
+		g, c := newTestGateway(t)
+		g.initialReadDone = true
+		g.tick()
+		g.handleStoreUpdate(peer.StoreChanges{Revision: 5}, c.t)
+		frozenAt := c.t
+		c.t = c.t.Add(3 * time.Second)
+		if observed {
+			g.tick()
+		}
+		assert.Assert(t, !g.handleStoreUpdate(peer.StoreChanges{Revision: 5}, frozenAt), "what follows in the buffer is outdated")
+		g.mu.Lock()
+		assert.Equal(t, g.declaredSince(g.mirror.CurrentAt(), c.t), frozenAt, "pause observed by a tick: %v", observed)
+		g.mu.Unlock()
+	}
+}
+
+// An entry that learned of a version late, by whatever cause, hears from another entry how long
+// that one has known it.
+func TestLateDeclarationIsCorrectedByExchange(t *testing.T) {
+	early, c := newTestGateway(t)
+	late, _ := newTestGateway(t)
+	late.clock = c
+	for _, g := range []*Gateway{early, late} {
+		g.initialReadDone = true
+	}
+	early.declarationsOf("m").Add(2, c.t, c.t)
+	declaredAt := c.t
+	c.t = c.t.Add(3 * time.Second)
+	late.declarationsOf("m").Add(2, c.t, c.t)
+	early.Exchange(late.Exchange(peer.ExchangeMessage{}))
+	late.Exchange(early.Exchange(peer.ExchangeMessage{}))
+	for _, g := range []*Gateway{early, late} {
+		at, _ := g.declared["m"].ServeDeadline(1, 8*time.Second)
+		assert.Equal(t, at, declaredAt.Add(8*time.Second))
+	}
+}
+
 // A popular request whose responses are lost twice in a row, while other copies of it
 // succeed, must still be served. A request that crashes each target is blocked, even if
 // it is repeated only every five seconds.
