Ledger of prompt parts that crash every target

Cause: the ledger blames contents, and no two of these requests are alike; each entry counts by itself.

Change: PartLedger. A break between header and first event makes a report with the request's shared parts, a response that begins proves its parts. Entries exchange reports and the proofs of parts in them. Not yet called by an entry.

--- a/core/crashblame/crashblame.go
+++ b/core/crashblame/crashblame.go
@@ -1,5 +1,6 @@
 // Package crashblame detects requests that crash the targets that run them, and has them
-// refused after a configured number of crashed targets.
+// refused after a number of crashed targets: a Ledger by their contents, a PartLedger by the
+// parts of their prompts.
 //
 // # Usage
 //
@@ -17,6 +18,18 @@
 // target. A request with enough blame runs on a target without other requests: if it
 // crashes that target too, it gets the full unit of blame, and a request that only ran next
 // to the crashing request finishes and its blame is cleared.
+//
+// # Parts of prompts
+//
+//	l.RecordBegun(parts, now)           // the first event of a response
+//	l.RecordCrash(id, parts, now)       // broken off between the header and the first event
+//	l.Restriction(parts, now)           // before each attempt
+//	l.Merge(reports, proven, now)       // what another entry's Exchange returned
+//
+// Requests with a part that crashes targets may have nothing else in common. A response that
+// begins proves its parts sound, which clears the parts that sound requests share with
+// crashing ones. When RecordBegun, RecordCrash or Merge returns true, the next exchange with
+// another entry should not wait.
 package crashblame
 
 import (
