--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -46,6 +46,8 @@
 	// OutputTokensHint is the caller's estimate of the number of output tokens, 0 if it gave
 	// none.
 	OutputTokensHint int
+	// SharedParts are the parts of the prompt that other requests may share: all but the last.
+	SharedParts []fleet.Fingerprint
 }
 
 // Attempt is a request as it is sent to one target.
