Log which attempts a target breaks off between header and first event

The timeline of the crashing prompt part shows that the request that crashes an engine gets the header of its response and no event, and that the others are cut inside an event or without a header. The logs had one word for all of them, and no line named the parts of a prompt.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -28,6 +28,7 @@
 	result          loadbalance.Result
 	prefillTokens   int
 	crashed         bool
+	headerReceived  bool // the header of a successful response
 	responseStarted bool        // guarded by the gateway's mu
 	canceled        atomic.Bool // this entry canceled the attempt because the target stalled or its weights became too old
 }
@@ -67,6 +68,7 @@
 	}
 	if streaming && sent.Status/100 == 2 {
 		defer sent.Close()
+		a.headerReceived = true
 		h.stream.SetVersion(sent.Version)
 		return a.forwardEvents(parent, sent, stallTimer)
 	}
@@ -169,6 +171,13 @@
 	a.prefillTokens = 0
 }
 
+// brokeBeforeFirstEvent reports whether the target ended the connection after the header of
+// a stream and before its first event. A target that crashes when it begins to write a
+// response shows this.
+func (a *targetAttempt) brokeBeforeFirstEvent() bool {
+	return a.headerReceived && !a.responseStarted && a.crashed
+}
+
 // watchUntilStarted adds an attempt to those that are canceled if they may not start any more.
 func (g *Gateway) watchUntilStarted(a *targetAttempt) {
 	g.mu.Lock()
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -290,6 +291,10 @@
 	if a.crashed {
 		g.ledger.RecordCrash([]fleet.Fingerprint{h.fingerprint}, g.now())
 	}
+	if a.brokeBeforeFirstEvent() {
+		g.log.requests.Info().Str("request", string(h.call.ID)).Str("target", string(target.ID)).Strs("parts", partNames(h.call.SharedParts)).
+			Msg("target broke off between header and first event")
+	}
 	if done {
 		g.ledger.RecordCompletion(h.fingerprint, false, g.now())
 	}
@@ -297,6 +302,15 @@
 	return failure, done
 }
 
+// partNames returns the fingerprints of parts of a prompt as they are logged.
+func partNames(parts []fleet.Fingerprint) []string {
+	out := make([]string, len(parts))
+	for i, p := range parts {
+		out[i] = strconv.FormatUint(uint64(p), 16)
+	}
+	return out
+}
+
 // chooseTarget selects the target of an attempt. mu must be held.
 func (h *requestHandler) chooseTarget(svc *service) (roster.Target, bool) {
 	now := h.g.now()
