Requests with a prompt part that crashes engines are refused

Cause: an entry blames the content of a request, and no two of these requests are alike. What identifies them is one part of their prompt.

The first five such signals come from three or four of eight entries, so no entry sees enough by itself.

Change: a target that breaks off between header and first event gives a report with the shared parts of the prompt; a first event proves its parts sound. Entries exchange reports and proofs, at once when they change something and else with each exchange. From three reports on a part that nobody has proven, requests with it are refused as not run, when they arrive and before each attempt, and those that wait at an engine are canceled. A request that was broken off so and has a suspected part is not sent to another engine. An unproven first part that all reports share with the deadly one is not blamed alone.

Limits: a part that was served within ten minutes and then begins to crash engines is not blamed; a crash that an entry's own timeout hides gives no report.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -28,7 +28,7 @@
 	result          loadbalance.Result
 	prefillTokens   int
 	crashed         bool
-	headerReceived  bool // the header of a successful response
+	headerReceived  bool        // the header of a successful response
 	responseStarted bool        // guarded by the gateway's mu
 	canceled        atomic.Bool // this entry canceled the attempt because the target stalled or its weights became too old
 }
@@ -167,6 +167,9 @@
 	defer h.g.mu.Unlock()
 	a.responseStarted = true
 	delete(h.g.unstarted, a)
+	if now := h.g.now(); h.g.parts.RecordBegun(h.call.SharedParts, now) {
+		h.g.partsChanged(now)
+	}
 	a.service.balancer.RecordFirstEvent(h.target, a.prefillTokens)
 	a.prefillTokens = 0
 }
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -87,6 +87,8 @@
 	nextID           admit.RequestID
 	budget           *retry.Budget
 	ledger           *crashblame.Ledger
+	parts            *crashblame.PartLedger
+	exchangeNow      chan struct{} // requests an exchange before its interval has passed
 	pauseDetector    *clock.PauseDetector
 	copyPauses       *clock.PauseDetector // pauses after which received data may be outdated
 }
@@ -129,8 +131,9 @@
 		declared: map[fleet.Model]*declaredVersions{},
 		loads:    map[fleet.InstanceID]peer.TargetLoad{}, loadWatches: map[string]*loadWatch{},
 		services: map[fleet.Service]*service{}, waiters: map[admit.RequestID]chan admit.Verdict{}, unstarted: map[*targetAttempt]struct{}{},
-		ledger: crashblame.NewLedger(crashSettings), pauseDetector: clock.NewPauseDetector(pauseThreshold),
-		copyPauses: clock.NewPauseDetector(copyPauseThreshold),
+		ledger: crashblame.NewLedger(crashSettings), parts: crashblame.NewPartLedger(), exchangeNow: make(chan struct{}, 1),
+		pauseDetector: clock.NewPauseDetector(pauseThreshold),
+		copyPauses:    clock.NewPauseDetector(copyPauseThreshold),
 	}
 	g.budget = retry.NewBudget(settings.Bounds.RetryShare*budgetSafetyFactor, settings.Bounds.RetryExtra*budgetSafetyFactor/minBudgetEntries)
 	return g
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -16,6 +16,8 @@
 const (
 	// exchangeInterval is how often an entry exchanges its list of entries with one other.
 	exchangeInterval = 500 * time.Millisecond
+	// minExchangeInterval is the minimum time between two exchanges that an entry begins.
+	minExchangeInterval = 100 * time.Millisecond
 	// sameZoneLoadPeriod and otherZoneLoadPeriod are the minimum intervals between load
 	// reports of a target. Targets in the same zone receive most requests, and messages
 	// between regions are expensive.
@@ -43,7 +45,19 @@
 	for ctx.Err() == nil {
 		e.exchange(ctx)
 		e.g.watchTargets(ctx)
-		daemon.Sleep(ctx, e.g.jitter(exchangeInterval))
+		e.wait(ctx)
+	}
+}
+
+// wait returns when the next exchange is due, or sooner if the entry has news of crashes.
+func (e *entryExchanger) wait(ctx context.Context) {
+	daemon.Sleep(ctx, minExchangeInterval)
+	t := time.NewTimer(e.g.jitter(exchangeInterval - minExchangeInterval))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-e.g.exchangeNow:
 	}
 }
 
@@ -103,8 +117,10 @@
 	for m, d := range g.declared {
 		declared[m] = d.Ages(declarationAgeFactor*g.settings.Bounds.VersionChangeLimit, now)
 	}
+	crashes, proven := g.parts.Exchange(now)
 	return peer.ExchangeMessage{
 		Records: g.entryList.Records(now), Blamed: g.ledger.MostBlamed(maxBlamedRequests, now), StoreRevision: g.mirror.Revision(), Declared: declared,
+		Crashes: crashes, ProvenParts: proven,
 	}
 }
 
@@ -116,6 +132,9 @@
 func (g *Gateway) mergeEntryUpdate(update peer.ExchangeMessage, now time.Time) {
 	g.entryList.Merge(update.Records, now)
 	g.ledger.Merge(update.Blamed, now)
+	if g.parts.Merge(update.Crashes, update.ProvenParts, now) {
+		g.partsChanged(now)
+	}
 	for m, ages := range update.Declared {
 		if g.declarationsOf(m).Merge(ages, now) {
 			g.log.config.Info().Str("model", string(m)).Uint64("version", g.declared[m].Newest()).Msg("weights version declared, known from an entry")
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -158,7 +158,7 @@
 	}
 	req := admit.Request{Workspace: h.workspace, Class: h.class, Deadline: queueDeadline, Cost: h.cost()}
 	g.mu.Lock()
-	if g.ledger.Restriction(h.fingerprint, now) == crashblame.Refuse {
+	if h.crashesTargets(now) {
 		g.mu.Unlock()
 		return fleet.NotRun(fleet.ReasonCrashesTargets, 0)
 	}
@@ -190,6 +190,12 @@
 	return h.run(ctx, svc)
 }
 
+// crashesTargets reports whether the request or a part of its prompt is known to crash the
+// targets that run it. Gateway.mu must be held.
+func (h *requestHandler) crashesTargets(now time.Time) bool {
+	return h.g.ledger.Restriction(h.fingerprint, now) == crashblame.Refuse || h.g.parts.Restriction(h.call.SharedParts, now) == crashblame.Refuse
+}
+
 // cost estimates the work of a request. The unit is the prefill of one token.
 func (h *requestHandler) cost() float64 {
 	const outputTokenCost = 10 // work of generating a token, in prefill tokens
@@ -272,6 +278,11 @@
 		return dispatch.Failure{Kind: h.contextFailureKind(ctx)}, false
 	}
 	g.mu.Lock()
+	if h.crashesTargets(g.now()) { // became known while the request waited
+		g.mu.Unlock()
+		h.state.StartAttempt("")
+		return dispatch.Failure{Kind: dispatch.KindRefused, Refusal: fleet.NotRun(fleet.ReasonCrashesTargets, 0)}, false
+	}
 	target, ok := h.chooseTarget(svc)
 	if ok {
 		svc.balancer.RecordStart(target.ID, h.call.PromptTokens)
@@ -291,9 +302,9 @@
 	if a.crashed {
 		g.ledger.RecordCrash([]fleet.Fingerprint{h.fingerprint}, g.now())
 	}
-	if a.brokeBeforeFirstEvent() {
-		g.log.requests.Info().Str("request", string(h.call.ID)).Str("target", string(target.ID)).Strs("parts", partNames(h.call.SharedParts)).
-			Msg("target broke off between header and first event")
+	if a.brokeBeforeFirstEvent() && g.recordPartCrash(h, target.ID) {
+		// Another attempt would probably crash another target.
+		failure = dispatch.Failure{Kind: dispatch.KindRefused, Refusal: &fleet.Refusal{Outcome: fleet.OutcomeUnknown, Reason: fleet.ReasonCrashesTargets}}
 	}
 	if done {
 		g.ledger.RecordCompletion(h.fingerprint, false, g.now())
@@ -302,6 +313,38 @@
 	return failure, done
 }
 
+// recordPartCrash records that a target broke off a request before the first event of its
+// response, and reports whether a part of the request's prompt is suspected. mu must be held.
+func (g *Gateway) recordPartCrash(h *requestHandler, t fleet.InstanceID) bool {
+	parts, now := h.call.SharedParts, g.now()
+	id := xxhash.Sum64String(string(h.call.ID) + "\x00" + string(t))
+	if g.parts.RecordCrash(crashblame.ReportID(id), parts, now) {
+		g.partsChanged(now)
+	}
+	suspect := g.parts.Suspect(parts, now)
+	g.log.requests.Info().Str("request", string(h.call.ID)).Str("target", string(t)).Strs("parts", partNames(parts)).Bool("suspect", suspect).
+		Msg("target broke off between header and first event")
+	return suspect
+}
+
+// partsChanged cancels the attempts that would crash their targets by what is known now, and
+// requests an exchange. mu must be held.
+func (g *Gateway) partsChanged(now time.Time) {
+	for a := range g.unstarted {
+		if g.parts.Restriction(a.handler.call.SharedParts, now) == crashblame.Refuse {
+			delete(g.unstarted, a)
+			a.canceled.Store(true)
+			a.cancel()
+			g.log.requests.Info().Str("request", string(a.handler.call.ID)).Str("target", string(a.target.ID)).
+				Msg("attempt canceled: a part of its prompt crashes targets")
+		}
+	}
+	select {
+	case g.exchangeNow <- struct{}{}:
+	default: // one is requested already
+	}
+}
+
 // partNames returns the fingerprints of parts of a prompt as they are logged.
 func partNames(parts []fleet.Fingerprint) []string {
 	out := make([]string, len(parts))
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -22,6 +22,10 @@
 	StoreRevision mirror.Revision
 	// Declared holds the declared versions of weights that the sender knows.
 	Declared map[fleet.Model][]upgrade.Age
+	// Crashes and ProvenParts are the crashes before the first event of a response, and those
+	// parts of their prompts that are known to be sound.
+	Crashes     []crashblame.Report
+	ProvenParts []crashblame.Proof
 }
 
 // StoreChanges is a set of changes of the platform's store, sent by another daemon.
@@ -121,6 +125,16 @@
 			out.Declared = append(out.Declared, &peerpb.DeclaredVersion{Model: string(m), Version: a.Version, KnownMs: uint64(a.Known.Milliseconds())})
 		}
 	}
+	for _, r := range m.Crashes {
+		w := &peerpb.CrashReport{Id: uint64(r.ID), AgeMs: uint64(r.Age.Milliseconds())}
+		for _, part := range r.Parts {
+			w.Parts = append(w.Parts, uint64(part))
+		}
+		out.Crashes = append(out.Crashes, w)
+	}
+	for _, part := range m.ProvenParts {
+		out.ProvenParts = append(out.ProvenParts, &peerpb.ProvenPart{Part: uint64(part.Part), AgeMs: uint64(part.Age.Milliseconds())})
+	}
 	return out
 }
 
@@ -141,6 +155,16 @@
 		model := fleet.Model(d.GetModel())
 		m.Declared[model] = append(m.Declared[model], upgrade.Age{Version: d.GetVersion(), Known: time.Duration(d.GetKnownMs()) * time.Millisecond})
 	}
+	for _, w := range p.GetCrashes() {
+		r := crashblame.Report{ID: crashblame.ReportID(w.GetId()), Age: time.Duration(w.GetAgeMs()) * time.Millisecond}
+		for _, part := range w.GetParts() {
+			r.Parts = append(r.Parts, fleet.Fingerprint(part))
+		}
+		m.Crashes = append(m.Crashes, r)
+	}
+	for _, part := range p.GetProvenParts() {
+		m.ProvenParts = append(m.ProvenParts, crashblame.Proof{Part: fleet.Fingerprint(part.GetPart()), Age: time.Duration(part.GetAgeMs()) * time.Millisecond})
+	}
 	return m
 }
 
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -18,6 +18,8 @@
 		Records:       []gossip.Record{{Instance: "e", Incarnation: 1, Sequence: 2, Region: "r", Zone: "z", Address: "a", CallerAddress: "c", Leaving: true}},
 		Blamed:        []crashblame.Blame{{Fingerprint: 7, Value: 0.5}},
 		StoreRevision: 9,
+		Crashes:       []crashblame.Report{{ID: 4, Parts: []fleet.Fingerprint{5, 6}, Age: 2 * time.Second}},
+		ProvenParts:   []crashblame.Proof{{Part: 5, Age: time.Second}},
 		Declared:      map[fleet.Model][]upgrade.Age{"m": {{Version: 2, Known: 3 * time.Second}, {Version: 3, Known: time.Second}}},
 	}
 	assert.DeepEqual(t, exchangeFromWire(exchangeToWire(m)), m)
