--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -38,9 +38,11 @@
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	a.target, a.cancel = t, cancel
-	h.g.watchUntilStarted(a)
-	defer h.g.stopWatching(a)
 	streaming := h.route.Kind == routeconfig.KindStreaming
+	if streaming { // other responses do not show when they start
+		h.g.watchUntilStarted(a)
+		defer h.g.stopWatching(a)
+	}
 	var stallTimer *time.Timer
 	if streaming && h.route.Repeatable() {
 		stallTimer = time.AfterFunc(firstEventTimeout, func() {
