Exchange: ages of declarations have an upper limit

Found by the review: an age that no Duration can hold wrapped around when it was decoded, and any age was accepted, so one damaged message could have closed a version on all entries at once. Change: decoding keeps a huge age huge, and declarations older than ten minutes are neither sent nor taken.

--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -115,7 +115,7 @@
 func (g *Gateway) entryUpdate(now time.Time) peer.ExchangeMessage {
 	declared := map[fleet.Model][]upgrade.Age{}
 	for m, d := range g.declared {
-		declared[m] = d.Ages(declarationAgeFactor*g.settings.Bounds.VersionChangeLimit, now)
+		declared[m] = d.Ages(upgrade.MaxAge, now)
 	}
 	crashes, proven := g.parts.Exchange(now)
 	return peer.ExchangeMessage{
@@ -124,10 +124,6 @@
 	}
 }
 
-// declarationAgeFactor is how long a declaration is sent to other entries, as a multiple of
-// the time within which a new version has to be in use.
-const declarationAgeFactor = 3
-
 // mergeEntryUpdate merges a message from another entry. mu must be held.
 func (g *Gateway) mergeEntryUpdate(update peer.ExchangeMessage, now time.Time) {
 	g.entryList.Merge(update.Records, now)
--- a/core/upgrade/declarations.go
+++ b/core/upgrade/declarations.go
@@ -36,12 +36,16 @@
 	return true
 }
 
+// MaxAge is the oldest declaration that one daemon tells another of. The limits of older ones
+// have passed long ago.
+const MaxAge = 10 * time.Minute
+
 // Merge applies the ages that another daemon states, and reports whether a version is new. A
 // daemon that learned of a version late counts its time from when the first one knew it.
 func (d *Declarations) Merge(ages []Age, now time.Time) bool {
 	added := false
 	for _, a := range ages {
-		if a.Version == 0 || a.Known < 0 {
+		if a.Version == 0 || a.Known < 0 || a.Known > MaxAge {
 			continue
 		}
 		knownAt := now.Add(-a.Known)
--- a/core/upgrade/upgrade_test.go
+++ b/core/upgrade/upgrade_test.go
@@ -100,7 +100,7 @@
 	assert.Equal(t, late.MinVersion(limit, t0.Add(limit)), uint64(2))
 	assert.Equal(t, late.MinVersion(limit, t0.Add(limit+time.Second)), uint64(3))
 	assert.Assert(t, !early.Merge(late.Ages(time.Minute, now), now))
-	assert.Assert(t, !early.Merge([]upgrade.Age{{Version: 2, Known: time.Second}, {Version: 0, Known: time.Second}, {Version: 9, Known: -1}}, now))
+	assert.Assert(t, !early.Merge([]upgrade.Age{{Version: 2, Known: time.Second}, {Version: 0, Known: time.Second}, {Version: 9, Known: -1}, {Version: 9, Known: upgrade.MaxAge + 1}}, now))
 	assert.Equal(t, early.MinVersion(limit, t0.Add(limit-1)), uint64(0))
 	assert.Equal(t, early.Newest(), uint64(3))
 }
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"google.golang.org/grpc"
@@ -153,21 +154,29 @@
 	m.Declared = map[fleet.Model][]upgrade.Age{}
 	for _, d := range p.GetDeclared() {
 		model := fleet.Model(d.GetModel())
-		m.Declared[model] = append(m.Declared[model], upgrade.Age{Version: d.GetVersion(), Known: time.Duration(d.GetKnownMs()) * time.Millisecond})
+		m.Declared[model] = append(m.Declared[model], upgrade.Age{Version: d.GetVersion(), Known: millis(d.GetKnownMs())})
 	}
 	for _, w := range p.GetCrashes() {
-		r := crashblame.Report{ID: crashblame.ReportID(w.GetId()), Age: time.Duration(w.GetAgeMs()) * time.Millisecond}
+		r := crashblame.Report{ID: crashblame.ReportID(w.GetId()), Age: millis(w.GetAgeMs())}
 		for _, part := range w.GetParts() {
 			r.Parts = append(r.Parts, fleet.Fingerprint(part))
 		}
 		m.Crashes = append(m.Crashes, r)
 	}
 	for _, part := range p.GetProvenParts() {
-		m.ProvenParts = append(m.ProvenParts, crashblame.Proof{Part: fleet.Fingerprint(part.GetPart()), Age: time.Duration(part.GetAgeMs()) * time.Millisecond})
+		m.ProvenParts = append(m.ProvenParts, crashblame.Proof{Part: fleet.Fingerprint(part.GetPart()), Age: millis(part.GetAgeMs())})
 	}
 	return m
 }
 
+// millis converts a number of milliseconds; one that no Duration can hold becomes the longest.
+func millis(n uint64) time.Duration {
+	if n > uint64(math.MaxInt64/time.Millisecond) {
+		return math.MaxInt64
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
 // exchangeTimeout limits one exchange. The next exchange uses another entry.
 const exchangeTimeout = 800 * time.Millisecond
 
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -10,6 +10,7 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/gossip"
 	"amaranthturn/core/upgrade"
+	"amaranthturn/io/peer/peerpb"
 )
 
 // A field that only one of the two conversions knows is lost on the wire without an error.
@@ -24,3 +25,9 @@
 	}
 	assert.DeepEqual(t, exchangeFromWire(exchangeToWire(m)), m)
 }
+
+// A number of milliseconds that overflows a Duration would turn into a recent age.
+func TestHugeAgeStaysHuge(t *testing.T) {
+	m := exchangeFromWire(&peerpb.EntryRows{Declared: []*peerpb.DeclaredVersion{{Model: "m", Version: 2, KnownMs: 1 << 63}}})
+	assert.Assert(t, m.Declared["m"][0].Known > upgrade.MaxAge)
+}
