A stated declaration no longer hides an own estimate

When an entry heard of a version from another before it read it from the store, the later record was ignored, and with it the cautious time that the entry itself counts from after a pause or a restart. If all entries are paused across a declaration, one that hears of it first from another counted from when it woke. A version older than the newest known one was ignored as well, so the one before it was counted from the newer one's time.

Change: a record of a known version can only make its time earlier, and an older version is inserted with its own limit. Tests on the code before: TestEstimateAfterExchangeIsKept: 0 (uint64) != 2 (uint64) TestOlderVersionAfterExchangeHasItsLimit: 0 (uint64) != 2 (uint64)

--- a/core/upgrade/declarations.go
+++ b/core/upgrade/declarations.go
@@ -1,6 +1,7 @@
 package upgrade
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -27,13 +28,22 @@
 type Declarations []Declaration
 
 // Add records a version that becomes known now, and reports whether it is newer than all
-// others. An older version is ignored.
+// others. An older one still has its own limit, and one that another daemon has stated before
+// counts from the earlier time.
 func (d *Declarations) Add(version uint64, declaredAt, now time.Time) bool {
-	if version <= d.Newest() {
+	i, ok := d.search(version)
+	if ok {
+		known := &(*d)[i]
+		known.DeclaredAt = earlier(known.DeclaredAt, declaredAt)
 		return false
 	}
-	*d = append(*d, Declaration{Version: version, DeclaredAt: declaredAt, KnownAt: now})
-	return true
+	*d = slices.Insert(*d, i, Declaration{Version: version, DeclaredAt: declaredAt, KnownAt: now})
+	return i == len(*d)-1
+}
+
+// search returns the position of a version and whether it is declared.
+func (d *Declarations) search(version uint64) (int, bool) {
+	return slices.BinarySearchFunc(*d, version, func(x Declaration, v uint64) int { return cmp.Compare(x.Version, v) })
 }
 
 // MaxAge is the oldest declaration that one daemon tells another of. The limits of older ones
@@ -49,15 +59,7 @@
 			continue
 		}
 		knownAt := now.Add(-a.Known)
-		i, ok := slices.BinarySearchFunc(*d, a.Version, func(x Declaration, v uint64) int {
-			switch {
-			case x.Version < v:
-				return -1
-			case x.Version > v:
-				return 1
-			}
-			return 0
-		})
+		i, ok := d.search(a.Version)
 		if !ok {
 			*d = slices.Insert(*d, i, Declaration{Version: a.Version, DeclaredAt: knownAt, KnownAt: knownAt})
 			added = true
--- a/core/upgrade/upgrade_test.go
+++ b/core/upgrade/upgrade_test.go
@@ -105,6 +105,26 @@
 	assert.Equal(t, early.Newest(), uint64(3))
 }
 
+// All daemons are paused across a declaration, and one hears of it from another before it reads
+// it from the store itself.
+func TestEstimateAfterExchangeIsKept(t *testing.T) {
+	var d upgrade.Declarations
+	now := t0.Add(3 * time.Second)
+	d.Merge([]upgrade.Age{{Version: 2}}, now)
+	assert.Assert(t, !d.Add(2, t0, now))
+	assert.Equal(t, d.MinVersion(8*time.Second, t0.Add(8*time.Second)), uint64(2))
+}
+
+// A version is heard of from a daemon that never saw the one before it.
+func TestOlderVersionAfterExchangeHasItsLimit(t *testing.T) {
+	var d upgrade.Declarations
+	now := t0.Add(2 * time.Second)
+	d.Merge([]upgrade.Age{{Version: 3}}, now)
+	assert.Assert(t, !d.Add(2, t0, now))
+	assert.Equal(t, d.Newest(), uint64(3))
+	assert.Equal(t, d.MinVersion(8*time.Second, t0.Add(8*time.Second)), uint64(2))
+}
+
 // A restarted daemon assumes an early time, which is an estimate and not passed on.
 func TestEstimatedDeclarationTimeIsNotPassedOn(t *testing.T) {
 	var restarted, running upgrade.Declarations
