The followers of a frozen reader count a declaration from their last copy

Cause: an entry that is not frozen itself takes a declaration for new if its copy was current within the last second. The entry that it follows was frozen, handed the declaration on 0.9 s late, and so did the readers of all regions, so that no entry could correct it. Change: a reader sends a change at once, so its copy is current then; if the age that it states is over 0.25 s, it may have been paused, and the declaration counts from when the follower's copy was last current. A pause during the first read left no such time and closed older versions at once; now it counts as a restart does.

Ruled out: passing on estimates between entries; one cautious entry would close old versions everywhere.

--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -64,14 +64,14 @@
 	g, c := newTestGateway(t)
 	d := &declaredVersions{}
 	g.declared["m"] = d
-	d.Add(2, g.declaredSince(c.t, c.t), c.t)
+	d.Add(2, g.declaredSince(c.t, c.t, c.t), c.t)
 	target := roster.Target{ID: "a", Loaded: []roster.LoadedVersion{{Model: "m", Version: 1}}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	assert.Assert(t, g.canServe(target, c.t))
 	assert.Assert(t, !g.canServe(target, c.t.Add(3*time.Second)))
 	g.initialReadDone = true
-	assert.Equal(t, g.declaredSince(c.t, c.t), c.t)
+	assert.Equal(t, g.declaredSince(c.t, c.t, c.t), c.t)
 }
 
 // When the entry that reads for others stops, an entry that follows it receives a version
@@ -87,7 +87,7 @@
 		{1100 * time.Millisecond, 1100 * time.Millisecond},
 		{5 * time.Second, directReadAge},
 	} {
-		assert.Equal(t, g.declaredSince(c.t.Add(-x.age), c.t), c.t.Add(-x.late), "copy was last current %v ago", x.age)
+		assert.Equal(t, g.declaredSince(c.t.Add(-x.age), c.t, c.t), c.t.Add(-x.late), "copy was last current %v ago", x.age)
 	}
 }
 
@@ -105,11 +105,40 @@
 		}
 		assert.Assert(t, !g.handleStoreUpdate(peer.StoreChanges{Revision: 5}, frozenAt), "what follows in the buffer is outdated")
 		g.mu.Lock()
-		assert.Equal(t, g.declaredSince(g.mirror.CurrentAt(), c.t), frozenAt, "pause observed by a tick: %v", observed)
+		assert.Equal(t, g.declaredSince(g.mirror.CurrentAt(), c.t, c.t), frozenAt, "pause observed by a tick: %v", observed)
 		g.mu.Unlock()
 	}
 }
 
+// The entry that reads the store is frozen across a declaration, the one that follows it is not.
+// The age of the reader's copy shows the pause.
+func TestFollowerOfFrozenReaderDoesNotExtendOldVersion(t *testing.T) {
+	g, c := newTestGateway(t)
+	g.initialReadDone = true
+	g.handleStoreUpdate(peer.StoreChanges{Revision: 5}, c.t)
+	declaredAt := c.t
+	for range 45 {
+		c.t = c.t.Add(tickInterval)
+		g.tick()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	asOf := g.currentAsOf(c.t, 900*time.Millisecond)
+	assert.Equal(t, g.declaredSince(g.mirror.CurrentAt(), asOf, c.t), declaredAt)
+}
+
+// A process is paused during its first read of the store, so that no copy is known to be current.
+func TestPauseDuringFirstReadKeepsOldVersionForTheStablePeriod(t *testing.T) {
+	g, c := newTestGateway(t)
+	g.tick()
+	c.t = c.t.Add(time.Second)
+	g.tick()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.initialReadDone = true
+	assert.Equal(t, g.declaredSince(g.mirror.CurrentAt(), time.Time{}, c.t), c.t.Add(3*time.Second-8*time.Second))
+}
+
 // An entry that learned of a version late, by whatever cause, hears from another entry how long
 // that one has known it.
 func TestLateDeclarationIsCorrectedByExchange(t *testing.T) {
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -137,7 +137,8 @@
 			earliest = at
 		}
 		g.mu.Lock()
-		g.handleChanges(g.mirror.Load(prefix, items, earliest, g.currentAsOf(startedAt, 0)), previous)
+		asOf := g.currentAsOf(startedAt, 0)
+		g.handleChanges(g.mirror.Load(prefix, items, earliest, asOf), previous, asOf)
 		g.mu.Unlock()
 	}
 	g.mu.Lock()
@@ -204,13 +205,13 @@
 func (g *Gateway) applyUpdate(events []mirror.Event, at mirror.Revision, currentAt time.Time) int {
 	previous := g.mirror.CurrentAt()
 	changes := g.mirror.Apply(events, at, currentAt)
-	g.handleChanges(changes, previous)
+	g.handleChanges(changes, previous, currentAt)
 	return len(changes)
 }
 
 // handleChanges processes changes of the mirror, which was last current at previous before
-// them. mu must be held.
-func (g *Gateway) handleChanges(events []mirror.Event, previous time.Time) {
+// them and is current as of asOf with them. mu must be held.
+func (g *Gateway) handleChanges(events []mirror.Event, previous, asOf time.Time) {
 	now := g.now()
 	needsRefresh := false
 	for _, e := range events {
@@ -230,7 +231,7 @@
 				Int("routes", c.Document.Routes()).Msg(trace.MessageConfiguration)
 			needsRefresh = true
 		case c.Declared != nil:
-			since := g.declaredSince(previous, now)
+			since := g.declaredSince(previous, asOf, now)
 			if g.declarationsOf(c.Declared.Model).Add(c.Declared.Version, since, now) {
 				g.log.config.Info().Str("model", string(c.Declared.Model)).Uint64("version", c.Declared.Version).Uint64("revision", uint64(e.Revision)).
 					Dur("copy_age", now.Sub(previous)).Dur("declared_ago", now.Sub(since)).Msg("weights version declared")
@@ -269,18 +270,20 @@
 }
 
 // declaredSince returns the time from which VersionChangeLimit is counted for a version whose
-// declaration is received now. The copy of the store was last current at previous. If the
-// declaration may be older than this process, older weights are used only during the stable
-// period, in which the limit does not apply to a process that has just started. After a pause
-// of the process nothing is known but that the declaration is not older than the copy. After
-// a watch or stream has stalled, an update may be late by at most directReadAge, since an
-// entry then reads the store itself.
-func (g *Gateway) declaredSince(previous, now time.Time) time.Time {
+// declaration is received now. The copy of the store was last current at previous, and is
+// current as of asOf with the declaration. If the declaration may be older than this process,
+// older weights are used only during the stable period, in which the limit does not apply to a
+// process that has just started. After a pause of this process, or of the one that read the
+// change, nothing is known but that the declaration is not older than the copy. After a watch
+// or stream has stalled, an update may be late by at most directReadAge, since an entry then
+// reads the store itself.
+func (g *Gateway) declaredSince(previous, asOf, now time.Time) time.Time {
+	beforeStart := now.Add(g.settings.Bounds.StablePeriod - g.settings.Bounds.VersionChangeLimit)
 	switch {
 	case !g.initialReadDone:
-		return now.Add(g.settings.Bounds.StablePeriod - g.settings.Bounds.VersionChangeLimit)
-	case g.copyPauses.PausedSince(previous, now):
-		return previous
+		return beforeStart
+	case now.Sub(asOf) > copyPauseThreshold, g.copyPauses.PausedSince(previous, now):
+		return later(previous, beforeStart)
 	case now.Sub(previous) <= watchWait:
 		return now
 	}
