A paused entry tells others what it assumes of a declaration's time

Cause: an entry that wakes and starts a new call has a copy that is current again, so the age that it states does not show the pause. The paused entries counted right, but told others only when they had received the declaration. Change: after a pause an entry tells others the time that it assumes itself, at most 1.35 s before the receipt. What it assumes after a restart stays its own. If other entries were awake, old versions may now close on all entries up to a second early.

--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -127,6 +127,24 @@
 	assert.Equal(t, g.declaredSince(g.mirror.CurrentAt(), asOf, c.t), declaredAt)
 }
 
+// All entries but one are frozen for less than a second, and the one follows an entry whose copy
+// is current again.
+func TestPausedEntryTellsOthersItsEstimate(t *testing.T) {
+	paused, c := newTestGateway(t)
+	running, _ := newTestGateway(t)
+	running.clock = c
+	paused.initialReadDone, running.initialReadDone = true, true
+	paused.tick()
+	paused.handleStoreUpdate(peer.StoreChanges{Revision: 5}, c.t)
+	frozenAt := c.t
+	c.t = c.t.Add(900 * time.Millisecond)
+	since := paused.declaredSince(frozenAt, c.t, c.t)
+	paused.declarationsOf("m").Add(2, since, paused.knownSince(since, frozenAt, c.t))
+	running.declarationsOf("m").Add(2, c.t, c.t)
+	running.Exchange(paused.Exchange(peer.ExchangeMessage{}))
+	assert.Equal(t, running.declared["m"].MinVersion(8*time.Second, frozenAt.Add(8*time.Second)), uint64(2))
+}
+
 // A process is paused during its first read of the store, so that no copy is known to be current.
 func TestPauseDuringFirstReadKeepsOldVersionForTheStablePeriod(t *testing.T) {
 	g, c := newTestGateway(t)
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -232,7 +232,7 @@
 			needsRefresh = true
 		case c.Declared != nil:
 			since := g.declaredSince(previous, asOf, now)
-			if g.declarationsOf(c.Declared.Model).Add(c.Declared.Version, since, now) {
+			if g.declarationsOf(c.Declared.Model).Add(c.Declared.Version, since, g.knownSince(since, previous, now)) {
 				g.log.config.Info().Str("model", string(c.Declared.Model)).Uint64("version", c.Declared.Version).Uint64("revision", uint64(e.Revision)).
 					Dur("copy_age", now.Sub(previous)).Dur("declared_ago", now.Sub(since)).Msg("weights version declared")
 			}
@@ -290,6 +290,16 @@
 	return later(previous, now.Add(-directReadAge))
 }
 
+// knownSince returns the time from which other entries are told that a declaration received now
+// is known. After a pause it is the assumed time, since all entries that read the store
+// may have been paused, but at most directReadAge ago: a longer pause concerns this entry only.
+func (g *Gateway) knownSince(since, previous, now time.Time) time.Time {
+	if g.initialReadDone && g.copyPauses.PausedSince(previous, now) {
+		return later(since, now.Add(-directReadAge))
+	}
+	return now
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/upgrade/declarations.go
+++ b/core/upgrade/declarations.go
@@ -12,8 +12,9 @@
 	// DeclaredAt is zero for a version that was declared before this process began to
 	// receive declarations.
 	DeclaredAt time.Time
-	// KnownAt is when the first daemon that this one has heard of received the declaration.
-	// Unlike DeclaredAt it is never an estimate of an earlier time.
+	// KnownAt is the earliest time at which a daemon that this one has heard of states to have
+	// received the declaration. It is what other daemons are told; DeclaredAt may be a more
+	// cautious estimate.
 	KnownAt time.Time
 }
 
@@ -27,17 +28,16 @@
 // be declared before the previous one has been fetched; each has its own time limit.
 type Declarations []Declaration
 
-// Add records a version that becomes known now, and reports whether it is newer than all
-// others. An older one still has its own limit, and one that another daemon has stated before
+// Add records a version, and reports whether it is newer than all others. An older one still has its own limit, and one that another daemon has stated before
 // counts from the earlier time.
-func (d *Declarations) Add(version uint64, declaredAt, now time.Time) bool {
+func (d *Declarations) Add(version uint64, declaredAt, knownAt time.Time) bool {
 	i, ok := d.search(version)
 	if ok {
 		known := &(*d)[i]
 		known.DeclaredAt = earlier(known.DeclaredAt, declaredAt)
 		return false
 	}
-	*d = slices.Insert(*d, i, Declaration{Version: version, DeclaredAt: declaredAt, KnownAt: now})
+	*d = slices.Insert(*d, i, Declaration{Version: version, DeclaredAt: declaredAt, KnownAt: knownAt})
 	return i == len(*d)-1
 }
 
