A resumed unframed stream without an event is not complete

Callers: a stream that was broken off could look complete (ORDER, MIXED).

Cause: forwardEvents took the end of the connection for the end of the stream once any attempt had sent an event. A response with neither length nor chunks ends that way also when its target breaks off between header and first event.

Change: such an end before the attempt's own first event is a failure of the attempt.

Test, without the change: TestResumedUnframedStreamWithoutEventDoesNotLookComplete: assertion failed: err is nil: "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\n"

Limit: an unframed stream that ends after one of its attempt's events still counts as complete; nothing distinguishes it.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -122,7 +122,9 @@
 	for {
 		ev, err := reader.Next()
 		if errors.Is(err, io.EOF) {
-			if !h.responseStarted {
+			// Without a frame, this attempt's first event is the only sign that the target
+			// did not break off.
+			if !h.responseStarted || !a.responseStarted && !sent.Framed() {
 				return a.transportFailure(parent, err), false
 			}
 			return dispatch.Failure{}, true
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -302,6 +302,12 @@
 	_, _ = io.Copy(io.Discard, &bounded.Reader{R: resp.Body, Part: bounded.PartBody, Limit: limit})
 }
 
+// Framed reports whether the body has a length or chunks. If not, it ends with its
+// connection.
+func (resp *Response) Framed() bool {
+	return resp.Length >= 0 || len(resp.httpResp.TransferEncoding) > 0
+}
+
 // Close returns the connection to the pool if the response was read completely and nothing
 // follows it, and closes the connection otherwise.
 func (resp *Response) Close() {
@@ -314,8 +320,7 @@
 		sent = err == nil
 	default:
 	}
-	framed := resp.Length >= 0 || len(resp.httpResp.TransferEncoding) > 0
-	if !stopped || !sent || !resp.bodyComplete || !framed || resp.httpResp.Close || resp.conn.rd.Buffered() > 0 {
+	if !stopped || !sent || !resp.bodyComplete || !resp.Framed() || resp.httpResp.Close || resp.conn.rd.Buffered() > 0 {
 		_ = resp.conn.Close() // remaining bytes belong to no request
 		return
 	}
