An error response does not prove a prompt part sound

Found by the review: any response that was passed on proved the parts of its prompt, also one that a target sends before it begins to write. Change: only the first event of a stream proves. Test before: TestErrorResponseDoesNotProveAPromptPart: 2 (int) != 1 (int): request 0.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -171,7 +171,7 @@
 	defer h.g.mu.Unlock()
 	a.responseStarted = true
 	delete(h.g.unstarted, a)
-	if now := h.g.now(); h.g.parts.RecordBegun(h.call.SharedParts, now) {
+	if now := h.g.now(); a.headerReceived && h.g.parts.RecordBegun(h.call.SharedParts, now) {
 		h.g.partsChanged(now)
 	}
 	a.service.balancer.RecordFirstEvent(h.target, a.prefillTokens)
