Agents keep reports of crashing prompt parts for entries that restart

Cause: the reports live only in the entries. If the agents are killed too, the reports are lost as before.

--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -23,6 +23,7 @@
 	"amaranthturn/app/daemon"
 	"amaranthturn/app/telemetry"
 	"amaranthturn/core/clock"
+	"amaranthturn/core/crashblame"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/gossip"
 	"amaranthturn/core/mirror"
@@ -52,6 +53,7 @@
 	entryList   *gossip.List
 	doc         *routeconfig.Document
 	declared    map[fleet.Model]*upgrade.Declarations
+	parts       *crashblame.PartLedger // kept for entries that restart
 	report      platform.Report
 	isEngineUp  bool                       // the last poll of the engine succeeded
 	loadChanged chan struct{}              // closed and replaced when the report changes
@@ -78,6 +80,7 @@
 		seeds: settings.Seeds, random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), mirror: mirror.New(), roster: roster.New(roster.DefaultSettings),
 		// The list holds entries. This process is not an entry and does not announce itself.
 		entryList: gossip.New(gossip.DefaultSettings, gossip.Record{Region: settings.Region}), declared: map[fleet.Model]*upgrade.Declarations{},
+		parts:       crashblame.NewPartLedger(),
 		loadChanged: make(chan struct{}), weights: map[uint64]*versionWeights{}, uploads: peer.NewSlots(maxUploads),
 	}
 }
@@ -102,7 +105,8 @@
 	followRetryDelay        = 200 * time.Millisecond
 )
 
-// entryExchanger retrieves the list of entries.
+// entryExchanger retrieves the list of entries, and hands on to each what the others have
+// reported of crashes, so that this outlives a restart of all entries.
 type entryExchanger struct{ s *Sidecar }
 
 // Run implements daemon.Runner.
@@ -112,17 +116,15 @@
 		s.mu.Lock()
 		addr, ok := s.entryList.NextPeer(s.seeds, s.random.Float64(), s.now())
 		known := len(s.entryList.Live(s.now()))
+		message := s.exchangeMessage()
 		s.mu.Unlock()
 		if ok {
-			update, err := s.pool.Exchange(ctx, addr, peer.ExchangeMessage{})
+			update, err := s.pool.Exchange(ctx, addr, message)
 			if err != nil {
 				s.metrics.Count("exchange_failures", 1)
 			}
 			s.mu.Lock()
-			s.entryList.Merge(update.Records, s.now())
-			for m, ages := range update.Declared {
-				s.declarationsOf(m).Merge(ages, s.now())
-			}
+			s.mergeExchange(update)
 			s.mu.Unlock()
 		}
 		delay := exchangeInterval
@@ -133,6 +135,23 @@
 	}
 }
 
+// exchangeMessage returns the message to an entry. mu must be held.
+func (s *Sidecar) exchangeMessage() peer.ExchangeMessage {
+	var m peer.ExchangeMessage
+	m.Crashes, m.ProvenParts = s.parts.Exchange(s.now())
+	return m
+}
+
+// mergeExchange merges the message of an entry. mu must be held.
+func (s *Sidecar) mergeExchange(m peer.ExchangeMessage) {
+	now := s.now()
+	s.entryList.Merge(m.Records, now)
+	for model, ages := range m.Declared {
+		s.declarationsOf(model).Merge(ages, now)
+	}
+	s.parts.Merge(m.Crashes, m.ProvenParts, now)
+}
+
 // initialStoreReader reads the store once at the start, when the entries may be starting
 // too. Later changes are received from the entries.
 type initialStoreReader struct{ s *Sidecar }
--- a/app/sidecar/sidecar_test.go
+++ b/app/sidecar/sidecar_test.go
@@ -11,8 +11,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"amaranthturn/core/clock"
+	"amaranthturn/core/crashblame"
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/gossip"
 	"amaranthturn/core/roster"
+	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
@@ -90,3 +94,26 @@
 	assert.Equal(t, len(members), 2)
 	assert.Equal(t, members["10.0.0.1:8620"].ID, fleet.InstanceID("after"))
 }
+
+// All entries restart after a prompt part has crashed engines. The agents still know of it, and
+// of how long a declaration has been known.
+func TestCrashReportsOutliveRestartOfAllEntries(t *testing.T) {
+	s := &Sidecar{
+		clock: clock.System{}, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), parts: crashblame.NewPartLedger(),
+		declared: map[fleet.Model]*upgrade.Declarations{},
+	}
+	now := time.Now()
+	before, restarted := crashblame.NewPartLedger(), crashblame.NewPartLedger()
+	deadly := []fleet.Fingerprint{1, 2}
+	for id := range crashblame.ReportID(crashblame.MaxCrashes) {
+		before.RecordCrash(id, deadly, now)
+	}
+	var m peer.ExchangeMessage
+	m.Crashes, m.ProvenParts = before.Exchange(now)
+	m.Declared = map[fleet.Model][]upgrade.Age{"m": {{Version: 2, Known: time.Second}}}
+	s.mergeExchange(m)
+	handedOn := s.exchangeMessage()
+	restarted.Merge(handedOn.Crashes, handedOn.ProvenParts, now)
+	assert.Equal(t, restarted.Restriction(deadly, now), crashblame.Refuse)
+	assert.Equal(t, s.declarationsOf("m").Newest(), uint64(2))
+}
