--- a/core/upgrade/declarations.go
+++ b/core/upgrade/declarations.go
@@ -28,8 +28,9 @@
 // be declared before the previous one has been fetched; each has its own time limit.
 type Declarations []Declaration
 
-// Add records a version, and reports whether it is newer than all others. An older one still has its own limit, and one that another daemon has stated before
-// counts from the earlier time.
+// Add records a version, and reports whether it is newer than all others. An older one still
+// has its own limit, and one that another daemon has stated before counts from the earlier
+// time.
 func (d *Declarations) Add(version uint64, declaredAt, knownAt time.Time) bool {
 	i, ok := d.search(version)
 	if ok {
