--- a/app/gateway/follow.go
+++ b/app/gateway/follow.go
@@ -15,22 +15,27 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.mergeEntryUpdate(update, now)
-	return g.entryUpdate(now)
+	reply := g.entryUpdate(now)
+	reply.Retained = g.retainedFor(update)
+	return reply
 }
 
 // Follow implements peer.MeshHandler.
-func (g *Gateway) Follow(ctx context.Context, after mirror.Revision, heartbeat time.Duration, send func(peer.StoreChanges) error) error {
+func (g *Gateway) Follow(ctx context.Context, after mirror.Position, heartbeat time.Duration, send func(peer.StoreChanges) error) error {
+	isFirst := true
 	for {
 		g.mu.Lock()
-		events, at, _ := g.mirror.ChangesSince(after)
-		update := peer.StoreChanges{Events: events, Revision: at, Age: g.now().Sub(g.mirror.CurrentAt()), StoreUnavailable: g.storeUnavailable}
+		update := peer.StoreChanges{Update: g.mirror.ChangesSince(after), Age: g.now().Sub(g.mirror.CurrentAt()), StoreUnavailable: g.storeUnavailable}
+		if isFirst || update.Full {
+			update.Retained = g.mirror.Retained()
+		}
 		changed := g.changed
 		g.mu.Unlock()
-		if at > 0 {
+		if update.At.Revision > 0 {
 			if err := send(update); err != nil {
 				return err
 			}
-			after = at
+			after, isFirst = update.At, false
 		}
 		select {
 		case <-ctx.Done():
@@ -88,7 +93,7 @@
 func (f *follower) follow(ctx context.Context, addr string) {
 	g := f.g
 	g.mu.Lock()
-	at := g.mirror.Revision()
+	at := g.mirror.Position()
 	g.mu.Unlock()
 	awaitedSince := g.now()
 	err := g.pool.Follow(ctx, addr, at, followHeartbeatInterval, followTimeout, func(update peer.StoreChanges) bool {
@@ -107,6 +112,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
+	if update.At.Era < g.mirror.Position().Era {
+		g.metrics.Count("store_updates_of_earlier_era", 1)
+		return false
+	}
 	// Recorded before the events, which include the items that expired while the store was
 	// unavailable.
 	switch {
@@ -116,6 +125,17 @@
 		g.recordStoreResultLocked(nil)
 	}
 	asOf := g.currentAsOf(awaitedSince, update.Age)
-	g.applyUpdate(update.Events, update.Revision, asOf)
+	g.applyUpdate(update.Update, asOf)
+	g.recall(update.Retained)
 	return !update.StoreUnavailable && !asOf.IsZero() && !g.entryList.IsReader(now)
 }
+
+// recall applies states that another daemon retains from before a restoration of the store.
+// mu must be held.
+func (g *Gateway) recall(events []mirror.Event) {
+	now := g.now()
+	if recalled := g.mirror.Recall(events, now); len(recalled) > 0 {
+		g.log.config.Info().Int("items", len(recalled)).Msg("states from before the store's restoration are known from another daemon")
+		g.handleChanges(recalled, g.mirror.CurrentAt(), now)
+	}
+}
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -123,7 +123,7 @@
 			requests: l.Of(telemetry.SubsystemRequests), process: l.Of(telemetry.SubsystemProcess),
 		},
 		random: rand.New(rand.NewPCG(seed, uint64(now.UnixNano()))),
-		seeds:  settings.Seeds, mirror: mirror.New(), changed: make(chan struct{}), roster: roster.New(roster.DefaultSettings),
+		seeds:  settings.Seeds, mirror: newMirror(settings), changed: make(chan struct{}), roster: roster.New(roster.DefaultSettings),
 		entryList: gossip.New(gossip.DefaultSettings, gossip.Record{
 			Instance: settings.Instance, Incarnation: fleet.Incarnation(now.UnixNano()), Region: settings.Region, Zone: settings.Zone,
 			Address: settings.PeersAddress, CallerAddress: settings.CallersAddress,
@@ -139,6 +139,10 @@
 	return g
 }
 
+func newMirror(settings *platform.Settings) *mirror.Mirror {
+	return mirror.New(map[string]mirror.Retention{platform.TargetKeys: roster.DefaultSettings.Retention(settings.RecordRenewal, platform.CompareTargets)})
+}
+
 // The limit on retries applies to the entire system, and entries don't coordinate retries:
 // each entry uses the retry share of its own requests and its part of the fixed allowance.
 const (
@@ -272,6 +276,7 @@
 		g.entryList.Resumed(now)
 		g.loads = map[fleet.InstanceID]peer.TargetLoad{}
 	}
+	g.handleChanges(g.mirror.Tick(now), g.mirror.CurrentAt(), now)
 	if expired := g.roster.Expire(now); len(expired) > 0 {
 		g.log.members.Info().Int("targets", len(expired)).Msg(trace.MessageTargetsExpired)
 		g.refreshBalancers(now)
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"amaranthturn/app/telemetry"
 	"amaranthturn/core/crashblame"
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/mirror"
 	"amaranthturn/core/roster"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
@@ -39,7 +41,7 @@
 	g, c := newTestGateway(t)
 	g.roster.Update(roster.Target{ID: "a", Service: "s", Address: "x", State: roster.StateReady})
 	g.recordStoreResult(errors.New("store unreachable"))
-	g.handleStoreUpdate(peer.StoreChanges{Revision: 5}, c.t)
+	g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, c.t)
 	c.t = c.t.Add(roster.DefaultSettings.ExpiryGrace + time.Second)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -51,7 +53,7 @@
 func TestStoreLossThroughAnotherEntry(t *testing.T) {
 	g, c := newTestGateway(t)
 	g.roster.Update(roster.Target{ID: "a", Service: "s", Address: "x", State: roster.StateReady})
-	g.handleStoreUpdate(peer.StoreChanges{Revision: 5, StoreUnavailable: true}, c.t)
+	g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}, StoreUnavailable: true}, c.t)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	assert.Assert(t, !g.roster.Remove("a", c.t))
@@ -97,13 +99,13 @@
 		g, c := newTestGateway(t)
 		g.initialReadDone = true
 		g.tick()
-		g.handleStoreUpdate(peer.StoreChanges{Revision: 5}, c.t)
+		g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, c.t)
 		frozenAt := c.t
 		c.t = c.t.Add(3 * time.Second)
 		if observed {
 			g.tick()
 		}
-		assert.Assert(t, !g.handleStoreUpdate(peer.StoreChanges{Revision: 5}, frozenAt), "what follows in the buffer is outdated")
+		assert.Assert(t, !g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, frozenAt), "what follows in the buffer is outdated")
 		g.mu.Lock()
 		assert.Equal(t, g.declaredSince(g.mirror.CurrentAt(), c.t, c.t), frozenAt, "pause observed by a tick: %v", observed)
 		g.mu.Unlock()
@@ -115,7 +117,7 @@
 func TestFollowerOfFrozenReaderDoesNotExtendOldVersion(t *testing.T) {
 	g, c := newTestGateway(t)
 	g.initialReadDone = true
-	g.handleStoreUpdate(peer.StoreChanges{Revision: 5}, c.t)
+	g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, c.t)
 	declaredAt := c.t
 	for range 45 {
 		c.t = c.t.Add(tickInterval)
@@ -135,7 +137,7 @@
 	running.clock = c
 	paused.initialReadDone, running.initialReadDone = true, true
 	paused.tick()
-	paused.handleStoreUpdate(peer.StoreChanges{Revision: 5}, c.t)
+	paused.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, c.t)
 	frozenAt := c.t
 	c.t = c.t.Add(900 * time.Millisecond)
 	since := paused.declaredSince(frozenAt, c.t, c.t)
@@ -209,3 +211,78 @@
 		assert.Assert(t, !needsNewPeriod(many, time.Duration(n)*otherZonePeriodPerEntry), "%d entries", n)
 	}
 }
+
+func configEvent(version int, era mirror.Era, rev mirror.Revision) mirror.Event {
+	return mirror.Event{Key: platform.ConfigKey, Value: fmt.Appendf(nil, `{"Version":%d}`, version), Era: era, Revision: rev}
+}
+
+// loadStore makes the gateway read a store with the given content.
+func (g *Gateway) loadStore(at mirror.Position, now time.Time, items ...mirror.Event) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.handleChanges(g.mirror.Load(mirror.Snapshot{Items: items, At: at}, now, now), now, now)
+	g.initialReadDone = true
+}
+
+// An entry that starts between a restoration of the store and the next write of the
+// configuration reads an older one. It must learn of the one in force from any other entry.
+func TestStartedEntryLearnsConfigurationThatTheCopyLacks(t *testing.T) {
+	for _, asks := range []string{"started", "old"} {
+		old, c := newTestGateway(t)
+		old.loadStore(mirror.Position{Era: 1, Revision: 9}, c.t, configEvent(14, 1, 9))
+		old.loadStore(mirror.Position{Era: 2, Revision: 6}, c.t, configEvent(11, 2, 5))
+		assert.Equal(t, old.configVersion(), uint64(14), "the configuration in force is not taken back")
+		started, _ := newTestGateway(t)
+		started.loadStore(mirror.Position{Era: 2, Revision: 6}, c.t, configEvent(11, 2, 5))
+		assert.Equal(t, started.configVersion(), uint64(11))
+		if asks == "started" {
+			started.mergeFrom(old, c.t)
+		} else {
+			reply := started.Exchange(old.message(c.t))
+			old.mu.Lock()
+			m := old.entryUpdate(c.t)
+			m.Retained = old.retainedFor(reply)
+			old.mu.Unlock()
+			started.Exchange(m)
+		}
+		assert.Equal(t, started.configVersion(), uint64(14))
+		started.loadStore(mirror.Position{Era: 2, Revision: 9}, c.t, configEvent(17, 2, 9))
+		assert.Equal(t, started.configVersion(), uint64(17))
+		assert.Equal(t, len(started.message(c.t).Retained), 0)
+	}
+}
+
+func (g *Gateway) message(now time.Time) peer.ExchangeMessage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.entryUpdate(now)
+}
+
+func (g *Gateway) mergeFrom(other *Gateway, now time.Time) {
+	reply := other.Exchange(g.message(now))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.mergeEntryUpdate(reply, now)
+}
+
+// The stream of an entry that has not learned of the restoration must not hide that the copy
+// is out of date.
+func TestStreamOfEarlierEraIsLeft(t *testing.T) {
+	g, c := newTestGateway(t)
+	g.loadStore(mirror.Position{Era: 2, Revision: 6}, c.t)
+	readAt := c.t
+	c.t = c.t.Add(time.Second)
+	update := peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Era: 1, Revision: 20}}}
+	assert.Assert(t, !g.handleStoreUpdate(update, c.t))
+	assert.Equal(t, g.mirror.CurrentAt(), readAt)
+}
+
+// An entry that cannot reach the store learns of the restoration from the others.
+func TestCutOffEntryIsBehindAfterRestoration(t *testing.T) {
+	own := mirror.Position{Era: 1, Revision: 20}
+	assert.Assert(t, isBehind(own, mirror.Position{Era: 2, Revision: 6}, true))
+	assert.Assert(t, isBehind(own, mirror.Position{Era: 2, Revision: 6}, false))
+	assert.Assert(t, !isBehind(own, mirror.Position{Revision: 99}, true))
+	assert.Assert(t, isBehind(own, mirror.Position{Era: 1, Revision: 21}, true))
+	assert.Assert(t, !isBehind(own, mirror.Position{Era: 1, Revision: 21}, false))
+}
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -6,6 +6,7 @@
 
 	"amaranthturn/app/daemon"
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/mirror"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/trace"
 	"amaranthturn/core/upgrade"
@@ -67,7 +68,7 @@
 	g.mu.Lock()
 	addr, ok := g.entryList.NextPeer(g.seeds, g.random.Float64(), now)
 	update := g.entryUpdate(now)
-	at := g.mirror.Revision()
+	at := g.mirror.Position()
 	g.mu.Unlock()
 	if !ok {
 		return
@@ -83,9 +84,50 @@
 	g.budget.SetBurst(max(1, g.settings.Bounds.RetryExtra*budgetSafetyFactor/float64(entries)))
 	storeUnavailable := g.storeUnavailable
 	g.mu.Unlock()
-	if received.StoreRevision > at && storeUnavailable || received.StoreRevision > at+maxRevisionLag {
+	if isBehind(at, received.StorePosition, storeUnavailable) {
 		g.catchUp(ctx, addr)
 	}
+	g.handOn(ctx, addr, received)
+}
+
+// isBehind reports whether another entry's copy is read because it is ahead of this one's.
+func isBehind(own, other mirror.Position, storeUnavailable bool) bool {
+	if storeUnavailable || own.Era != other.Era {
+		return own.Before(other)
+	}
+	return other.Revision > own.Revision+maxRevisionLag
+}
+
+// handOn sends the states from before a restoration of the store to an entry that has an
+// older configuration because it started since then.
+func (g *Gateway) handOn(ctx context.Context, addr string, received peer.ExchangeMessage) {
+	g.mu.Lock()
+	update := g.entryUpdate(g.now())
+	update.Retained = g.retainedFor(received)
+	g.mu.Unlock()
+	if len(update.Retained) == 0 {
+		return
+	}
+	if _, err := g.pool.Exchange(ctx, addr, update); err != nil {
+		g.metrics.Count("exchange_failures", 1)
+	}
+}
+
+// retainedFor returns the retained states if the sender of a message has an older
+// configuration. mu must be held.
+func (g *Gateway) retainedFor(received peer.ExchangeMessage) []mirror.Event {
+	if received.StorePosition.Era == 0 || received.ConfigVersion >= g.configVersion() {
+		return nil
+	}
+	return g.mirror.Retained()
+}
+
+// configVersion returns the version of the configuration in force, or 0 if there is none.
+func (g *Gateway) configVersion() uint64 {
+	if d := g.doc.Load(); d != nil {
+		return d.Version
+	}
+	return 0
 }
 
 // maxRevisionLag is how many revisions another entry may be ahead before its copy is read.
@@ -95,15 +137,16 @@
 // catchUp applies the changes that the entry at addr has read.
 func (g *Gateway) catchUp(ctx context.Context, addr string) {
 	g.mu.Lock()
-	at := g.mirror.Revision()
+	at := g.mirror.Position()
 	g.mu.Unlock()
 	startedAt := g.now()
 	err := g.pool.Follow(ctx, addr, at, followHeartbeatInterval, catchUpTimeout, func(update peer.StoreChanges) bool {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if n := g.applyUpdate(update.Events, update.Revision, g.currentAsOf(startedAt, update.Age)); n > 0 {
+		if n := g.applyUpdate(update.Update, g.currentAsOf(startedAt, update.Age)); n > 0 {
 			g.metrics.Count("store_news_from_entries", int64(n))
 		}
+		g.recall(update.Retained)
 		return false
 	})
 	if err != nil {
@@ -119,13 +162,15 @@
 	}
 	crashes, proven := g.parts.Exchange(now)
 	return peer.ExchangeMessage{
-		Records: g.entryList.Records(now), Blamed: g.ledger.MostBlamed(maxBlamedRequests, now), StoreRevision: g.mirror.Revision(), Declared: declared,
+		Records: g.entryList.Records(now), Blamed: g.ledger.MostBlamed(maxBlamedRequests, now), StorePosition: g.mirror.Position(),
+		ConfigVersion: g.configVersion(), Declared: declared,
 		Crashes: crashes, ProvenParts: proven,
 	}
 }
 
 // mergeEntryUpdate merges a message from another entry. mu must be held.
 func (g *Gateway) mergeEntryUpdate(update peer.ExchangeMessage, now time.Time) {
+	g.recall(update.Retained)
 	g.entryList.Merge(update.Records, now)
 	g.ledger.Merge(update.Blamed, now)
 	if g.parts.Merge(update.Crashes, update.ProvenParts, now) {
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -73,20 +73,20 @@
 func (s *storeReader) read(ctx context.Context) error {
 	g := s.g
 	g.mu.Lock()
-	at := g.mirror.Revision()
+	at := g.mirror.Position()
 	g.mu.Unlock()
-	if at == 0 {
+	if at.Revision == 0 {
 		return s.readAll(ctx)
 	}
 	wait := s.nextWatchWait()
-	ctx, cancel := context.WithTimeout(ctx, wait+watchTimeoutSlack)
+	watchCtx, cancel := context.WithTimeout(ctx, wait+watchTimeoutSlack)
 	defer cancel()
 	g.metrics.Count("store_calls", 1)
 	startedAt := g.now()
-	events, now, err := g.store.Watch(ctx, at, wait)
-	var se *platform.StoreError
-	if errors.As(err, &se) && se.IsCompacted() {
-		g.log.config.Warn().Uint64("revision", uint64(at)).Msg("store history was compacted: reading the full store again")
+	events, now, err := g.store.Watch(watchCtx, at, wait)
+	if reason := reasonToReadAll(err); reason != "" {
+		g.log.config.Warn().Err(err).Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision)).Msg(reason)
+		s.hasChanges = true // delays the next watch, which may fail again
 		return s.readAll(ctx)
 	}
 	if err != nil {
@@ -94,13 +94,27 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s.hasChanges = g.applyUpdate(events, now, g.currentAsOf(startedAt, 0)) > 0
+	s.hasChanges = g.applyUpdate(mirror.Update{Events: events, At: now, EraBase: now.Revision}, g.currentAsOf(startedAt, 0)) > 0
 	if !s.hasChanges {
 		g.notifyFollowers() // the copy is known to be current
 	}
 	return nil
 }
 
+// reasonToReadAll returns the log message for an error of a watch after which the complete
+// store has to be read, or "".
+func reasonToReadAll(err error) string {
+	var era *platform.EraError
+	var failed *platform.StoreError
+	switch {
+	case errors.As(err, &era) && era.IsLater():
+		return "store was restored from a copy: reading the full store again"
+	case errors.As(err, &failed) && failed.IsCompacted():
+		return "store does not have the history: reading the full store again"
+	}
+	return ""
+}
+
 // nextWatchWait returns how long the next watch waits. An entry that does not read for
 // others only checks whether it has missed changes. It uses a new connection, because the
 // previous one may have stalled in the meantime.
@@ -121,32 +135,38 @@
 	defer cancel()
 	g := s.g
 	g.mu.Lock()
-	previous := g.mirror.CurrentAt()
+	known, previous := g.mirror.Position().Era, g.mirror.CurrentAt()
 	g.mu.Unlock()
-	var earliest mirror.Revision
-	for _, prefix := range platform.KeyPrefixes {
-		g.metrics.Count("store_calls", 1)
-		startedAt := g.now()
-		items, at, err := g.store.Range(ctx, prefix)
-		if err != nil {
-			return err
-		}
-		// The watch continues from the earliest read, so that changes between two reads are
-		// not missed.
-		if earliest == 0 || at < earliest {
-			earliest = at
-		}
-		g.mu.Lock()
-		asOf := g.currentAsOf(startedAt, 0)
-		g.handleChanges(g.mirror.Load(prefix, items, earliest, asOf), previous, asOf)
-		g.mu.Unlock()
+	g.metrics.Count("store_calls", platform.CallsToReadAll)
+	startedAt := g.now()
+	snapshots, err := g.store.ReadAll(ctx, known)
+	if err != nil {
+		return err
 	}
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	asOf := g.currentAsOf(startedAt, 0)
+	for _, snapshot := range snapshots {
+		g.handleChanges(g.mirror.Load(snapshot, asOf, g.now()), previous, asOf)
+	}
+	g.recordEra(known)
 	g.initialReadDone = true
-	g.mu.Unlock()
 	return nil
 }
 
+// recordEra handles that the copy may have entered a later era than the given one. mu must be
+// held.
+func (g *Gateway) recordEra(before mirror.Era) {
+	at := g.mirror.Position()
+	if at.Era == before {
+		return
+	}
+	g.notifyFollowers()
+	g.metrics.Gauge("store_era", float64(at.Era))
+	g.log.config.Warn().Uint64("era_before", uint64(before)).Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision)).
+		Int("retained", len(g.mirror.Retained())).Msg(trace.MessageStoreRestored)
+}
+
 // pausedSince reports whether the process was paused after the given time.
 func (g *Gateway) pausedSince(t time.Time) bool {
 	g.mu.Lock()
@@ -184,7 +204,7 @@
 		g.log.config.Warn().Err(err).Msg(trace.MessageStoreUnavailable)
 		g.roster.StoreUnavailable()
 	case err == nil && g.storeUnavailable:
-		g.log.config.Info().Uint64("revision", uint64(g.mirror.Revision())).Msg("store recovered")
+		g.log.config.Info().Uint64("revision", uint64(g.mirror.Position().Revision)).Msg("store recovered")
 		g.roster.StoreRecovered(now)
 	}
 	g.storeUnavailable = err != nil
@@ -200,12 +220,13 @@
 	return d/2 + time.Duration(g.random.Float64()*float64(d))
 }
 
-// applyUpdate applies events up to the revision at, which was current at currentAt, and
-// returns the number of changes. mu must be held.
-func (g *Gateway) applyUpdate(events []mirror.Event, at mirror.Revision, currentAt time.Time) int {
-	previous := g.mirror.CurrentAt()
-	changes := g.mirror.Apply(events, at, currentAt)
+// applyUpdate applies an update that was current at currentAt, and returns the number of
+// changes. mu must be held.
+func (g *Gateway) applyUpdate(u mirror.Update, currentAt time.Time) int {
+	previous, era := g.mirror.CurrentAt(), g.mirror.Position().Era
+	changes := g.mirror.Merge(u, currentAt, g.now())
 	g.handleChanges(changes, previous, currentAt)
+	g.recordEra(era)
 	return len(changes)
 }
 
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -29,6 +29,7 @@
 	"amaranthturn/core/mirror"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routeconfig"
+	"amaranthturn/core/trace"
 	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
@@ -77,7 +78,7 @@
 			config: l.Of(telemetry.SubsystemConfig), members: l.Of(telemetry.SubsystemMembers), weights: l.Of(telemetry.SubsystemWeights),
 			engine: l.Of(telemetry.SubsystemEngine), process: l.Of(telemetry.SubsystemProcess),
 		},
-		seeds: settings.Seeds, random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), mirror: mirror.New(), roster: roster.New(roster.DefaultSettings),
+		seeds: settings.Seeds, random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), mirror: newMirror(settings), roster: roster.New(roster.DefaultSettings),
 		// The list holds entries. This process is not an entry and does not announce itself.
 		entryList: gossip.New(gossip.DefaultSettings, gossip.Record{Region: settings.Region}), declared: map[fleet.Model]*upgrade.Declarations{},
 		parts:       crashblame.NewPartLedger(),
@@ -85,6 +86,10 @@
 	}
 }
 
+func newMirror(settings *platform.Settings) *mirror.Mirror {
+	return mirror.New(map[string]mirror.Retention{platform.TargetKeys: roster.DefaultSettings.Retention(settings.RecordRenewal, platform.CompareTargets)})
+}
+
 // Reload applies the settings that may change while the daemon runs, which are the seeds.
 // Other settings require a restart.
 func (s *Sidecar) Reload(settings *platform.Settings) {
@@ -119,13 +124,7 @@
 		message := s.exchangeMessage()
 		s.mu.Unlock()
 		if ok {
-			update, err := s.pool.Exchange(ctx, addr, message)
-			if err != nil {
-				s.metrics.Count("exchange_failures", 1)
-			}
-			s.mu.Lock()
-			s.mergeExchange(update)
-			s.mu.Unlock()
+			e.exchange(ctx, addr, message)
 		}
 		delay := exchangeInterval
 		if known == 0 {
@@ -135,16 +134,44 @@
 	}
 }
 
+// exchange sends a message to an entry. If the entry has started since the store was restored
+// and has an older configuration, it is sent the states from before.
+func (e *entryExchanger) exchange(ctx context.Context, addr string, message peer.ExchangeMessage) {
+	s := e.s
+	update, err := s.pool.Exchange(ctx, addr, message)
+	if err != nil {
+		s.metrics.Count("exchange_failures", 1)
+		return
+	}
+	s.mu.Lock()
+	s.mergeExchange(update)
+	if update.StorePosition.Era > 0 && update.ConfigVersion < message.ConfigVersion {
+		message.Retained = s.mirror.Retained()
+	}
+	s.mu.Unlock()
+	if len(message.Retained) == 0 {
+		return
+	}
+	if _, err := s.pool.Exchange(ctx, addr, message); err != nil {
+		s.metrics.Count("exchange_failures", 1)
+	}
+}
+
 // exchangeMessage returns the message to an entry. mu must be held.
 func (s *Sidecar) exchangeMessage() peer.ExchangeMessage {
-	var m peer.ExchangeMessage
-	m.Crashes, m.ProvenParts = s.parts.Exchange(s.now())
+	now := s.now()
+	m := peer.ExchangeMessage{StorePosition: s.mirror.Position()}
+	if s.doc != nil {
+		m.ConfigVersion = s.doc.Version
+	}
+	m.Crashes, m.ProvenParts = s.parts.Exchange(now)
 	return m
 }
 
 // mergeExchange merges the message of an entry. mu must be held.
 func (s *Sidecar) mergeExchange(m peer.ExchangeMessage) {
 	now := s.now()
+	s.handleChanges(s.mirror.Recall(m.Retained, now), false)
 	s.entryList.Merge(m.Records, now)
 	for model, ages := range m.Declared {
 		s.declarationsOf(model).Merge(ages, now)
@@ -164,20 +191,18 @@
 	s := r.s
 	ctx, cancel := context.WithTimeout(ctx, initialReadTimeout)
 	defer cancel()
-	var update peer.StoreChanges
-	for i, prefix := range platform.KeyPrefixes {
-		s.metrics.Count("store_calls", 1)
-		items, at, err := s.store.Range(ctx, prefix)
-		if err != nil {
-			s.log.config.Info().Err(err).Msg("initial read of the store failed: waiting for an entry")
-			return
-		}
-		update.Events = append(update.Events, items...)
-		if i == 0 {
-			update.Revision = at
-		}
+	s.metrics.Count("store_calls", platform.CallsToReadAll)
+	snapshots, err := s.store.ReadAll(ctx, 0)
+	if err != nil {
+		s.log.config.Info().Err(err).Msg("initial read of the store failed: waiting for an entry")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isFirst := s.mirror.Position().Revision == 0
+	for _, snapshot := range snapshots {
+		s.handleChanges(s.mirror.Load(snapshot, s.now(), s.now()), isFirst)
 	}
-	s.applyUpdate(update)
 }
 
 // follower follows the copy of the store at one entry.
@@ -218,11 +243,11 @@
 func (f *follower) follow(ctx context.Context, addr string) {
 	s := f.s
 	s.mu.Lock()
-	at := s.mirror.Revision()
+	at := s.mirror.Position()
 	s.mu.Unlock()
 	err := s.pool.Follow(ctx, addr, at, followHeartbeatInterval, followTimeout, func(update peer.StoreChanges) bool {
-		s.applyUpdate(update)
-		return !update.StoreUnavailable && update.Age <= maxCopyAge // otherwise the store may be available to another entry
+		isCurrent := s.applyUpdate(update)
+		return isCurrent && !update.StoreUnavailable && update.Age <= maxCopyAge // otherwise the store may be available to another entry
 	})
 	if err != nil && ctx.Err() == nil {
 		s.log.members.Info().Str("entry", addr).Err(err).Msg("stream of store updates ended")
@@ -232,12 +257,32 @@
 // maxCopyAge is the age of an entry's copy above which another entry is followed.
 const maxCopyAge = 7 * time.Second
 
-func (s *Sidecar) applyUpdate(update peer.StoreChanges) {
+// applyUpdate applies an update from an entry, and reports whether it is of the latest known
+// era.
+func (s *Sidecar) applyUpdate(update peer.StoreChanges) bool {
 	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isFirst := s.mirror.Revision() == 0
-	for _, e := range s.mirror.Apply(update.Events, update.Revision, now.Add(-update.Age)) {
+	before := s.mirror.Position()
+	if update.At.Era < before.Era {
+		return false
+	}
+	isFirst := before.Revision == 0
+	s.handleChanges(s.mirror.Merge(update.Update, now.Add(-update.Age), now), isFirst)
+	s.handleChanges(s.mirror.Recall(update.Retained, now), isFirst)
+	s.handleChanges(s.mirror.Tick(now), false)
+	if at := s.mirror.Position(); at.Era != before.Era {
+		s.log.config.Warn().Uint64("era_before", uint64(before.Era)).Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision)).
+			Int("retained", len(s.mirror.Retained())).Msg(trace.MessageStoreRestored)
+	}
+	return true
+}
+
+// handleChanges processes changes of the mirror. isFirst reports that the mirror was empty
+// before. mu must be held.
+func (s *Sidecar) handleChanges(events []mirror.Event, isFirst bool) {
+	now := s.now()
+	for _, e := range events {
 		c, err := platform.Decode(e)
 		if err != nil {
 			s.metrics.Count("unusable_entries", 1) // the entries log them
--- a/app/sidecar/sidecar_test.go
+++ b/app/sidecar/sidecar_test.go
@@ -15,6 +15,7 @@
 	"amaranthturn/core/crashblame"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/gossip"
+	"amaranthturn/core/mirror"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer"
@@ -100,7 +101,7 @@
 func TestCrashReportsOutliveRestartOfAllEntries(t *testing.T) {
 	s := &Sidecar{
 		clock: clock.System{}, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), parts: crashblame.NewPartLedger(),
-		declared: map[fleet.Model]*upgrade.Declarations{},
+		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil),
 	}
 	now := time.Now()
 	before, restarted := crashblame.NewPartLedger(), crashblame.NewPartLedger()
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -3,64 +3,132 @@
 //
 // # Usage
 //
-//	m := mirror.New()
-//	m.Load(prefix, items, at, now)               // after reading a range
-//	m.Apply(events, at, now)                     // after a watch or an update from another daemon
-//	events, at, full := m.ChangesSince(revision) // changes that another daemon has not received
+//	m := mirror.New(retention)
+//	changes := m.Load(mirror.Snapshot{Items: items, At: at}, asOf, now) // after reading the full store
+//	changes = m.Apply(events, at, asOf)                                 // after a watch
+//	changes = m.Tick(now)                                               // ends retentions that are due
+//	u := m.ChangesSince(position)                                       // what another daemon has not received
+//	changes = m.Merge(u, asOf, now)                                     // an update from another daemon
 //
-// # Invariants
+// The time asOf is when the store is known to have had the content, or zero if unknown.
 //
-// The revision of an item never decreases, so events may be applied repeatedly and in any
-// order. A deleted item stays deleted until a later write.
+// # Eras
+//
+// A store that is restored from a copy loses what was written since the copy was made, and
+// assigns the revisions of these writes again. Each restoration begins an era, and states
+// are ordered by era and revision. Only a complete read or update leads into a later era;
+// what belongs to an earlier one is ignored.
+//
+// # Restored items
+//
+// A restored store may list an item in an older state than the one known from the previous
+// era, or lack it, until its writer has written it again. The later state is retained
+// meanwhile. Retention states for how long: a target renews its record, so the listed state
+// applies once its writer has had the time to. Values of other keys carry a version of their
+// own, by which the users of the mirror order them: they are reported as listed, and the
+// retained state is only handed on to daemons that do not know it.
 package mirror
 
 import (
+	"bytes"
+	"cmp"
 	"slices"
 	"strings"
 	"time"
 )
 
-// Revision orders the changes of the store.
+// Revision orders the changes of the store within an era.
 type Revision uint64
 
+// Era counts the restorations of the store from a copy. It is 0 for a store that does not
+// state it.
+type Era uint64
+
+// Position is a point in the history of the store.
+type Position struct {
+	Era      Era
+	Revision Revision
+}
+
+// Compare returns -1, 0 or 1 if p is before, at or after q.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
+}
+
+// Before reports whether p is before q.
+func (p Position) Before(q Position) bool { return p.Compare(q) < 0 }
+
 // Event is the write or deletion of an item.
 type Event struct {
 	Key      string
 	Value    []byte
+	Era      Era
 	Revision Revision
 	Deleted  bool
 }
 
+// Position returns the position at which the event was read.
+func (e Event) Position() Position { return Position{e.Era, e.Revision} }
+
+// isSame reports whether two events leave an item in the same state.
+func (e Event) isSame(f Event) bool { return e.Deleted == f.Deleted && bytes.Equal(e.Value, f.Value) }
+
+// Retention decides how long the state of an item from before a restoration remains in force.
+type Retention struct {
+	// Compare returns a number below, at or above 0 if by its content the first state is
+	// earlier than, equal to or later than the second one of the same item. Neither is deleted.
+	Compare func(a, b Event) int
+	// Missing applies to an item that the restored store lacks.
+	Missing time.Duration
+	// Older applies to an item of which the restored store may list an older state.
+	Older time.Duration
+}
+
 // maxLogLength is the number of changes kept for daemons that lag behind. A daemon that
 // lags further receives the full copy.
 const maxLogLength = 4096
 
 // Mirror is the copy. It is not safe for concurrent use.
 type Mirror struct {
-	items map[string]Event // including deleted items
-	log   []Event
+	retentions map[string]Retention // by prefix of the key
+	items      map[string]Event     // as listed by the store, including deleted items
+	retained   map[string]retained
+	log        []Event
 	// logBase is the revision after which the log is complete.
-	logBase   Revision
-	revision  Revision
+	logBase  Revision
+	position Position
+	// eraBase is the lowest revision at which the store is known to have been read in this
+	// era. Writes after it are not from the copy.
+	eraBase   Revision
+	eraSince  time.Time // when this daemon learned of the era
 	currentAt time.Time // last time the copy was known to match the store
 }
 
-// New returns an empty copy.
-func New() *Mirror { return &Mirror{items: map[string]Event{}} }
+// retained is the last state of an item from before a restoration.
+type retained struct {
+	Event
+	until time.Time // zero: until it is written again
+}
+
+// New returns an empty copy. The keys of the map are prefixes of keys whose items are retained
+// for a time. Items with other keys have versions of their own.
+func New(retentions map[string]Retention) *Mirror {
+	return &Mirror{retentions: retentions, items: map[string]Event{}, retained: map[string]retained{}}
+}
 
-// Revision returns the revision up to which the copy is complete, 0 before the first read.
-func (m *Mirror) Revision() Revision { return m.revision }
+// Position returns the position up to which the copy is complete, zero before the first read.
+func (m *Mirror) Position() Position { return m.position }
 
 // CurrentAt returns the last time at which the copy was known to be current.
 func (m *Mirror) CurrentAt() time.Time { return m.currentAt }
 
-// Get returns an item that is not deleted.
+// Get returns an item that is listed.
 func (m *Mirror) Get(key string) (Event, bool) {
 	e, ok := m.items[key]
 	return e, ok && !e.Deleted
 }
 
-// WithPrefix returns the items whose key begins with prefix, without deleted ones, sorted by key.
+// WithPrefix returns the listed items whose key begins with prefix, sorted by key.
 func (m *Mirror) WithPrefix(prefix string) []Event {
 	var out []Event
 	for k, e := range m.items {
@@ -68,52 +136,156 @@
 			out = append(out, e)
 		}
 	}
-	slices.SortFunc(out, func(a, b Event) int { return strings.Compare(a.Key, b.Key) })
+	sortByKey(out)
 	return out
 }
 
-// Load replaces the items under prefix by the result of a full read that began at revision
-// at. It returns the changes.
-func (m *Mirror) Load(prefix string, items []Event, at Revision, now time.Time) []Event {
-	present := make(map[string]bool, len(items))
+// Snapshot is the result of a complete read that began at a position.
+type Snapshot struct {
+	// Prefix is that of all items of the snapshot.
+	Prefix string
+	Items  []Event
+	At     Position
+}
+
+// Load replaces the items under the snapshot's prefix and returns the changes.
+func (m *Mirror) Load(s Snapshot, asOf, now time.Time) []Event {
+	if !m.enter(s.At, s.At.Revision, now) {
+		return nil
+	}
+	present := make(map[string]bool, len(s.Items))
 	var out []Event
-	for _, e := range items {
+	for _, e := range s.Items {
 		present[e.Key] = true
 		out = m.put(out, e)
 	}
 	for k, e := range m.items {
-		// The read may lack items that were written after it began.
-		if strings.HasPrefix(k, prefix) && !present[k] && !e.Deleted && e.Revision <= at {
-			out = m.put(out, Event{Key: k, Revision: at, Deleted: true})
+		if strings.HasPrefix(k, s.Prefix) && !present[k] && m.isMissing(e, s.At) {
+			out = m.put(out, Event{Key: k, Era: s.At.Era, Revision: s.At.Revision, Deleted: true})
 		}
 	}
-	m.advance(at, now)
+	m.advance(s.At, asOf)
 	return out
 }
 
-// Apply applies changes up to revision at and returns those that were new.
-func (m *Mirror) Apply(events []Event, at Revision, now time.Time) []Event {
+// Apply applies changes up to a position and returns those that were new. It ignores changes
+// of another era.
+func (m *Mirror) Apply(events []Event, at Position, asOf time.Time) []Event {
+	if at.Era != m.position.Era {
+		return nil
+	}
 	var out []Event
 	for _, e := range events {
 		out = m.put(out, e)
 	}
-	m.advance(at, now)
+	m.advance(at, asOf)
 	return out
 }
 
-func (m *Mirror) advance(at Revision, now time.Time) {
-	m.revision = max(m.revision, at)
-	if now.After(m.currentAt) {
-		m.currentAt = now
+// enter begins the era of a position that is later than the known one, and reports whether
+// the position belongs to the current era.
+func (m *Mirror) enter(at Position, base Revision, now time.Time) bool {
+	switch {
+	case at.Era < m.position.Era:
+		return false
+	case at.Era > m.position.Era:
+		m.position, m.eraBase, m.eraSince = Position{Era: at.Era}, base, now
+		m.log, m.logBase = nil, at.Revision
+	default:
+		m.eraBase = min(m.eraBase, base)
+	}
+	return true
+}
+
+func (m *Mirror) advance(at Position, asOf time.Time) {
+	m.position.Revision = max(m.position.Revision, at.Revision)
+	if asOf.After(m.currentAt) {
+		m.currentAt = asOf
+	}
+}
+
+// isMissing reports whether the lack of an item in a complete read that began at a position is
+// news. The read may lack items that were written after it began.
+func (m *Mirror) isMissing(e Event, at Position) bool {
+	if e.Deleted {
+		_, isRetained := m.retained[e.Key]
+		return isRetained && e.Era < at.Era
 	}
+	return !at.Before(e.Position())
 }
 
+// put records the state that the store lists for an item, and appends it to out if it is in
+// force now.
 func (m *Mirror) put(out []Event, e Event) []Event {
 	old, ok := m.items[e.Key]
-	if ok && (old.Revision > e.Revision || old.Revision == e.Revision && old.Deleted == e.Deleted) {
+	if ok && (e.Position().Before(old.Position()) || e.Position() == old.Position() && old.Deleted == e.Deleted) {
 		return out
 	}
 	m.items[e.Key] = e
+	m.appendLog(e)
+	inForce, isRetained := m.retained[e.Key]
+	if !isRetained {
+		inForce.Event = old
+	}
+	if !ok || !m.mayBeRestored(e, inForce.Event) {
+		delete(m.retained, e.Key)
+		return append(out, e)
+	}
+	isInForce := !m.mayBeOlder(e, inForce.Event)
+	inForce.until = m.retainUntil(e)
+	switch isTimed := !inForce.until.IsZero(); {
+	case !isInForce, isTimed && e.isSame(inForce.Event): // known, so that no other daemon's earlier state applies
+		m.retained[e.Key] = inForce
+	default:
+		delete(m.retained, e.Key)
+	}
+	if isInForce || inForce.until.IsZero() {
+		return append(out, e)
+	}
+	return out
+}
+
+// mayBeOlder reports whether the state e, which is listed now, may be older than the one from
+// an earlier era by their positions and contents.
+func (m *Mirror) mayBeOlder(e, earlier Event) bool {
+	if e.isSame(earlier) || !m.mayBeRestored(e, earlier) {
+		return false
+	}
+	r, ok := m.retention(e.Key)
+	return !ok || e.Deleted || earlier.Deleted || r.Compare(e, earlier) < 0
+}
+
+// mayBeRestored reports whether the state e, which is listed now, may be older than the one
+// from an earlier era. One with a revision that is not lower is later in any case: the history up
+// to the copy is shared, and what follows it in this era was written after the restoration.
+// That an item is missing is known by the revision of the read, not of a deletion.
+func (m *Mirror) mayBeRestored(e, earlier Event) bool {
+	return e.Era > earlier.Era && e.Revision <= m.eraBase && (e.Revision < earlier.Revision || e.Deleted)
+}
+
+// retainUntil returns until when an earlier state remains in force instead of the listed one,
+// or zero for items that have a version of their own.
+func (m *Mirror) retainUntil(listed Event) time.Time {
+	r, ok := m.retention(listed.Key)
+	switch {
+	case !ok:
+		return time.Time{}
+	case listed.Deleted:
+		return m.eraSince.Add(r.Missing)
+	}
+	return m.eraSince.Add(r.Older)
+}
+
+func (m *Mirror) retention(key string) (Retention, bool) {
+	for prefix, r := range m.retentions {
+		if strings.HasPrefix(key, prefix) {
+			return r, true
+		}
+	}
+	return Retention{}, false
+}
+
+func (m *Mirror) appendLog(e Event) {
 	m.log = append(m.log, e)
 	if len(m.log) > maxLogLength {
 		drop := len(m.log) - maxLogLength/2
@@ -122,22 +294,115 @@
 		}
 		m.log = slices.Clone(m.log[drop:])
 	}
-	return append(out, e)
 }
 
-// ChangesSince returns the changes after a revision. If the log does not reach back that
-// far, it returns all items, including deleted ones, and full is true.
-func (m *Mirror) ChangesSince(after Revision) (events []Event, at Revision, full bool) {
-	if after == 0 || after < m.logBase {
+// Tick ends the retentions that are due and returns the listed states that are in force
+// instead.
+func (m *Mirror) Tick(now time.Time) []Event {
+	var out []Event
+	for k, r := range m.retained {
+		if !r.until.IsZero() && !now.Before(r.until) {
+			delete(m.retained, k)
+			out = append(out, m.items[k])
+		}
+	}
+	sortByKey(out)
+	return out
+}
+
+func sortByKey(events []Event) {
+	slices.SortFunc(events, func(a, b Event) int { return strings.Compare(a.Key, b.Key) })
+}
+
+// Retained returns the states from before a restoration that are still in force, sorted by
+// key.
+func (m *Mirror) Retained() []Event {
+	var out []Event
+	for _, r := range m.retained {
+		out = append(out, r.Event)
+	}
+	sortByKey(out)
+	return out
+}
+
+// Recall applies states that another daemon retains, and returns those that are in force
+// here too and were not known.
+func (m *Mirror) Recall(events []Event, now time.Time) []Event {
+	var out []Event
+	for _, e := range events {
+		listed, isListed := m.items[e.Key]
+		if !isListed {
+			listed = Event{Key: e.Key, Era: m.position.Era, Revision: m.eraBase, Deleted: true}
+		}
+		until := m.retainUntil(listed)
+		known, isRetained := m.retained[e.Key]
+		switch {
+		case e.Era >= m.position.Era:
+			continue // not from before the restoration
+		case !until.IsZero() && !now.Before(until):
+			continue
+		case isRetained && !m.isLater(e, known.Event):
+			continue
+		case !m.mayBeOlder(listed, e):
+			continue
+		}
+		m.items[e.Key] = listed
+		m.retained[e.Key] = retained{e, until}
+		out = append(out, e)
+	}
+	return out
+}
+
+// isLater reports whether a state that another daemon retains is later than the one retained
+// here. Both may be from any era before the current one.
+func (m *Mirror) isLater(e, known Event) bool {
+	if r, ok := m.retention(e.Key); ok && !e.Deleted && !known.Deleted {
+		return r.Compare(e, known) > 0
+	}
+	return e.Era >= known.Era && e.Revision > known.Revision
+}
+
+// Update is what another daemon needs to have the same copy.
+type Update struct {
+	// Events are the changes, or all items including deleted ones if Full is true.
+	Events []Event
+	At     Position
+	Full   bool
+	// EraBase is the lowest revision at which the store is known to have been read in the
+	// era.
+	EraBase Revision
+}
+
+// ChangesSince returns the changes after a position. If the log does not reach back that far,
+// the update is full.
+func (m *Mirror) ChangesSince(after Position) Update {
+	u := Update{At: m.position, EraBase: m.eraBase}
+	if after.Era != m.position.Era || after.Revision == 0 || after.Revision < m.logBase {
+		u.Full = true
 		for _, e := range m.items {
-			events = append(events, e)
+			u.Events = append(u.Events, e)
 		}
-		return events, m.revision, true
+		return u
 	}
 	for _, e := range m.log {
-		if e.Revision > after {
-			events = append(events, e)
+		if e.Revision > after.Revision {
+			u.Events = append(u.Events, e)
 		}
 	}
-	return events, m.revision, false
+	return u
+}
+
+// Merge applies an update from another daemon and returns the changes. It ignores one from
+// an earlier era.
+func (m *Mirror) Merge(u Update, asOf, now time.Time) []Event {
+	if !u.Full {
+		if u.At.Era == m.position.Era {
+			m.eraBase = min(m.eraBase, u.EraBase)
+		}
+		return m.Apply(u.Events, u.At, asOf)
+	}
+	if !m.enter(u.At, u.EraBase, now) {
+		return nil
+	}
+	return m.Load(Snapshot{Items: u.Events, At: u.At}, asOf, now)
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/mirror"
 )
 
 //go:generate stringer -type=State -output=roster_string.go -linecomment
@@ -80,6 +81,30 @@
 // listed again within about two seconds.
 var DefaultSettings = Settings{ExpiryGrace: 2200 * time.Millisecond}
 
+// Records that are not renewed expire after missedRenewals intervals. defaultRenewal is the
+// interval if the platform states none.
+const (
+	missedRenewals = 3
+	defaultRenewal = 1200 * time.Millisecond
+)
+
+// Retention returns how long the records of targets that a restored store lacks, or lists in
+// a state that may be older, remain in force. A listed record that is not renewed expires
+// within that time.
+func (s Settings) Retention(renewal time.Duration, compare func(a, b mirror.Event) int) mirror.Retention {
+	if renewal <= 0 {
+		renewal = defaultRenewal
+	}
+	return mirror.Retention{Compare: compare, Missing: s.ExpiryGrace, Older: missedRenewals*renewal + s.ExpiryGrace}
+}
+
+// Compare returns a number below, at or above 0 if t is an earlier state of a target than u,
+// the same or a later one. Within an incarnation, a target that drains does not become ready
+// again.
+func (t *Target) Compare(u *Target) int {
+	return cmp.Or(cmp.Compare(t.Incarnation, u.Incarnation), cmp.Compare(t.State, u.State))
+}
+
 type record struct {
 	Target
 	missingSince time.Time // zero while the target is listed
--- a/core/trace/messages.go
+++ b/core/trace/messages.go
@@ -5,6 +5,7 @@
 	MessageRequest             = "request"
 	MessageAttemptFailed       = "attempt failed"
 	MessageStoreUnavailable    = "store is out of reach"
+	MessageStoreRestored       = "store was restored"
 	MessagePlatformUnavailable = "platform is out of reach"
 	MessageConfiguration       = "configuration in force"
 	MessageTarget              = "target"
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -48,9 +48,10 @@
 
 // Pool holds one connection per address.
 type Pool struct {
-	opts  []grpc.DialOption
-	mu    sync.Mutex // guards all fields below
-	conns map[string]*grpc.ClientConn
+	opts   []grpc.DialOption
+	values valueCompressor
+	mu     sync.Mutex // guards all fields below
+	conns  map[string]*grpc.ClientConn
 	// staleSince is the time of the first call of Retain in which an address was missing.
 	staleSince map[string]time.Time
 }
--- a/io/peer/compress.go
+++ b/io/peer/compress.go
@@ -8,6 +8,7 @@
 
 	"amaranthturn/core/mirror"
 	"amaranthturn/io/bounded"
+	"amaranthturn/io/peer/peerpb"
 )
 
 const (
@@ -34,8 +35,8 @@
 // valueCompressor compresses each large value once for all followers.
 type valueCompressor struct {
 	mu     sync.Mutex // guards all fields below
-	cache  map[mirror.Revision][]byte
-	cached []mirror.Revision // keys of cache, oldest first
+	cache  map[mirror.Position][]byte
+	cached []mirror.Position // keys of cache, oldest first
 }
 
 // compress returns the value of an event as it is sent and whether it is compressed.
@@ -45,7 +46,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if b, ok := c.cache[e.Revision]; ok {
+	if b, ok := c.cache[e.Position()]; ok {
 		return b, true
 	}
 	enc, err := encoder()
@@ -54,17 +55,27 @@
 	}
 	b := enc.EncodeAll(e.Value, nil)
 	if c.cache == nil {
-		c.cache = map[mirror.Revision][]byte{}
+		c.cache = map[mirror.Position][]byte{}
 	}
 	if len(c.cached) >= maxCachedValues {
 		delete(c.cache, c.cached[0])
 		c.cached = c.cached[1:]
 	}
-	c.cache[e.Revision] = b
-	c.cached = append(c.cached, e.Revision)
+	c.cache[e.Position()] = b
+	c.cached = append(c.cached, e.Position())
 	return b, true
 }
 
+func (c *valueCompressor) eventsToWire(events []mirror.Event) []*peerpb.StoreEvent {
+	out := make([]*peerpb.StoreEvent, 0, len(events))
+	for _, e := range events {
+		w := &peerpb.StoreEvent{Key: e.Key, Era: uint64(e.Era), Revision: uint64(e.Revision), Deleted: e.Deleted}
+		w.Value, w.Packed = c.compress(e)
+		out = append(out, w)
+	}
+	return out
+}
+
 // valueDecompressor reverses valueCompressor.compress for the values of one message.
 type valueDecompressor struct{ total int }
 
@@ -81,3 +92,18 @@
 	}
 	return out, err
 }
+
+func (d *valueDecompressor) eventsFromWire(events []*peerpb.StoreEvent) ([]mirror.Event, error) {
+	out := make([]mirror.Event, 0, len(events))
+	for _, w := range events {
+		e := mirror.Event{Key: w.GetKey(), Value: w.GetValue(), Era: mirror.Era(w.GetEra()), Revision: mirror.Revision(w.GetRevision()), Deleted: w.GetDeleted()}
+		if w.GetPacked() {
+			var err error
+			if e.Value, err = d.decompress(e.Value); err != nil {
+				return nil, err
+			}
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
--- a/io/peer/compress_test.go
+++ b/io/peer/compress_test.go
@@ -38,3 +38,14 @@
 	_, err = (&valueDecompressor{}).decompress([]byte("not zstd"))
 	assert.Assert(t, err != nil)
 }
+
+// After a restoration of the store a revision is given to another value.
+func TestCompressedValueOfAnotherEra(t *testing.T) {
+	c := &valueCompressor{}
+	old := bytes.Repeat([]byte("a"), minCompressBytes)
+	_, _ = c.compress(mirror.Event{Value: old, Era: 1, Revision: 7})
+	packed, _ := c.compress(mirror.Event{Value: bytes.Repeat([]byte("b"), minCompressBytes), Era: 2, Revision: 7})
+	got, err := (&valueDecompressor{}).decompress(packed)
+	assert.NilError(t, err)
+	assert.Assert(t, !bytes.Equal(got, old))
+}
--- a/io/peer/limits_test.go
+++ b/io/peer/limits_test.go
@@ -58,7 +58,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			addr, p := serveRPC(t, func(g *grpc.Server) { peerpb.RegisterMeshServer(g, e) })
-			err := p.Follow(t.Context(), addr, 0, time.Second, 10*time.Second, func(StoreChanges) bool { return false })
+			err := p.Follow(t.Context(), addr, mirror.Position{}, time.Second, 10*time.Second, func(StoreChanges) bool { return false })
 			var tooLarge *bounded.TooLargeError
 			assert.Assert(t, errors.As(err, &tooLarge), "%v", err)
 			assert.Equal(t, tooLarge.Part, bounded.PartMessage)
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -19,8 +19,12 @@
 type ExchangeMessage struct {
 	Records []gossip.Record
 	Blamed  []crashblame.Blame
-	// StoreRevision is the latest revision of the store that the sender knows.
-	StoreRevision mirror.Revision
+	// StorePosition is the latest position of the store that the sender knows.
+	StorePosition mirror.Position
+	// ConfigVersion is the version of the configuration in force at the sender.
+	ConfigVersion uint64
+	// Retained are states from before a restoration of the store that are still in force.
+	Retained []mirror.Event
 	// Declared holds the declared versions of weights that the sender knows.
 	Declared map[fleet.Model][]upgrade.Age
 	// Crashes and ProvenParts are the crashes before the first event of a response, and those
@@ -31,10 +35,11 @@
 
 // StoreChanges is a set of changes of the platform's store, sent by another daemon.
 type StoreChanges struct {
-	Events           []mirror.Event
-	Revision         mirror.Revision // revision up to which the sender's copy is complete
-	Age              time.Duration   // time since the sender's copy was known to be current
-	StoreUnavailable bool            // reports that the store is unavailable to the sender
+	mirror.Update
+	// Retained are states from before a restoration of the store that are still in force.
+	Retained         []mirror.Event
+	Age              time.Duration // time since the sender's copy was known to be current
+	StoreUnavailable bool          // reports that the store is unavailable to the sender
 }
 
 // TargetLoad is the load of a target as reported by its agent.
@@ -51,9 +56,9 @@
 // MeshHandler handles the calls of other daemons to an entry.
 type MeshHandler interface {
 	Exchange(m ExchangeMessage) ExchangeMessage
-	// Follow calls send with the known changes of the store after a revision. It calls
+	// Follow calls send with the known changes of the store after a position. It calls
 	// send again for new changes, or after maxInterval without any, until ctx ends.
-	Follow(ctx context.Context, after mirror.Revision, maxInterval time.Duration, send func(StoreChanges) error) error
+	Follow(ctx context.Context, after mirror.Position, maxInterval time.Duration, send func(StoreChanges) error) error
 }
 
 // LoadHandler handles the calls for the load of an agent's target.
@@ -77,19 +82,18 @@
 
 // Exchange implements peerpb.MeshServer.
 func (s *meshServer) Exchange(_ context.Context, p *peerpb.EntryRows) (*peerpb.EntryRows, error) {
-	return exchangeToWire(s.h.Exchange(exchangeFromWire(p))), nil
+	m, err := exchangeFromWire(p)
+	if err != nil {
+		return nil, err
+	}
+	return exchangeToWire(s.h.Exchange(m), &s.values), nil
 }
 
 // Follow implements peerpb.MeshServer.
 func (s *meshServer) Follow(p *peerpb.FollowRequest, st grpc.ServerStreamingServer[peerpb.StoreChanges]) error {
-	return s.h.Follow(st.Context(), mirror.Revision(p.GetAfter()), time.Duration(p.GetBeatMs())*time.Millisecond, func(changes StoreChanges) error {
-		out := &peerpb.StoreChanges{At: uint64(changes.Revision), AgeMs: uint64(changes.Age.Milliseconds()), Lost: changes.StoreUnavailable}
-		for _, e := range changes.Events {
-			w := &peerpb.StoreEvent{Key: e.Key, Revision: uint64(e.Revision), Deleted: e.Deleted}
-			w.Value, w.Packed = s.values.compress(e)
-			out.Events = append(out.Events, w)
-		}
-		return st.Send(out)
+	after := mirror.Position{Era: mirror.Era(p.GetEra()), Revision: mirror.Revision(p.GetAfter())}
+	return s.h.Follow(st.Context(), after, time.Duration(p.GetBeatMs())*time.Millisecond, func(changes StoreChanges) error {
+		return st.Send(changesToWire(changes, &s.values))
 	})
 }
 
@@ -110,8 +114,11 @@
 	})
 }
 
-func exchangeToWire(m ExchangeMessage) *peerpb.EntryRows {
-	out := &peerpb.EntryRows{StoreRevision: uint64(m.StoreRevision)}
+func exchangeToWire(m ExchangeMessage, values *valueCompressor) *peerpb.EntryRows {
+	out := &peerpb.EntryRows{
+		StoreEra: uint64(m.StorePosition.Era), StoreRevision: uint64(m.StorePosition.Revision),
+		ConfigVersion: m.ConfigVersion, Retained: values.eventsToWire(m.Retained),
+	}
 	for _, r := range m.Records {
 		out.Rows = append(out.Rows, &peerpb.EntryRow{
 			Instance: string(r.Instance), Incarnation: uint64(r.Incarnation), Sequence: r.Sequence, Region: string(r.Region),
@@ -139,8 +146,16 @@
 	return out
 }
 
-func exchangeFromWire(p *peerpb.EntryRows) ExchangeMessage {
-	m := ExchangeMessage{StoreRevision: mirror.Revision(p.GetStoreRevision())}
+func exchangeFromWire(p *peerpb.EntryRows) (ExchangeMessage, error) {
+	m := ExchangeMessage{
+		StorePosition: mirror.Position{Era: mirror.Era(p.GetStoreEra()), Revision: mirror.Revision(p.GetStoreRevision())},
+		ConfigVersion: p.GetConfigVersion(),
+	}
+	var values valueDecompressor
+	var err error
+	if m.Retained, err = values.eventsFromWire(p.GetRetained()); err != nil {
+		return m, err
+	}
 	for _, r := range p.GetRows() {
 		m.Records = append(m.Records, gossip.Record{
 			Instance: fleet.InstanceID(r.GetInstance()), Incarnation: fleet.Incarnation(r.GetIncarnation()), Sequence: r.GetSequence(),
@@ -166,7 +181,7 @@
 	for _, part := range p.GetProvenParts() {
 		m.ProvenParts = append(m.ProvenParts, crashblame.Proof{Part: fleet.Fingerprint(part.GetPart()), Age: millis(part.GetAgeMs())})
 	}
-	return m
+	return m, nil
 }
 
 // millis converts a number of milliseconds; one that no Duration can hold becomes the longest.
@@ -189,17 +204,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	r, err := peerpb.NewMeshClient(c).Exchange(ctx, exchangeToWire(m))
+	r, err := peerpb.NewMeshClient(c).Exchange(ctx, exchangeToWire(m, &p.values))
+	if err != nil {
+		return ExchangeMessage{}, wrapError(addr, err)
+	}
+	reply, err := exchangeFromWire(r)
 	if err != nil {
 		return ExchangeMessage{}, wrapError(addr, err)
 	}
-	return exchangeFromWire(r), nil
+	return reply, nil
 }
 
 // Follow calls onChanges for every message about the store from the entry at addr. It
 // returns when onChanges returns false, when the stream ends, or when no message arrives
 // for idleTimeout. The entry sends at least one message per maxInterval.
-func (p *Pool) Follow(ctx context.Context, addr string, after mirror.Revision, maxInterval, idleTimeout time.Duration, onChanges func(StoreChanges) bool) error {
+func (p *Pool) Follow(ctx context.Context, addr string, after mirror.Position, maxInterval, idleTimeout time.Duration, onChanges func(StoreChanges) bool) error {
 	c, err := p.conn(addr)
 	if err != nil {
 		return err
@@ -208,7 +227,9 @@
 	defer cancel()
 	idleTimer := time.AfterFunc(idleTimeout, cancel)
 	defer idleTimer.Stop()
-	st, err := peerpb.NewMeshClient(c).Follow(ctx, &peerpb.FollowRequest{After: uint64(after), BeatMs: uint32(maxInterval.Milliseconds())})
+	st, err := peerpb.NewMeshClient(c).Follow(ctx, &peerpb.FollowRequest{
+		Era: uint64(after.Era), After: uint64(after.Revision), BeatMs: uint32(maxInterval.Milliseconds()),
+	})
 	if err != nil {
 		return wrapError(addr, err)
 	}
@@ -217,16 +238,9 @@
 		if err != nil {
 			return wrapError(addr, err)
 		}
-		changes := StoreChanges{Revision: mirror.Revision(m.GetAt()), Age: time.Duration(m.GetAgeMs()) * time.Millisecond, StoreUnavailable: m.GetLost()}
-		var values valueDecompressor
-		for _, e := range m.GetEvents() {
-			value := e.GetValue()
-			if e.GetPacked() {
-				if value, err = values.decompress(value); err != nil {
-					return wrapError(addr, err)
-				}
-			}
-			changes.Events = append(changes.Events, mirror.Event{Key: e.GetKey(), Value: value, Revision: mirror.Revision(e.GetRevision()), Deleted: e.GetDeleted()})
+		changes, err := changesFromWire(m)
+		if err != nil {
+			return wrapError(addr, err)
 		}
 		idleTimer.Reset(idleTimeout)
 		if !onChanges(changes) {
@@ -235,6 +249,27 @@
 	}
 }
 
+func changesToWire(c StoreChanges, values *valueCompressor) *peerpb.StoreChanges {
+	return &peerpb.StoreChanges{
+		Events: values.eventsToWire(c.Events), Retained: values.eventsToWire(c.Retained),
+		Era: uint64(c.At.Era), At: uint64(c.At.Revision), EraBase: uint64(c.EraBase), Full: c.Full,
+		AgeMs: uint64(c.Age.Milliseconds()), Lost: c.StoreUnavailable,
+	}
+}
+
+func changesFromWire(m *peerpb.StoreChanges) (StoreChanges, error) {
+	out := StoreChanges{Age: time.Duration(m.GetAgeMs()) * time.Millisecond, StoreUnavailable: m.GetLost()}
+	out.At = mirror.Position{Era: mirror.Era(m.GetEra()), Revision: mirror.Revision(m.GetAt())}
+	out.EraBase, out.Full = mirror.Revision(m.GetEraBase()), m.GetFull()
+	var values valueDecompressor
+	var err error
+	if out.Events, err = values.eventsFromWire(m.GetEvents()); err != nil {
+		return out, err
+	}
+	out.Retained, err = values.eventsFromWire(m.GetRetained())
+	return out, err
+}
+
 // WatchLoad calls onLoad for every load report on the target of the agent at addr. The
 // agent sends a report at once when the target serves other weights or stops or resumes
 // accepting requests, else once per period.
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"amaranthturn/core/crashblame"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/gossip"
+	"amaranthturn/core/mirror"
 	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer/peerpb"
 )
@@ -18,16 +20,36 @@
 	m := ExchangeMessage{
 		Records:       []gossip.Record{{Instance: "e", Incarnation: 1, Sequence: 2, Region: "r", Zone: "z", Address: "a", CallerAddress: "c", Leaving: true}},
 		Blamed:        []crashblame.Blame{{Fingerprint: 7, Value: 0.5}},
-		StoreRevision: 9,
+		StorePosition: mirror.Position{Era: 2, Revision: 9},
+		ConfigVersion: 11,
+		Retained:      []mirror.Event{{Key: "k", Value: []byte("v"), Era: 1, Revision: 12}, {Key: "l", Value: bytes.Repeat([]byte("w"), minCompressBytes), Era: 1, Revision: 13}},
 		Crashes:       []crashblame.Report{{ID: 4, Parts: []fleet.Fingerprint{5, 6}, Age: 2 * time.Second}},
 		ProvenParts:   []crashblame.Proof{{Part: 5, Age: time.Second}},
 		Declared:      map[fleet.Model][]upgrade.Age{"m": {{Version: 2, Known: 3 * time.Second}, {Version: 3, Known: time.Second}}},
 	}
-	assert.DeepEqual(t, exchangeFromWire(exchangeToWire(m)), m)
+	got, err := exchangeFromWire(exchangeToWire(m, &valueCompressor{}))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, m)
 }
 
 // A number of milliseconds that overflows a Duration would turn into a recent age.
 func TestHugeAgeStaysHuge(t *testing.T) {
-	m := exchangeFromWire(&peerpb.EntryRows{Declared: []*peerpb.DeclaredVersion{{Model: "m", Version: 2, KnownMs: 1 << 63}}})
+	m, err := exchangeFromWire(&peerpb.EntryRows{Declared: []*peerpb.DeclaredVersion{{Model: "m", Version: 2, KnownMs: 1 << 63}}})
+	assert.NilError(t, err)
 	assert.Assert(t, m.Declared["m"][0].Known > upgrade.MaxAge)
 }
+
+// Store updates carry the era of each item, and of states from before a restoration.
+func TestStoreChangesKeepErasOnTheWire(t *testing.T) {
+	large := bytes.Repeat([]byte("w"), minCompressBytes)
+	want := StoreChanges{
+		Update: mirror.Update{
+			Events: []mirror.Event{{Key: "k", Value: large, Era: 2, Revision: 7}, {Key: "l", Value: []byte{}, Era: 1, Revision: 9, Deleted: true}},
+			At:     mirror.Position{Era: 2, Revision: 8}, EraBase: 6, Full: true,
+		},
+		Retained: []mirror.Event{{Key: "k", Value: []byte("old"), Era: 1, Revision: 12}}, Age: time.Second, StoreUnavailable: true,
+	}
+	got, err := changesFromWire(changesToWire(want, &valueCompressor{}))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+}
