Agents tell restarted entries of declarations that the restored store lacks

Callers could have seen: a response from weights that are older than the limit of a declared version allows, when all entries restart after a restoration and before the operator's declaration is written again. Cause: agents merge the ages of declarations that entries state, and their messages do not carry them back. Change: the agents' message holds them, as it holds reports of crashes. Before: TestDeclarationOutlivesRestartOfAllEntries: assertion failed: 0 (uint64) != 2 (uint64).

--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -110,8 +110,8 @@
 	followRetryDelay        = 200 * time.Millisecond
 )
 
-// entryExchanger retrieves the list of entries, and hands on to each what the others have
-// reported of crashes, so that this outlives a restart of all entries.
+// entryExchanger retrieves the list of entries, and hands on to each what this agent knows of
+// crashes, declarations and a restored store, so that this outlives a restart of all entries.
 type entryExchanger struct{ s *Sidecar }
 
 // Run implements daemon.Runner.
@@ -160,7 +160,10 @@
 // exchangeMessage returns the message to an entry. mu must be held.
 func (s *Sidecar) exchangeMessage() peer.ExchangeMessage {
 	now := s.now()
-	m := peer.ExchangeMessage{StorePosition: s.mirror.Position()}
+	m := peer.ExchangeMessage{StorePosition: s.mirror.Position(), Declared: map[fleet.Model][]upgrade.Age{}}
+	for model, d := range s.declared {
+		m.Declared[model] = d.Ages(upgrade.MaxAge, now)
+	}
 	if s.doc != nil {
 		m.ConfigVersion = s.doc.Version
 	}
--- a/app/sidecar/sidecar_test.go
+++ b/app/sidecar/sidecar_test.go
@@ -118,3 +118,18 @@
 	assert.Equal(t, restarted.Restriction(deadly, now), crashblame.Refuse)
 	assert.Equal(t, s.declarationsOf("m").Newest(), uint64(2))
 }
+
+// All entries restart while the store, restored from a copy, lacks a declaration. The agents
+// tell them of it and of its age.
+func TestDeclarationOutlivesRestartOfAllEntries(t *testing.T) {
+	c := clock.System{}
+	s := &Sidecar{
+		clock: c, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), parts: crashblame.NewPartLedger(),
+		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil),
+	}
+	s.mergeExchange(peer.ExchangeMessage{Declared: map[fleet.Model][]upgrade.Age{"m": {{Version: 2, Known: 3 * time.Second}}}})
+	var restarted upgrade.Declarations
+	now := c.Now()
+	restarted.Merge(s.exchangeMessage().Declared["m"], now)
+	assert.Equal(t, restarted.MinVersion(3*time.Second, now), uint64(2))
+}
