Targets that state that they leave or shed load get no requests (platform's path)

Change: platform/ decodes both from every answer to a request; core/notice keeps them by incarnation. A target that leaves is not chosen for first attempts, retries, resumed and waiting requests until it is reborn; entries exchange which ones leave, and agents keep that for entries that restart. A target that sheds gets nothing until the end that it names (5 minutes at most); its slots do not count as free. If all targets of a service shed for longer than a request can wait, it is refused at once with the earliest end as Retry-After, spread over 0.8 s. A malformed value counts as missing, with a log line and a counter.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return a.transportFailure(parent, err), false
 	}
+	h.g.recordNotices(t, h.call.ID, sent.Notices)
 	switch forward.Classify(sent.Reply) {
 	case forward.VerdictNoCapacity, forward.VerdictWrongTarget:
 		defer sent.Close()
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"amaranthturn/core/gossip"
 	"amaranthturn/core/loadbalance"
 	"amaranthturn/core/mirror"
+	"amaranthturn/core/notice"
 	"amaranthturn/core/retry"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routeconfig"
@@ -69,28 +70,30 @@
 	doc     atomic.Pointer[routeconfig.Document]
 	leaving atomic.Bool
 
-	mu               sync.Mutex // guards all fields below
-	seeds            []string
-	random           *rand.Rand
-	mirror           *mirror.Mirror
-	changed          chan struct{} // closed and replaced when the mirror changes
-	storeUnavailable bool
-	initialReadDone  bool // the complete store was read once
-	roster           *roster.Roster
-	entryList        *gossip.List
-	declared         map[fleet.Model]*declaredVersions
-	loads            map[fleet.InstanceID]peer.TargetLoad // last report of each target's agent
-	loadWatches      map[string]*loadWatch                // by address of the target
-	services         map[fleet.Service]*service
-	waiters          map[admit.RequestID]chan admit.Verdict
-	unstarted        map[*targetAttempt]struct{} // sent to a target, no response yet
-	nextID           admit.RequestID
-	budget           *retry.Budget
-	ledger           *crashblame.Ledger
-	parts            *crashblame.PartLedger
-	exchangeNow      chan struct{} // requests an exchange before its interval has passed
-	pauseDetector    *clock.PauseDetector
-	copyPauses       *clock.PauseDetector // pauses after which received data may be outdated
+	mu                 sync.Mutex // guards all fields below
+	seeds              []string
+	random             *rand.Rand
+	mirror             *mirror.Mirror
+	changed            chan struct{} // closed and replaced when the mirror changes
+	storeUnavailable   bool
+	initialReadDone    bool // the complete store was read once
+	roster             *roster.Roster
+	entryList          *gossip.List
+	declared           map[fleet.Model]*declaredVersions
+	loads              map[fleet.InstanceID]peer.TargetLoad // last report of each target's agent
+	loadWatches        map[string]*loadWatch                // by address of the target
+	services           map[fleet.Service]*service
+	waiters            map[admit.RequestID]chan admit.Verdict
+	unstarted          map[*targetAttempt]struct{} // sent to a target, no response yet
+	nextID             admit.RequestID
+	budget             *retry.Budget
+	ledger             *crashblame.Ledger
+	parts              *crashblame.PartLedger
+	notices            *notice.Ledger
+	noticesForgottenAt time.Time
+	exchangeNow        chan struct{} // requests an exchange before its interval has passed
+	pauseDetector      *clock.PauseDetector
+	copyPauses         *clock.PauseDetector // pauses after which received data may be outdated
 }
 
 // declaredVersions holds the versions of a model's weights that the operator has declared.
@@ -131,7 +134,7 @@
 		declared: map[fleet.Model]*declaredVersions{},
 		loads:    map[fleet.InstanceID]peer.TargetLoad{}, loadWatches: map[string]*loadWatch{},
 		services: map[fleet.Service]*service{}, waiters: map[admit.RequestID]chan admit.Verdict{}, unstarted: map[*targetAttempt]struct{}{},
-		ledger: crashblame.NewLedger(crashSettings), parts: crashblame.NewPartLedger(), exchangeNow: make(chan struct{}, 1),
+		ledger: crashblame.NewLedger(crashSettings), parts: crashblame.NewPartLedger(), notices: notice.NewLedger(), exchangeNow: make(chan struct{}, 1),
 		pauseDetector: clock.NewPauseDetector(pauseThreshold),
 		copyPauses:    clock.NewPauseDetector(copyPauseThreshold),
 	}
@@ -281,6 +284,10 @@
 		g.log.members.Info().Int("targets", len(expired)).Msg(trace.MessageTargetsExpired)
 		g.refreshBalancers(now)
 	}
+	if now.Sub(g.noticesForgottenAt) > noticeForgetInterval {
+		g.noticesForgottenAt = now
+		g.forgetNotices(now)
+	}
 	for _, d := range g.declared {
 		// Engines with older weights become ineligible by time alone, without an update.
 		if v := d.MinVersion(g.oldVersionServeTime(), now); v > d.appliedMinVersion {
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -163,7 +163,7 @@
 	crashes, proven := g.parts.Exchange(now)
 	return peer.ExchangeMessage{
 		Records: g.entryList.Records(now), Blamed: g.ledger.MostBlamed(maxBlamedRequests, now), StorePosition: g.mirror.Position(),
-		ConfigVersion: g.configVersion(), Declared: declared,
+		ConfigVersion: g.configVersion(), Declared: declared, Leaving: g.notices.Leaving(),
 		Crashes: crashes, ProvenParts: proven,
 	}
 }
@@ -171,6 +171,7 @@
 // mergeEntryUpdate merges a message from another entry. mu must be held.
 func (g *Gateway) mergeEntryUpdate(update peer.ExchangeMessage, now time.Time) {
 	g.recall(update.Retained)
+	g.mergeLeaving(update.Leaving, now)
 	g.entryList.Merge(update.Records, now)
 	g.ledger.Merge(update.Blamed, now)
 	if g.parts.Merge(update.Crashes, update.ProvenParts, now) {
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -162,6 +162,10 @@
 		g.mu.Unlock()
 		return fleet.NotRun(fleet.ReasonCrashesTargets, 0)
 	}
+	if refusal := h.refuseWhileShedding(g.service(h.serviceName), queueDeadline, now); refusal != nil {
+		g.mu.Unlock()
+		return refusal
+	}
 	g.nextID++
 	req.ID = g.nextID
 	g.budget.RecordRequest()
@@ -284,14 +288,18 @@
 		return dispatch.Failure{Kind: dispatch.KindRefused, Refusal: fleet.NotRun(fleet.ReasonCrashesTargets, 0)}, false
 	}
 	target, ok := h.chooseTarget(svc)
-	if ok {
-		svc.balancer.RecordStart(target.ID, h.call.PromptTokens)
-	}
-	g.mu.Unlock()
 	if !ok {
+		now := g.now()
+		refusal := h.refuseWhileShedding(svc, now, now)
+		g.mu.Unlock()
 		h.state.StartAttempt("")
+		if refusal != nil {
+			return dispatch.Failure{Kind: dispatch.KindRefused, Refusal: refusal}, false
+		}
 		return dispatch.Failure{Kind: dispatch.KindNoTarget}, false
 	}
+	svc.balancer.RecordStart(target.ID, h.call.PromptTokens)
+	g.mu.Unlock()
 	h.attempts++
 	h.target = target.ID
 	h.state.StartAttempt(target.ID)
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"amaranthturn/app/daemon"
@@ -346,7 +347,7 @@
 	byService := map[fleet.Service][]loadbalance.Target{}
 	position, entries := g.entryList.Position(now)
 	for _, svc := range doc.Services() {
-		targets := g.roster.Usable(svc.Name)
+		targets := slices.DeleteFunc(g.roster.Usable(svc.Name), func(t roster.Target) bool { return g.notices.IsLeaving(noticeTarget(t)) })
 		sameZone, index := 0, 0
 		for _, t := range targets {
 			if t.Zone == g.settings.Zone {
@@ -354,7 +355,7 @@
 			}
 		}
 		for _, t := range targets {
-			candidate := loadbalance.Target{ID: t.ID, Incarnation: t.Incarnation, Slots: max(1, t.Slots), SameZone: t.Zone == g.settings.Zone}
+			candidate := loadbalance.Target{ID: t.ID, Incarnation: t.Incarnation, Slots: max(1, t.Slots), SameZone: t.Zone == g.settings.Zone, NotBefore: g.notices.PausedUntil(noticeTarget(t))}
 			if svc.Engine != nil {
 				candidate.Closed = !g.canServe(t, now)
 				candidate.Home = candidate.SameZone && loadbalance.IsHome(position, entries, index, sameZone)
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -27,6 +27,7 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/gossip"
 	"amaranthturn/core/mirror"
+	"amaranthturn/core/notice"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routeconfig"
 	"amaranthturn/core/trace"
@@ -55,6 +56,7 @@
 	doc         *routeconfig.Document
 	declared    map[fleet.Model]*upgrade.Declarations
 	parts       *crashblame.PartLedger // kept for entries that restart
+	notices     *notice.Ledger         // kept for entries that restart
 	report      platform.Report
 	isEngineUp  bool                       // the last poll of the engine succeeded
 	loadChanged chan struct{}              // closed and replaced when the report changes
@@ -82,6 +84,7 @@
 		// The list holds entries. This process is not an entry and does not announce itself.
 		entryList: gossip.New(gossip.DefaultSettings, gossip.Record{Region: settings.Region}), declared: map[fleet.Model]*upgrade.Declarations{},
 		parts:       crashblame.NewPartLedger(),
+		notices:     notice.NewLedger(),
 		loadChanged: make(chan struct{}), weights: map[uint64]*versionWeights{}, uploads: peer.NewSlots(maxUploads),
 	}
 }
@@ -168,6 +171,7 @@
 		m.ConfigVersion = s.doc.Version
 	}
 	m.Crashes, m.ProvenParts = s.parts.Exchange(now)
+	m.Leaving = s.notices.Leaving()
 	return m
 }
 
@@ -175,6 +179,7 @@
 func (s *Sidecar) mergeExchange(m peer.ExchangeMessage) {
 	now := s.now()
 	s.handleChanges(s.mirror.Recall(m.Retained, now), false)
+	s.notices.Merge(m.Leaving, now)
 	s.entryList.Merge(m.Records, now)
 	for model, ages := range m.Declared {
 		s.declarationsOf(model).Merge(ages, now)
--- a/app/sidecar/sidecar_test.go
+++ b/app/sidecar/sidecar_test.go
@@ -16,6 +16,7 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/gossip"
 	"amaranthturn/core/mirror"
+	"amaranthturn/core/notice"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer"
@@ -101,7 +102,7 @@
 func TestCrashReportsOutliveRestartOfAllEntries(t *testing.T) {
 	s := &Sidecar{
 		clock: clock.System{}, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), parts: crashblame.NewPartLedger(),
-		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil),
+		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil), notices: notice.NewLedger(),
 	}
 	now := time.Now()
 	before, restarted := crashblame.NewPartLedger(), crashblame.NewPartLedger()
@@ -125,7 +126,7 @@
 	c := clock.System{}
 	s := &Sidecar{
 		clock: c, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), parts: crashblame.NewPartLedger(),
-		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil),
+		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil), notices: notice.NewLedger(),
 	}
 	s.mergeExchange(peer.ExchangeMessage{Declared: map[fleet.Model][]upgrade.Age{"m": {{Version: 2, Known: 3 * time.Second}}}})
 	var restarted upgrade.Declarations
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -206,7 +206,7 @@
 func canRetryElsewhere(r *fleet.Refusal) bool {
 	switch r.Reason {
 	case fleet.ReasonBadRequest, fleet.ReasonUnknownModel, fleet.ReasonUnknownService, fleet.ReasonDeadlinePassed,
-		fleet.ReasonCrashesTargets, fleet.ReasonNotRepeatable:
+		fleet.ReasonCrashesTargets, fleet.ReasonNotRepeatable, fleet.ReasonTargetsShed:
 		return false
 	}
 	return true
--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -24,6 +24,7 @@
 	ReasonVersionSwitching    Reason = "version_switching"
 	ReasonVersionUnavailable  Reason = "version_not_here"
 	ReasonTargetBusy          Reason = "target_busy"
+	ReasonTargetsShed         Reason = "targets_shed_load"
 	ReasonTargetLost          Reason = "target_lost"
 	ReasonEngineCrashed       Reason = "engine_died"
 	ReasonEngineFailed        Reason = "engine_failed"
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -77,6 +77,17 @@
 	Signed bool
 	// Version is the version of weights, 0 if the target did not state it.
 	Version uint64
+	Notices
+}
+
+// Notices are what a target states about itself in an answer.
+type Notices struct {
+	// Leaving reports that the target leaves.
+	Leaving bool
+	// Pause is how long the target wants no requests, 0 if it does not state it.
+	Pause time.Duration
+	// Malformed is the name of a header with an undefined value, which counts as missing.
+	Malformed string
 }
 
 // Responder sends the response to the caller.
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -26,6 +26,9 @@
 // least loaded target. Each entry therefore prefers its home targets, whose load it knows
 // best.
 //
+// A target that sheds load names the time in which it wants no requests. It gets none until
+// then, and its slots do not count as free.
+//
 // A target that fails fast looks idle and would attract all requests: each failure
 // excludes the target for a backoff that doubles.
 package loadbalance
@@ -91,6 +94,8 @@
 	Home bool
 	// Closed reports whether the target finishes its requests and accepts no new ones.
 	Closed bool
+	// NotBefore is the end of the time in which the target wants no requests.
+	NotBefore time.Time
 }
 
 // targetState is a target and its load as this entry knows it.
@@ -218,7 +223,23 @@
 func (b *Balancer) InFlight() int { return b.inFlight }
 
 func (b *Balancer) isAvailable(s *targetState, now time.Time) bool {
-	return !s.Closed && !now.Before(s.pausedUntil)
+	return !s.Closed && !now.Before(s.pausedUntil) && !now.Before(s.NotBefore)
+}
+
+// PausedUntil returns when the first target that is not closed wants requests again, if all
+// of them want none now.
+func (b *Balancer) PausedUntil(now time.Time) (time.Time, bool) {
+	var first time.Time
+	for _, s := range b.ordered {
+		switch {
+		case s.Closed:
+		case !now.Before(s.NotBefore):
+			return time.Time{}, false
+		case first.IsZero() || s.NotBefore.Before(first):
+			first = s.NotBefore
+		}
+	}
+	return first, !first.IsZero()
 }
 
 // Query holds the constraints of one selection.
--- a/core/loadbalance/loadbalance_test.go
+++ b/core/loadbalance/loadbalance_test.go
@@ -165,3 +165,24 @@
 		}
 	}
 }
+
+// All targets shed load: none is chosen, also not as the last resort, and the earliest end is
+// known. A target that is closed does not count.
+func TestSheddingTargetsGetNothing(t *testing.T) {
+	b := newTestBalancer(3, 16)
+	later := func(d time.Duration) time.Time { return t0.Add(d) }
+	b.SetTargets([]loadbalance.Target{
+		{ID: id(0), Slots: 16, NotBefore: later(2 * time.Second)}, {ID: id(1), Slots: 16, NotBefore: later(time.Second)}, {ID: id(2), Slots: 16, Closed: true},
+	})
+	_, ok := b.Choose(loadbalance.Query{AllowFull: true}, t0)
+	assert.Assert(t, !ok)
+	assert.Equal(t, b.FreeSlots(t0), 0)
+	until, ok := b.PausedUntil(t0)
+	assert.Assert(t, ok)
+	assert.Equal(t, until, later(time.Second))
+	got, ok := b.Choose(loadbalance.Query{}, until)
+	assert.Assert(t, ok)
+	assert.Equal(t, got, id(1))
+	_, ok = b.PausedUntil(until)
+	assert.Assert(t, !ok)
+}
--- /dev/null
+++ b/core/notice/notice.go
@@ -0,0 +1,144 @@
+// Package notice keeps what targets state about themselves in their answers: that they leave,
+// or that they want no requests for a time. app/gateway and app/sidecar use it.
+//
+// # Usage
+//
+//	l := notice.NewLedger()
+//	if l.RecordLeaving(target, now) { … do not choose the target again … }
+//	until := l.RecordPause(target, duration, now)
+//	if l.IsLeaving(target) || now.Before(l.PausedUntil(target)) { … choose another one … }
+//	l.Merge(received, now) // from another daemon
+//	out := l.Leaving()     // to another daemon
+//
+// # Load patterns
+//
+// A target leaves while the store is unavailable, or its record still says that it is ready:
+// its own answers are the only sign. A notice of leaving holds until the target starts again
+// under the same ID, and daemons exchange it. A target that sheds load names the time in which it wants
+// no requests; the newest answer counts, and it concerns the entry that received it only.
+package notice
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"amaranthturn/core/fleet"
+)
+
+// MaxPause is the longest pause that a target can ask for. A longer one, which is probably an
+// error, counts as this long.
+const MaxPause = 5 * time.Minute
+
+// maxTargets limits the targets whose notices are kept. Those that are oldest are dropped.
+const maxTargets = 16384
+
+// Target is one incarnation of a target.
+type Target struct {
+	ID          fleet.InstanceID
+	Incarnation fleet.Incarnation
+}
+
+type state struct {
+	leaving     bool
+	pausedUntil time.Time
+	recordedAt  time.Time
+}
+
+// Ledger keeps the notices. It is not safe for concurrent use.
+type Ledger struct {
+	targets map[Target]*state
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{targets: map[Target]*state{}} }
+
+// RecordLeaving records that a target leaves, and reports whether that was unknown.
+func (l *Ledger) RecordLeaving(t Target, now time.Time) bool {
+	s := l.record(t, now)
+	isNew := !s.leaving
+	s.leaving = true
+	return isNew
+}
+
+// RecordPause records for how long a target wants no requests, and returns the end of the
+// pause. The newest notice replaces an earlier one.
+func (l *Ledger) RecordPause(t Target, d time.Duration, now time.Time) time.Time {
+	s := l.record(t, now)
+	s.pausedUntil = now.Add(min(d, MaxPause))
+	return s.pausedUntil
+}
+
+func (l *Ledger) record(t Target, now time.Time) *state {
+	s, ok := l.targets[t]
+	if !ok {
+		s = &state{}
+		l.targets[t] = s
+	}
+	s.recordedAt = now
+	if len(l.targets) > maxTargets {
+		l.dropOldest()
+	}
+	return s
+}
+
+func (l *Ledger) dropOldest() {
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(l.targets)), func(a, b Target) int {
+		return l.targets[a].recordedAt.Compare(l.targets[b].recordedAt)
+	})
+	delete(l.targets, oldest)
+}
+
+// IsLeaving reports whether a target leaves.
+func (l *Ledger) IsLeaving(t Target) bool {
+	s, ok := l.targets[t]
+	return ok && s.leaving
+}
+
+// PausedUntil returns the end of a target's pause, or zero.
+func (l *Ledger) PausedUntil(t Target) time.Time {
+	if s, ok := l.targets[t]; ok {
+		return s.pausedUntil
+	}
+	return time.Time{}
+}
+
+// Leaving returns the targets that leave, to be sent to another daemon.
+func (l *Ledger) Leaving() []Target {
+	var out []Target
+	for t, s := range l.targets {
+		if s.leaving {
+			out = append(out, t)
+		}
+	}
+	slices.SortFunc(out, func(a, b Target) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return out
+}
+
+// Merge records the targets that leave as another daemon knows them, and returns those that
+// were unknown.
+func (l *Ledger) Merge(leaving []Target, now time.Time) []Target {
+	var out []Target
+	for _, t := range leaving {
+		if l.RecordLeaving(t, now) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// Forget drops the notices of targets that are not listed, after keepFor.
+func (l *Ledger) Forget(isListed func(Target) bool, now time.Time) {
+	for t, s := range l.targets {
+		if now.Sub(s.recordedAt) > keepFor && !isListed(t) {
+			delete(l.targets, t)
+		}
+	}
+}
+
+// keepFor is how long the notice of a target that is not listed is kept. Its record may come
+// back from a copy of the store, or from a daemon that was cut off.
+const keepFor = 10 * time.Minute
--- a/core/trace/messages.go
+++ b/core/trace/messages.go
@@ -11,6 +11,8 @@
 	MessageTarget              = "target"
 	MessageTargetChanged       = "target changed"
 	MessageTargetRemoved       = "entry of a target is gone"
+	MessageTargetLeaves        = "target leaves"
+	MessageTargetSheds         = "target sheds load"
 	MessageTargetsExpired      = "lapsed targets did not come back"
 	MessageWeightsTooOld       = "older weights may not answer any more"
 	MessageAgentDetached       = "agent detached"
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -11,6 +11,7 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/gossip"
 	"amaranthturn/core/mirror"
+	"amaranthturn/core/notice"
 	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer/peerpb"
 )
@@ -25,6 +26,8 @@
 	ConfigVersion uint64
 	// Retained are states from before a restoration of the store that are still in force.
 	Retained []mirror.Event
+	// Leaving are the targets that state that they leave.
+	Leaving []notice.Target
 	// Declared holds the declared versions of weights that the sender knows.
 	Declared map[fleet.Model][]upgrade.Age
 	// Crashes and ProvenParts are the crashes before the first event of a response, and those
@@ -133,6 +136,9 @@
 			out.Declared = append(out.Declared, &peerpb.DeclaredVersion{Model: string(m), Version: a.Version, KnownMs: uint64(a.Known.Milliseconds())})
 		}
 	}
+	for _, t := range m.Leaving {
+		out.Leaving = append(out.Leaving, &peerpb.LeavingTarget{Target: string(t.ID), Born: uint64(t.Incarnation)})
+	}
 	for _, r := range m.Crashes {
 		w := &peerpb.CrashReport{Id: uint64(r.ID), AgeMs: uint64(r.Age.Milliseconds())}
 		for _, part := range r.Parts {
@@ -151,6 +157,9 @@
 		StorePosition: mirror.Position{Era: mirror.Era(p.GetStoreEra()), Revision: mirror.Revision(p.GetStoreRevision())},
 		ConfigVersion: p.GetConfigVersion(),
 	}
+	for _, t := range p.GetLeaving() {
+		m.Leaving = append(m.Leaving, notice.Target{ID: fleet.InstanceID(t.GetTarget()), Incarnation: fleet.Incarnation(t.GetBorn())})
+	}
 	var values valueDecompressor
 	var err error
 	if m.Retained, err = values.eventsFromWire(p.GetRetained()); err != nil {
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -11,6 +11,7 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/gossip"
 	"amaranthturn/core/mirror"
+	"amaranthturn/core/notice"
 	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer/peerpb"
 )
@@ -22,6 +23,7 @@
 		Blamed:        []crashblame.Blame{{Fingerprint: 7, Value: 0.5}},
 		StorePosition: mirror.Position{Era: 2, Revision: 9},
 		ConfigVersion: 11,
+		Leaving:       []notice.Target{{ID: "t", Incarnation: 5}},
 		Retained:      []mirror.Event{{Key: "k", Value: []byte("v"), Era: 1, Revision: 12}, {Key: "l", Value: bytes.Repeat([]byte("w"), minCompressBytes), Era: 1, Revision: 13}},
 		Crashes:       []crashblame.Report{{ID: 4, Parts: []fleet.Fingerprint{5, 6}, Age: 2 * time.Second}},
 		ProvenParts:   []crashblame.Proof{{Part: 5, Age: time.Second}},
