platform, sidecar: a manifest without usable digests is no manifest

Seen: by test. A manifest without digests, from the origin or from another agent, was taken: there was nothing to fetch, so the version was complete at once, and the engine would have been told to load a version of which nothing is staged. Digests of another length or form were taken too; no chunk matches them, so the fetch never ends. There was no limit on their number but the size of the body. Cause: core/swarm checks this in OpenManifest, which serves the other platform; these two ways to a manifest had no check. The caller tries the other source and then again, as for any manifest that cannot be fetched. Not covered: a digest with a wrong digit is a digest; nothing that the system may read tells it from the right one. Before: TestUnusableManifest: no_digests, empty, null, empty_digest, short_digest, long_digest, null_digest and too_many: "err is nil". TestUnusableManifestFromAgent, against the former decoding in the new function: the cases without digests, with odd ones, sizes out of range and too many: "err is nil". After: both pass.

--- a/app/sidecar/manifest.go
+++ b/app/sidecar/manifest.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
@@ -65,15 +66,11 @@
 			if err != nil {
 				continue // the next one may have it
 			}
-			var decoded wireManifest
-			if err := json.Unmarshal(body, &decoded); err != nil {
+			manifest, err := decodeManifest(m, version, body)
+			if err != nil {
 				s.log.weights.Warn().Err(err).Msg("invalid manifest from another agent")
 				continue
 			}
-			manifest := &swarm.Manifest{Version: versionName(m, version), Model: m}
-			for _, d := range decoded.Digests {
-				manifest.Chunks = append(manifest.Chunks, swarm.Chunk{Digest: fleet.Digest(d), Size: fleet.Bytes(decoded.Bytes)})
-			}
 			return manifest
 		}
 		daemon.Sleep(ctx, planInterval)
@@ -81,6 +78,30 @@
 	return nil
 }
 
+// decodeManifest decodes a manifest from another agent. It returns a *swarm.BadManifestError for
+// one that is not usable.
+func decodeManifest(m fleet.Model, version uint64, body []byte) (*swarm.Manifest, error) {
+	manifest := &swarm.Manifest{Version: versionName(m, version), Model: m}
+	var decoded wireManifest
+	if err := json.Unmarshal(body, &decoded); err != nil {
+		return nil, &swarm.BadManifestError{Version: manifest.Version, Text: err.Error()}
+	}
+	if n := len(decoded.Digests); n == 0 || n > swarm.MaxChunks {
+		return nil, &swarm.BadManifestError{Version: manifest.Version, Text: fmt.Sprintf("%d chunks", n)}
+	}
+	// A size of 0 is not known.
+	if decoded.Bytes < 0 || decoded.Bytes > swarm.MaxChunkBytes {
+		return nil, &swarm.BadManifestError{Version: manifest.Version, Text: "chunk size out of range"}
+	}
+	for i, d := range decoded.Digests {
+		if !fleet.Version(d).Valid() {
+			return nil, &swarm.BadManifestError{Version: manifest.Version, Text: fmt.Sprintf("chunk %d has an invalid digest", i)}
+		}
+		manifest.Chunks = append(manifest.Chunks, swarm.Chunk{Digest: fleet.Digest(d), Size: fleet.Bytes(decoded.Bytes)})
+	}
+	return manifest, nil
+}
+
 func newManifest(m fleet.Model, version uint64, digests [][]byte, chunkBytes fleet.Bytes) *swarm.Manifest {
 	manifest := &swarm.Manifest{Version: versionName(m, version), Model: m}
 	for _, digest := range digests {
