io/peer: times that no Duration can hold do not become negative

Seen: by test. An age of 2^63-1 ms from another daemon became -1 ms: an agent that had not been heard of for ever counted as heard of in the future. Each negative age but -1 counted as a heartbeat just received. A Retry-After below 0 stayed below 0. Cause: the number was multiplied by a millisecond without a check. io/peer/mesh.go has millis for this, which these conversions did not use. Change: nonNegativeMillis; a negative age is no heartbeat. Before: TestOddTimesOfPeers: "-1ms != 2562047h47m16.854775807s"; FuzzPeer/seed#8: "r == nil || r.RetryAfter >= 0" is false. After: both pass. FuzzPeer: go test ./io/peer -run '^$' -fuzz '^FuzzPeer$' -fuzztime 60s -parallel 2: 28,230 executions, 98 new inputs, none failed.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -283,7 +283,7 @@
 	}
 	out := SyncMessage{
 		Revision: fleet.Revision(r.GetRevision()), Digest: fleet.Digest(r.GetDigest()),
-		PlatformAge: time.Duration(r.GetPlatformAgeMs()) * time.Millisecond, Blamed: suspectsFromWire(r.GetSuspects()),
+		PlatformAge: nonNegativeMillis(r.GetPlatformAgeMs()), Blamed: suspectsFromWire(r.GetSuspects()),
 	}
 	if d := r.GetDocument(); d != nil {
 		u := updateFromWire(d)
@@ -295,7 +295,7 @@
 func syncFromWire(p *peerpb.SyncRequest) SyncMessage {
 	return SyncMessage{
 		Instance: fleet.InstanceID(p.GetInstance()), Revision: fleet.Revision(p.GetRevision()), Digest: fleet.Digest(p.GetDigest()),
-		PlatformAge: time.Duration(p.GetPlatformAgeMs()) * time.Millisecond, Blamed: suspectsFromWire(p.GetSuspects()),
+		PlatformAge: nonNegativeMillis(p.GetPlatformAgeMs()), Blamed: suspectsFromWire(p.GetSuspects()),
 	}
 }
 
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -185,9 +185,9 @@
 		},
 		Incarnation:  fleet.Incarnation(p.GetIncarnation()),
 		Models:       modelsFromWire(p.GetModels()),
-		HasHeartbeat: p.GetAgeMs() != noHeartbeat,
+		HasHeartbeat: p.GetAgeMs() >= 0,
 		LeaseExpired: p.GetLost(),
-		Age:          time.Duration(max(0, p.GetAgeMs())) * time.Millisecond,
+		Age:          nonNegativeMillis(p.GetAgeMs()),
 	}
 }
 
@@ -236,7 +236,7 @@
 	}
 	return &fleet.Refusal{
 		Outcome: fleet.Outcome(p.GetOutcome()), Reason: fleet.Reason(p.GetReason()),
-		RetryAfter: time.Duration(p.GetRetryAfterMs()) * time.Millisecond,
+		RetryAfter: nonNegativeMillis(p.GetRetryAfterMs()),
 	}
 }
 
@@ -331,13 +331,13 @@
 	}
 	for _, m := range p.GetMembers() {
 		f.Members = append(f.Members, FleetMember{
-			Report: reportFromWire(m.GetReport()), Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
+			Report: reportFromWire(m.GetReport()), Age: nonNegativeMillis(m.GetAgeMs()),
 		})
 	}
 	for _, e := range p.GetEntries() {
 		f.Entries = append(f.Entries, EntryState{
 			Instance: fleet.InstanceID(e.GetInstance()), Address: e.GetAddress(), Revision: fleet.Revision(e.GetRevision()),
-			Age: time.Duration(e.GetAgeMs()) * time.Millisecond, Problem: e.GetProblem(),
+			Age: nonNegativeMillis(e.GetAgeMs()), Problem: e.GetProblem(),
 		})
 	}
 	return f
@@ -371,6 +371,10 @@
 	return b
 }
 
+// nonNegativeMillis converts a number of milliseconds. A negative one becomes 0, and one that no
+// Duration can hold becomes the longest.
+func nonNegativeMillis(ms int64) time.Duration { return millis(uint64(max(0, ms))) }
+
 func unixMillis(t time.Time) int64 {
 	if t.IsZero() {
 		return 0
