--- a/io/peer/odd_messages_test.go
+++ b/io/peer/odd_messages_test.go
@@ -56,47 +56,58 @@
 		f.Add(body)
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
-		decode := func(m proto.Message) bool { return proto.Unmarshal(body, m) == nil }
-		if m := (&peerpb.AgentReport{}); decode(m) {
-			assertLoad(t, reportFromWire(m).Load)
-			assertLoad(t, applyBrief(membership.Report{}, m).Load)
-		}
-		if m := (&peerpb.AgentNotice{}); decode(m) {
-			for _, member := range noticeFromWire(m).Members {
-				assert.Assert(t, member.Age >= 0)
-				assert.Assert(t, member.HasHeartbeat || member.Age == 0)
-			}
-		}
-		if m := (&peerpb.GenerateRequest{}); decode(m) {
-			_ = generateFromWire(m)
-		}
-		if m := (&peerpb.GenerateEvent{}); decode(m) {
-			assertRefusal(t, eventFromWire(m).Refusal)
-		}
-		if m := (&peerpb.CallRequest{}); decode(m) {
-			_ = callFromWire(m)
-		}
-		if m := (&peerpb.CallReply{}); decode(m) {
-			assertRefusal(t, replyFromWire(m).Refusal)
-		}
-		if m := (&peerpb.Document{}); decode(m) {
-			u := updateFromWire(m)
-			assert.Assert(t, u.Delta.Prefix >= 0 && u.Delta.Suffix >= 0)
-		}
-		if m := (&peerpb.FleetReply{}); decode(m) {
-			for _, member := range fleetFromWire(m).Members {
-				assert.Assert(t, member.Age >= 0)
-			}
+		convertStatus(t, body)
+		convertRequests(t, body)
+	})
+}
+
+// convertStatus converts body as the messages on the state of daemons.
+func convertStatus(t *testing.T, body []byte) {
+	decode := func(m proto.Message) bool { return proto.Unmarshal(body, m) == nil }
+	if m := (&peerpb.AgentReport{}); decode(m) {
+		assertLoad(t, reportFromWire(m).Load)
+		assertLoad(t, applyBrief(membership.Report{}, m).Load)
+	}
+	if m := (&peerpb.AgentNotice{}); decode(m) {
+		for _, member := range noticeFromWire(m).Members {
+			assert.Assert(t, member.Age >= 0)
+			assert.Assert(t, member.HasHeartbeat || member.Age == 0)
 		}
-		if m := (&peerpb.ChunksHeld{}); decode(m) {
-			for _, c := range chunksHeldFromWire(m).Added {
-				assert.Assert(t, c >= 0)
-			}
+	}
+	if m := (&peerpb.FleetReply{}); decode(m) {
+		for _, member := range fleetFromWire(m).Members {
+			assert.Assert(t, member.Age >= 0)
 		}
-		if m := (&peerpb.EntryRows{}); decode(m) {
-			assertExchange(t, exchangeFromWire(m))
+	}
+	if m := (&peerpb.ChunksHeld{}); decode(m) {
+		for _, c := range chunksHeldFromWire(m).Added {
+			assert.Assert(t, c >= 0)
 		}
-	})
+	}
+	if m := (&peerpb.EntryRows{}); decode(m) {
+		assertExchange(t, exchangeFromWire(m))
+	}
+}
+
+// convertRequests converts body as the messages of requests and configurations.
+func convertRequests(t *testing.T, body []byte) {
+	decode := func(m proto.Message) bool { return proto.Unmarshal(body, m) == nil }
+	if m := (&peerpb.GenerateRequest{}); decode(m) {
+		_ = generateFromWire(m)
+	}
+	if m := (&peerpb.GenerateEvent{}); decode(m) {
+		assertRefusal(t, eventFromWire(m).Refusal)
+	}
+	if m := (&peerpb.CallRequest{}); decode(m) {
+		_ = callFromWire(m)
+	}
+	if m := (&peerpb.CallReply{}); decode(m) {
+		assertRefusal(t, replyFromWire(m).Refusal)
+	}
+	if m := (&peerpb.Document{}); decode(m) {
+		u := updateFromWire(m)
+		assert.Assert(t, u.Delta.Prefix >= 0 && u.Delta.Suffix >= 0)
+	}
 }
 
 func assertLoad(t *testing.T, l membership.Load) {
