A record that becomes unusable is not taken for an expired one

What callers could see: requests still go to a target whose record another writer has made unusable within 2.2 s after the store was out of reach. Cause: an undecodable item was reported as a removed target, and a removal at that time counts as an expired record that comes back. Change: Decode names such a target apart; the roster drops it at once. Entries count unusable items as agents do, and log the removal.

--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -238,6 +238,7 @@
 	for _, e := range events {
 		c, err := platform.Decode(e)
 		if err != nil {
+			g.metrics.Count("unusable_entries", 1)
 			g.log.members.Warn().Err(err).Uint64("revision", uint64(e.Revision)).Msg("store item is invalid")
 		}
 		switch {
@@ -261,6 +262,11 @@
 		case c.Target != nil:
 			g.updateTarget(*c.Target)
 			needsRefresh = true
+		case c.UnusableTarget != "":
+			if g.roster.Drop(c.UnusableTarget) {
+				g.log.members.Info().Str("target", string(c.UnusableTarget)).Bool("at_once", true).Msg(trace.MessageTargetRemoved)
+				needsRefresh = true
+			}
 		case c.RemovedTarget != "":
 			g.log.members.Info().Str("target", string(c.RemovedTarget)).Bool("at_once", g.roster.Remove(c.RemovedTarget, now)).Msg(trace.MessageTargetRemoved)
 			needsRefresh = true
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -304,6 +304,8 @@
 			}
 		case c.Target != nil:
 			s.roster.Update(*c.Target)
+		case c.UnusableTarget != "":
+			s.roster.Drop(c.UnusableTarget)
 		case c.RemovedTarget != "":
 			s.roster.Remove(c.RemovedTarget, now)
 		}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -151,6 +151,17 @@
 	return true
 }
 
+// Drop removes a target whose record is there but names no target, and reports whether it was in
+// the view. Unlike a missing record, it cannot have expired.
+func (r *Roster) Drop(id fleet.InstanceID) bool {
+	if _, ok := r.records[id]; !ok {
+		return false
+	}
+	r.version++
+	delete(r.records, id)
+	return true
+}
+
 // mayHaveExpired reports whether a missing record may have expired because the target could
 // not renew it.
 func (r *Roster) mayHaveExpired(now time.Time) bool {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -64,3 +64,13 @@
 	assert.Equal(t, len(list), 1)
 	assert.Equal(t, list[0].ID, fleet.InstanceID("after"))
 }
+
+// A record that becomes unusable while the store is unavailable has not expired.
+func TestUnusableRecordIsNotTakenForAnExpiredOne(t *testing.T) {
+	r := roster.New(roster.DefaultSettings)
+	r.Update(roster.Target{ID: "a", Service: "s", Address: "x:1", State: roster.StateReady})
+	r.StoreUnavailable()
+	assert.Assert(t, r.Drop("a"))
+	assert.Equal(t, len(r.Usable("s")), 0)
+	assert.Assert(t, !r.Drop("a"))
+}
