A response that names no request proves nothing on a kept connection

Seen: "not run, try again" for requests that a target was running (REFUSED), requests that ran at two targets (TWICE), and a 404 that belonged to another request.

Cause: any status from 400 on without an ID was taken for the answer to the current request, on a kept connection too. A target that repeats an earlier refusal there, without its ID, refuses a request that it is running.

Change: a response without an ID belongs to the request only as the first one on a connection. It is not skipped, since a target that doesn't echo IDs in some of its refusals would let the request wait until its deadline. A connection with such a first response isn't kept, so such a target is still understood.

Ruled out: a repeated refusal with the earlier ID was skipped before (the case passes before and after). Orders passed before too: they use new connections.

--- a/io/target/limits_test.go
+++ b/io/target/limits_test.go
@@ -188,7 +188,7 @@
 		var held []*target.Response
 		for i := range 3 {
 			resp, err := p.Do(t.Context(), start(t, []string{large}).l.Addr().String(), &target.Request{
-				Method: "GET", URI: "/", Host: "h", Header: http.Header{}, Matches: func(int, http.Header) bool { return true },
+				Method: "GET", URI: "/", Host: "h", Header: http.Header{}, Match: func(int, http.Header) target.Match { return target.MatchRequest },
 			})
 			assert.NilError(t, err)
 			held = append(held, resp)
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -19,6 +19,13 @@
 //
 // *NotSentError means that no byte reached the target, *NoResponseError that the request may
 // have run.
+//
+// # Responses without identification
+//
+// Only the first response on a connection can belong to no other request than the one sent
+// there. A later one that nothing identifies may repeat an earlier response, so it is neither
+// taken for the request's nor skipped as another's: the connection is closed and the outcome
+// of the request is unknown.
 package target
 
 import (
@@ -80,10 +87,22 @@
 	Body   []byte
 	// NewConnection requires a new connection, for requests that must not be repeated.
 	NewConnection bool
-	// Matches reports whether a response with this status and header belongs to the request.
-	Matches func(status int, h http.Header) bool
+	// Match tells to which request a response with this status and header belongs.
+	Match func(status int, h http.Header) Match
 }
 
+//go:generate stringer -type=Match -output=target_string.go -linecomment
+
+// Match is what a response says about the request that it belongs to.
+type Match int
+
+// The matches.
+const (
+	MatchRequest      Match = iota // request
+	MatchOther                     // other
+	MatchUnidentified              // unidentified
+)
+
 // NotSentError reports that no byte reached the target.
 type NotSentError struct {
 	Address string
@@ -110,6 +129,9 @@
 // Unwrap returns the cause.
 func (e *NoResponseError) Unwrap() error { return e.Cause }
 
+// ErrUnidentified reports a response on a reused connection that does not name its request.
+var ErrUnidentified = errors.New("response on a reused connection does not name its request")
+
 var errStaleResponses = errors.New("too many responses to other requests")
 
 // Limits of the bodies that ReadBody holds in memory.
@@ -137,6 +159,7 @@
 	rd          *bufio.Reader
 	head        *bounded.Reader // the current response's header; nil while a body is read
 	addr        string
+	responses   int           // final responses read so far
 	idleSince   time.Time     // start of the current idle period
 	idleTimeout time.Duration // maximum idle period
 }
@@ -172,6 +195,7 @@
 	stop         func() bool
 	written      chan error
 	bodyComplete bool
+	identified   bool  // the response names its request
 	held         int64 // bytes of the body that count towards the pool's maximum
 }
 
@@ -239,7 +263,12 @@
 		if httpResp.StatusCode/100 == 1 {
 			continue
 		}
-		if !r.Matches(httpResp.StatusCode, httpResp.Header) {
+		match := r.Match(httpResp.StatusCode, httpResp.Header)
+		resp.conn.responses++
+		if match == MatchUnidentified && resp.conn.responses > 1 {
+			return ErrUnidentified
+		}
+		if match == MatchOther {
 			body := &bounded.Reader{R: httpResp.Body, Part: bounded.PartBody, Limit: maxStaleBodyBytes}
 			if _, err := io.Copy(io.Discard, body); err != nil || httpResp.Close {
 				return errors.Join(errStaleResponses, err)
@@ -248,6 +277,7 @@
 		}
 		resp.httpResp, resp.Status, resp.Header, resp.Length = httpResp, httpResp.StatusCode, httpResp.Header, httpResp.ContentLength
 		resp.Body = &bodyReader{resp: resp}
+		resp.identified = match == MatchRequest
 		return nil
 	}
 	return errStaleResponses
@@ -308,8 +338,8 @@
 	return resp.Length >= 0 || len(resp.httpResp.TransferEncoding) > 0
 }
 
-// Close returns the connection to the pool if the response was read completely and nothing
-// follows it, and closes the connection otherwise.
+// Close returns the connection to the pool if the response was read completely, names its
+// request and nothing follows it, and closes the connection otherwise.
 func (resp *Response) Close() {
 	resp.pool.held.Add(-resp.held)
 	resp.held = 0
@@ -320,7 +350,7 @@
 		sent = err == nil
 	default:
 	}
-	if !stopped || !sent || !resp.bodyComplete || !resp.Framed() || resp.httpResp.Close || resp.conn.rd.Buffered() > 0 {
+	if !stopped || !sent || !resp.isComplete() {
 		_ = resp.conn.Close() // remaining bytes belong to no request
 		return
 	}
@@ -328,6 +358,12 @@
 	resp.pool.put(resp.conn)
 }
 
+// isComplete reports whether the response was read to its end and the next bytes on its
+// connection can be told from it.
+func (resp *Response) isComplete() bool {
+	return resp.bodyComplete && resp.identified && resp.Framed() && !resp.httpResp.Close && resp.conn.rd.Buffered() == 0
+}
+
 // idleTimeoutOf returns how long an idle connection may be kept according to the target's
 // Keep-Alive header.
 func idleTimeoutOf(h http.Header) time.Duration {
--- a/io/target/target_test.go
+++ b/io/target/target_test.go
@@ -61,7 +61,7 @@
 	defer cancel()
 	resp, err := p.Do(ctx, addr, &target.Request{
 		Method: "POST", URI: "/a%2Fb?q=1", Host: "h", Header: http.Header{}, Body: []byte("body"),
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Match: func(_ int, h http.Header) target.Match { return matchOf(id, h) },
 	})
 	if err != nil {
 		return "", err
@@ -71,6 +71,16 @@
 	return string(body), err
 }
 
+func matchOf(id string, h http.Header) target.Match {
+	switch h.Get("Id") {
+	case id:
+		return target.MatchRequest
+	case "":
+		return target.MatchUnidentified
+	}
+	return target.MatchOther
+}
+
 func TestConnectionIsReused(t *testing.T) {
 	s := start(t, []string{okResponse, strings.Replace(okResponse, "Id: 1", "Id: 2", 1)})
 	p := target.NewPool()
@@ -95,6 +105,37 @@
 	assert.Equal(t, body, "ok")
 }
 
+// A response that doesn't name its request is accepted as the first of a connection, which is
+// not used again. Later it proves nothing, not even that the request has not run.
+func TestUnidentifiedResponse(t *testing.T) {
+	none := strings.Replace(okResponse, "Id: 1\r\n", "", 1)
+	second := strings.Replace(okResponse, "Id: 1", "Id: 2", 1)
+	s := start(t, []string{none}, []string{okResponse, none + second}, []string{second})
+	p := target.NewPool()
+	for range 2 {
+		body, err := do(t, p, s.l.Addr().String(), "1")
+		assert.NilError(t, err)
+		assert.Equal(t, body, "ok")
+	}
+	assert.Equal(t, s.conns, 2)
+	_, err := do(t, p, s.l.Addr().String(), "2")
+	var noResponse *target.NoResponseError
+	assert.Assert(t, errors.As(err, &noResponse), "%v", err)
+	body, err := do(t, p, s.l.Addr().String(), "2")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+	assert.Equal(t, s.conns, 3)
+}
+
+// After a response to another request, one that names none may belong to either.
+func TestUnidentifiedResponseAfterAnother(t *testing.T) {
+	none := strings.Replace(okResponse, "Id: 1\r\n", "", 1)
+	s := start(t, []string{okResponse + none})
+	_, err := do(t, target.NewPool(), s.l.Addr().String(), "2")
+	var noResponse *target.NoResponseError
+	assert.Assert(t, errors.As(err, &noResponse), "%v", err)
+}
+
 // Bytes after a complete response belong to no request, so the connection must not be reused.
 func TestConnectionWithExtraBytesIsClosed(t *testing.T) {
 	s := start(t, []string{okResponse + "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nbad"}, []string{strings.Replace(okResponse, "Id: 1", "Id: 2", 1)})
