--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -106,6 +106,7 @@
 	refusals   int
 	mayHaveRun bool
 	target     fleet.InstanceID
+	tried      []fleet.InstanceID // the targets of earlier attempts
 	avoid      []fleet.InstanceID
 }
 
@@ -183,6 +184,9 @@
 		r.avoid = nil
 		return
 	}
+	if !slices.Contains(r.tried, r.target) {
+		r.tried = append(r.tried, r.target)
+	}
 	if !slices.Contains(r.avoid, r.target) {
 		r.avoid = append(r.avoid, r.target)
 	}
@@ -239,6 +243,9 @@
 // Sent returns how many tokens were sent to the caller.
 func (r *Request) Sent() int { return r.sent }
 
+// IsRepeated reports whether an earlier attempt was made on the current attempt's target.
+func (r *Request) IsRepeated() bool { return slices.Contains(r.tried, r.target) }
+
 // Avoid returns the targets that failed this request. The list is cleared each time no
 // other target is left.
 func (r *Request) Avoid() []fleet.InstanceID { return r.avoid }
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -77,3 +77,19 @@
 	assert.Assert(t, !step.Retry)
 	assert.Equal(t, step.Refusal.Outcome, fleet.OutcomeUnknown)
 }
+
+// TestRepeatedTargetIsKnown checks that a second attempt on a target is recognized after the
+// list of targets to avoid was cleared.
+func TestRepeatedTargetIsKnown(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	r := dispatch.NewRequest(dispatch.DefaultSettings, now.Add(time.Minute))
+	for _, c := range []struct {
+		target   fleet.InstanceID
+		kind     dispatch.Kind
+		repeated bool
+	}{{"a", dispatch.KindLost, false}, {"b", dispatch.KindNotSent, false}, {"", dispatch.KindNoTarget, false}, {"a", dispatch.KindLost, true}} {
+		r.StartAttempt(c.target)
+		assert.Equal(t, r.IsRepeated(), c.repeated, "%s", c.target)
+		_ = r.Failed(dispatch.Failure{Kind: c.kind}, func() bool { return true }, 0, now)
+	}
+}
