Only a success like the first one continues a stream

An empty 404, 304 or 204 ends the stream as if it were complete; a 206, or a text that looks like the next event, is sent on as events.

Cause: the reply of each attempt was classified by itself. A status that passes was written as a complete response, into the body of the one that the caller was receiving, and the request counted as complete.

Change: once the caller has a header, a reply that passes must be signed and have the status and the media type of the one that began the stream. Anything else fails the attempt: the stream goes on at another target if the limits allow it, or its connection ends without the final chunk. Before the first event, an error of the next target is still forwarded as a complete response of its own.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -71,6 +71,12 @@
 		a.result = loadbalance.ResultFailed
 		return a.targetFailure(parent, sent), false
 	}
+	if !h.stream.IsContinuedBy(sent.Reply) {
+		sent.Close()
+		h.g.metrics.Count("streams_not_continued", 1)
+		a.result = loadbalance.ResultFailed
+		return dispatch.Failure{Kind: dispatch.KindInvalidResponse}, false
+	}
 	if streaming && sent.Status/100 == 2 {
 		defer sent.Close()
 		a.headerReceived = true
@@ -145,6 +151,7 @@
 		}
 		if !h.responseStarted {
 			h.responseStarted = true
+			h.stream.Begin(sent.Reply)
 			h.out.WriteHeader(sent.Status, sent.Header)
 		}
 		a.recordResponseStart()
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -68,3 +68,25 @@
 	assert.Assert(t, s.Accept("13"))
 	assert.Equal(t, s.LastEventID(), "13")
 }
+
+// TestOnlyTheSameKindOfSuccessContinuesAStream checks which replies may continue a stream that
+// the caller has the header of.
+func TestOnlyTheSameKindOfSuccessContinuesAStream(t *testing.T) {
+	reply := func(status int, signed bool, contentType ...string) forward.Reply {
+		return forward.Reply{Status: status, Signed: signed, Header: map[string][]string{"Content-Type": contentType}}
+	}
+	const events = "text/event-stream"
+	s := forward.NewStream("")
+	assert.Assert(t, s.IsContinuedBy(reply(404, true, "text/plain")), "nothing was sent yet")
+	s.Begin(reply(200, true, events))
+	assert.Assert(t, s.IsContinuedBy(reply(200, true, events+"; charset=utf-8")))
+	for _, r := range []forward.Reply{
+		reply(200, false, events), reply(200, true), reply(200, true, "text/plain"), reply(206, true, events), reply(204, true), reply(404, true, events),
+	} {
+		assert.Assert(t, !s.IsContinuedBy(r), "%+v", r)
+	}
+	s = forward.NewStream("")
+	s.Begin(reply(200, true))
+	assert.Assert(t, s.IsContinuedBy(reply(200, true)))
+	assert.Assert(t, !s.IsContinuedBy(reply(200, true, events)))
+}
--- a/core/forward/stream.go
+++ b/core/forward/stream.go
@@ -1,13 +1,20 @@
 package forward
 
-import "strconv"
+import (
+	"mime"
+	"net/http"
+	"strconv"
+)
 
-// Stream tracks the event IDs of one streamed response across the targets that produce it.
+// Stream tracks one streamed response across the targets that produce it.
 type Stream struct {
 	lastNumber int64
 	lastID     string
 	hasLast    bool
 	version    uint64
+	begun      bool   // the caller has the header
+	status     int    // of the header that the caller has
+	mediaType  string // of the header that the caller has
 }
 
 // NewStream returns a stream that continues after the event with ID after, or a new one
@@ -31,6 +38,22 @@
 	return true
 }
 
+// Begin records the reply whose header is sent to the caller.
+func (s *Stream) Begin(r Reply) { s.begun, s.status, s.mediaType = true, r.Status, mediaType(r.Header) }
+
+// IsContinuedBy reports whether events of a reply may be sent to the caller. Once the stream has
+// begun, a reply must be a success like the one that began it. Anything else, such as an error,
+// has no place in the stream.
+func (s *Stream) IsContinuedBy(r Reply) bool {
+	return !s.begun || r.Signed && r.Status == s.status && mediaType(r.Header) == s.mediaType
+}
+
+// mediaType returns the media type of a body, empty if it is missing or malformed.
+func mediaType(h http.Header) string {
+	t, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
+	return t
+}
+
 // LastEventID returns the ID of the event after which another target continues, empty before
 // the first event.
 func (s *Stream) LastEventID() string { return s.lastID }
