A stream is complete only after an event of its last target

Seen: a stream breaks off after two of six events, the next target answers with an empty stream that has a length or chunks, and the caller receives the final chunk: ORDER. Found with the reported error inside a stream.

Cause: the end of a response with a length or chunks counted as the end of the stream, also without any event. An empty stream doesn't show that the target continues this one.

Change: an attempt that sent no event is not the end of a stream, with or without a length. A complete response without an event isn't blamed as a crash of the target, also before the first event.

Before the change, TestErrorOfTheNextTargetInStream failed in 8 cases, for example within_the_third_event,_chunked/200,_empty,_chunked: looks complete: "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\n"

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -131,12 +131,7 @@
 	for {
 		ev, err := reader.Next()
 		if errors.Is(err, io.EOF) {
-			// Without a frame, this attempt's first event is the only sign that the target
-			// did not break off.
-			if !h.responseStarted || !a.responseStarted && !sent.Framed() {
-				return a.transportFailure(parent, err), false
-			}
-			return dispatch.Failure{}, true
+			return a.endOfEvents(parent, sent.Framed())
 		}
 		if err != nil {
 			return a.transportFailure(parent, err), false
@@ -164,6 +159,20 @@
 	}
 }
 
+// endOfEvents handles the end of a response after a complete event, or without any. Only an
+// event of this attempt shows that the target continued the stream and did not break off.
+func (a *targetAttempt) endOfEvents(parent context.Context, framed bool) (dispatch.Failure, bool) {
+	switch {
+	case a.responseStarted:
+		return dispatch.Failure{}, true
+	case framed && parent.Err() == nil:
+		// A complete response without an event is no sign of a crash.
+		a.result = loadbalance.ResultFailed
+		return dispatch.Failure{Kind: dispatch.KindInvalidResponse}, false
+	}
+	return a.transportFailure(parent, io.EOF), false
+}
+
 // pinnedVersion is passed to dispatch.Request as the version of every event. The stream keeps
 // the actual version number and the target checks it.
 const pinnedVersion fleet.Version = "pinned"
