An event with a line that is no field is not forwarded

Seen: a target breaks off within an event of a response without length, an error's head follows on the same connection, and the caller finds the head at the end of the event: MIXED. Found with the reported error inside a stream.

Cause: an event was forwarded if it ended with an empty line and its ID was the next one, whatever its other lines were. An empty line also ends a response's header.

Change: each line of an event must be a comment or begin with a field name in lower case. Lines of a response's header don't. A head of the status line alone, glued to a line of data, can't be told from data.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -264,6 +264,10 @@
 	case errors.As(err, &notSent):
 		a.result = loadbalance.ResultFailed
 		return dispatch.Failure{Kind: dispatch.KindNotSent}
+	case errors.Is(err, target.ErrMalformedEvent):
+		a.handler.g.metrics.Count("events_malformed", 1)
+		a.result = loadbalance.ResultFailed
+		return dispatch.Failure{Kind: dispatch.KindInvalidResponse}
 	case errors.Is(err, target.ErrUnidentified):
 		a.handler.g.metrics.Count("responses_unidentified", 1)
 		a.result = loadbalance.ResultFailed
--- a/io/target/events.go
+++ b/io/target/events.go
@@ -18,7 +18,11 @@
 	ID  string
 }
 
-// EventReader reads complete events. It does not return a truncated event.
+// ErrMalformedEvent reports an event with a line that is no field.
+var ErrMalformedEvent = errors.New("line of an event is no field")
+
+// EventReader reads complete events. It does not return a truncated event, nor one that other
+// bytes follow, such as the header of a response.
 type EventReader struct {
 	rd *bufio.Reader
 }
@@ -27,8 +31,8 @@
 func NewEventReader(r io.Reader) *EventReader { return &EventReader{rd: bufio.NewReaderSize(r, 4<<10)} }
 
 // Next returns the next event. It returns io.EOF if the stream ended after a complete event,
-// io.ErrUnexpectedEOF if it ended within one and *bounded.TooLargeError if the event is too
-// large.
+// io.ErrUnexpectedEOF if it ended within one, *bounded.TooLargeError if the event is too
+// large and ErrMalformedEvent if one of its lines is no field.
 func (e *EventReader) Next() (Event, error) {
 	var ev Event
 	lineStart := 0
@@ -50,8 +54,17 @@
 		if len(line) == 0 {
 			return ev, nil
 		}
+		if !isField(line) {
+			return Event{}, ErrMalformedEvent
+		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			ev.ID = string(bytes.TrimSpace(id))
 		}
 	}
 }
+
+// isField reports whether a line is a comment or a field, whose name is in lower case.
+func isField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return len(bytes.Trim(name, "abcdefghijklmnopqrstuvwxyz0123456789-_")) == 0
+}
--- a/io/target/target_test.go
+++ b/io/target/target_test.go
@@ -186,3 +186,20 @@
 	_, err := rd.Next()
 	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "a truncated event must not be returned")
 }
+
+// An event whose lines go over into the header of a response must not be returned.
+func TestEventWithResponseHeaderInside(t *testing.T) {
+	const sound = "id: 1\nweight-versions: 2\nevent: x\n: comment\ndata\ndata: HTTP/1.1 200 OK\nretry: 5\n\n"
+	for _, text := range []string{
+		"id: 2\ndata: aHTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+		"id: 2\ndata: a\nHTTP/1.1 404 Not Found\r\n\r\n",
+		"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
+	} {
+		rd := target.NewEventReader(strings.NewReader(sound + text))
+		ev, err := rd.Next()
+		assert.NilError(t, err)
+		assert.Equal(t, string(ev.Raw), sound)
+		_, err = rd.Next()
+		assert.Assert(t, errors.Is(err, target.ErrMalformedEvent), "%q: %v", text, err)
+	}
+}
