Calls to an engine use a new connection each

Seen on the project's own interface, looking for the same fault there: a request to an engine got the tokens of an earlier one (MIXED), or the 410 or 503 of an earlier one, for which its caller is told "not run" while the engine runs it (REFUSED), or it runs at a second engine.

Cause: the client kept connections, and responses of this protocol don't name their request. What an engine repeats after the next request was sent is taken for its response. The transport closes a connection only if such bytes arrive while it is idle.

Change: each call uses a connection of its own. The engine is on the same instance.

Ruled out: the client for services uses a new connection for each call already (TestResponseRepeatedByService passes before). Calls between entries and agents are streams of one connection with IDs of their own.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -13,6 +13,11 @@
 // Every command to load, activate, unload or change the role carries a fencing number and
 // an expiry time. An engine that checks fencing numbers returns 409 with the highest number
 // that it has seen, which becomes a *StaleCommandError. Some engines ignore both.
+//
+// # Connections
+//
+// Responses do not name their request. Each call uses a new connection, so that an engine that
+// repeats a response cannot answer a later call with it.
 package engine
 
 import (
@@ -134,8 +139,8 @@
 	token string
 }
 
-// NewClient returns a client. The token authenticates the agent to engines that check the
-// sender of commands. It may be empty.
+// NewClient returns a client, which must be the only user of h. The token authenticates the
+// agent to engines that check the sender of commands. It may be empty.
 func NewClient(base string, h *http.Client, token string) *Client {
 	return &Client{base: base, http: h, token: token}
 }
@@ -315,6 +320,7 @@
 	if err != nil {
 		return nil, &FailedError{Op: op, Cause: err}
 	}
+	req.Close = true
 	for k := range h {
 		req.Header.Set(k, h.Get(k))
 	}
--- a/io/service/service_test.go
+++ b/io/service/service_test.go
@@ -114,3 +114,31 @@
 	_, err := NewClient(srv.URL).Call(t.Context(), Request{Method: http.MethodPost, Path: "/"})
 	assert.Assert(t, errors.Is(err, ErrNoResponse), "%v", err)
 }
+
+// TestResponseRepeatedByService repeats a refusal wherever a connection is used again. No call
+// may receive it.
+func TestResponseRepeatedByService(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, rw, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		for {
+			id := r.Header.Get("X-Request-Id")
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"+id)
+			if r, err = http.ReadRequest(rw.Reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		}
+	}))
+	defer srv.Close()
+	c := NewClient(srv.URL)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		resp, err := c.Call(context.Background(), Request{Method: http.MethodGet, Path: "/", RequestID: id})
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Status, http.StatusOK)
+		assert.Equal(t, string(resp.Body), id)
+	}
+}
