An event that is no token doesn't continue an engine's stream

After the first token the index 0 was rejected before.

Cause: an event without an index was decoded as index 0.

Change: an event without an index, or with a negative one, ends the attempt.

Before the change: --- FAIL: TestErrorInTokenStream: repeated_test.go:93: 1 (tokens int) != 0 (int): {"error":{"message":"out of memory"}}

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -250,8 +250,8 @@
 		if !ok {
 			continue
 		}
-		var t Token
-		if err := json.Unmarshal([]byte(data), &t); err != nil {
+		t, err := decodeToken(data)
+		if err != nil {
 			return &FailedError{Op: "generate", Cause: err}
 		}
 		if err := onToken(t); err != nil {
@@ -268,6 +268,24 @@
 	return &FailedError{Op: "generate", Cause: eris.Wrap(firstError(scanner.Err(), io.ErrUnexpectedEOF), "stream ended before the last token")}
 }
 
+// errNoToken reports an event that is no token, for example an error of the engine.
+var errNoToken = errors.New("event of the stream is no token")
+
+func decodeToken(data string) (Token, error) {
+	var t struct {
+		Token
+		Index *int `json:"index"` // hides the token's own, to tell 0 from none
+	}
+	if err := json.Unmarshal([]byte(data), &t); err != nil {
+		return Token{}, err
+	}
+	if t.Index == nil || *t.Index < 0 {
+		return Token{}, errNoToken
+	}
+	t.Token.Index = *t.Index
+	return t.Token, nil
+}
+
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
--- a/io/engine/repeated_test.go
+++ b/io/engine/repeated_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -78,3 +79,17 @@
 		})
 	}
 }
+
+// An engine reports an error as an event of its stream. That is no token.
+func TestErrorInTokenStream(t *testing.T) {
+	for _, event := range []string{`{"error":{"message":"out of memory"}}`, `{}`, `{"text":"x"}`, `{"index":-1,"text":"x"}`, `null`} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "data: "+event+"\n\n")
+		}))
+		tokens := 0
+		err := engine.NewClient(srv.URL, srv.Client(), "").Generate(t.Context(), engine.GenerateRequest{}, func(engine.Token) error { tokens++; return nil })
+		srv.Close()
+		assert.Assert(t, err != nil, event)
+		assert.Equal(t, tokens, 0, event)
+	}
+}
