--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -13,6 +13,11 @@
 // Every command to load, activate, unload or change the role carries a fencing number and
 // an expiry time. An engine that checks fencing numbers returns 409 with the highest number
 // that it has seen, which becomes a *StaleCommandError. Some engines ignore both.
+//
+// # Connections
+//
+// Responses do not name their request. Each call uses a new connection, so that an engine that
+// repeats a response cannot answer a later call with it.
 package engine
 
 import (
@@ -134,8 +139,8 @@
 	token string
 }
 
-// NewClient returns a client. The token authenticates the agent to engines that check the
-// sender of commands. It may be empty.
+// NewClient returns a client, which must be the only user of h. The token authenticates the
+// agent to engines that check the sender of commands. It may be empty.
 func NewClient(base string, h *http.Client, token string) *Client {
 	return &Client{base: base, http: h, token: token}
 }
@@ -245,8 +250,8 @@
 		if !ok {
 			continue
 		}
-		var t Token
-		if err := json.Unmarshal([]byte(data), &t); err != nil {
+		t, err := decodeToken(data)
+		if err != nil {
 			return &FailedError{Op: "generate", Cause: err}
 		}
 		if err := onToken(t); err != nil {
@@ -263,6 +268,24 @@
 	return &FailedError{Op: "generate", Cause: eris.Wrap(firstError(scanner.Err(), io.ErrUnexpectedEOF), "stream ended before the last token")}
 }
 
+// errNoToken reports an event that is no token, for example an error of the engine.
+var errNoToken = errors.New("event of the stream is no token")
+
+func decodeToken(data string) (Token, error) {
+	var t struct {
+		Token
+		Index *int `json:"index"` // hides the token's own, to tell 0 from none
+	}
+	if err := json.Unmarshal([]byte(data), &t); err != nil {
+		return Token{}, err
+	}
+	if t.Index == nil || *t.Index < 0 {
+		return Token{}, errNoToken
+	}
+	t.Token.Index = *t.Index
+	return t.Token, nil
+}
+
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
@@ -315,6 +338,7 @@
 	if err != nil {
 		return nil, &FailedError{Op: op, Cause: err}
 	}
+	req.Close = true
 	for k := range h {
 		req.Header.Set(k, h.Get(k))
 	}
