--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -53,7 +53,10 @@
 	}
 	sent, err := h.g.targets.Send(ctx, forward.Attempt{
 		Call: h.call, Target: t.ID, Address: t.Address, Workspace: h.workspace, Remaining: h.deadline.Sub(h.g.now()),
-		LastEventID: h.stream.LastEventID(), Version: h.stream.Version(), NewConnection: h.route.Kind == routeconfig.KindNonIdempotent,
+		LastEventID: h.stream.LastEventID(), Version: h.stream.Version(),
+		// On a connection that a target has answered the request on, a repetition of that
+		// answer could not be told from the answer to this attempt.
+		NewConnection: h.route.Kind == routeconfig.KindNonIdempotent || h.state.IsRepeated(),
 	})
 	if err != nil {
 		return a.transportFailure(parent, err), false
@@ -69,6 +72,12 @@
 		a.result = loadbalance.ResultFailed
 		return a.targetFailure(parent, sent), false
 	}
+	if !h.stream.IsContinuedBy(sent.Reply) {
+		sent.Close()
+		h.g.metrics.Count("streams_not_continued", 1)
+		a.result = loadbalance.ResultFailed
+		return dispatch.Failure{Kind: dispatch.KindInvalidResponse}, false
+	}
 	if streaming && sent.Status/100 == 2 {
 		defer sent.Close()
 		a.headerReceived = true
@@ -123,12 +132,7 @@
 	for {
 		ev, err := reader.Next()
 		if errors.Is(err, io.EOF) {
-			// Without a frame, this attempt's first event is the only sign that the target
-			// did not break off.
-			if !h.responseStarted || !a.responseStarted && !sent.Framed() {
-				return a.transportFailure(parent, err), false
-			}
-			return dispatch.Failure{}, true
+			return a.endOfEvents(parent, sent.Framed())
 		}
 		if err != nil {
 			return a.transportFailure(parent, err), false
@@ -143,6 +147,7 @@
 		}
 		if !h.responseStarted {
 			h.responseStarted = true
+			h.stream.Begin(sent.Reply)
 			h.out.WriteHeader(sent.Status, sent.Header)
 		}
 		a.recordResponseStart()
@@ -155,6 +160,20 @@
 	}
 }
 
+// endOfEvents handles the end of a response after a complete event, or without any. Only an
+// event of this attempt shows that the target continued the stream and did not break off.
+func (a *targetAttempt) endOfEvents(parent context.Context, framed bool) (dispatch.Failure, bool) {
+	switch {
+	case a.responseStarted:
+		return dispatch.Failure{}, true
+	case framed && parent.Err() == nil:
+		// A complete response without an event is no sign of a crash.
+		a.result = loadbalance.ResultFailed
+		return dispatch.Failure{Kind: dispatch.KindInvalidResponse}, false
+	}
+	return a.transportFailure(parent, io.EOF), false
+}
+
 // pinnedVersion is passed to dispatch.Request as the version of every event. The stream keeps
 // the actual version number and the target checks it.
 const pinnedVersion fleet.Version = "pinned"
@@ -246,6 +265,14 @@
 	case errors.As(err, &notSent):
 		a.result = loadbalance.ResultFailed
 		return dispatch.Failure{Kind: dispatch.KindNotSent}
+	case errors.Is(err, target.ErrMalformedEvent):
+		a.handler.g.metrics.Count("events_malformed", 1)
+		a.result = loadbalance.ResultFailed
+		return dispatch.Failure{Kind: dispatch.KindInvalidResponse}
+	case errors.Is(err, target.ErrUnidentified):
+		a.handler.g.metrics.Count("responses_unidentified", 1)
+		a.result = loadbalance.ResultFailed
+		return dispatch.Failure{Kind: dispatch.KindInvalidResponse}
 	}
 	a.result = loadbalance.ResultFailed
 	var tooLarge *bounded.TooLargeError
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -262,12 +262,12 @@
 	return &peerpb.StoreChanges{
 		Events: values.eventsToWire(c.Events), Retained: values.eventsToWire(c.Retained),
 		Era: uint64(c.At.Era), At: uint64(c.At.Revision), EraBase: uint64(c.EraBase), Full: c.Full,
-		AgeMs: uint64(c.Age.Milliseconds()), Lost: c.StoreUnavailable,
+		AgeMs: uint64(max(0, c.Age.Milliseconds())), Lost: c.StoreUnavailable,
 	}
 }
 
 func changesFromWire(m *peerpb.StoreChanges) (StoreChanges, error) {
-	out := StoreChanges{Age: time.Duration(m.GetAgeMs()) * time.Millisecond, StoreUnavailable: m.GetLost()}
+	out := StoreChanges{Age: millis(m.GetAgeMs()), StoreUnavailable: m.GetLost()}
 	out.At = mirror.Position{Era: mirror.Era(m.GetEra()), Revision: mirror.Revision(m.GetAt())}
 	out.EraBase, out.Full = mirror.Revision(m.GetEraBase()), m.GetFull()
 	var values valueDecompressor
