A target that leaves says so in its reports: agents tell the entries

Cause: an entry that has no answer of the target itself did not know. Test: TestAgentReportsThatItsTargetLeaves.

--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -286,3 +286,20 @@
 	assert.Assert(t, isBehind(own, mirror.Position{Era: 1, Revision: 21}, true))
 	assert.Assert(t, !isBehind(own, mirror.Position{Era: 1, Revision: 21}, false))
 }
+
+// The engine says in its report that it leaves, and its agent tells the entries. The notice is
+// final for the incarnation and reaches the other entries.
+func TestAgentReportsThatItsTargetLeaves(t *testing.T) {
+	g, c := newTestGateway(t)
+	target := roster.Target{ID: "a", Service: "s", Address: "10.0.0.9:80", State: roster.StateReady, Incarnation: 5}
+	g.roster.Update(target)
+	w := &loadWatch{g: g, targetAddress: target.Address}
+	w.handleLoad(peer.TargetLoad{Incarnation: 4, Leaving: true})
+	assert.Assert(t, !g.notices.IsLeaving(noticeTarget(target)), "of the incarnation before")
+	w.handleLoad(peer.TargetLoad{Incarnation: 5, Leaving: true})
+	w.handleLoad(peer.TargetLoad{Incarnation: 5})
+	assert.Assert(t, g.notices.IsLeaving(noticeTarget(target)))
+	other, _ := newTestGateway(t)
+	other.mergeFrom(g, c.t)
+	assert.Assert(t, other.notices.IsLeaving(noticeTarget(target)))
+}
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -7,6 +7,7 @@
 	"amaranthturn/app/daemon"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/mirror"
+	"amaranthturn/core/notice"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/trace"
 	"amaranthturn/core/upgrade"
@@ -274,6 +275,9 @@
 	if !ok || l.Incarnation != t.Incarnation && l.Incarnation != 0 {
 		return
 	}
+	if l.Leaving && l.Incarnation != 0 {
+		g.mergeLeaving([]notice.Target{noticeTarget(t)}, now)
+	}
 	old, known := g.loads[t.ID]
 	l.Incarnation = t.Incarnation
 	g.loads[t.ID] = l
--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -71,7 +71,7 @@
 }
 
 func equalReports(a, b platform.Report) bool {
-	return a.Running == b.Running && a.Queued == b.Queued && a.Busy == b.Busy && a.Incarnation == b.Incarnation && slices.Equal(a.Loaded, b.Loaded)
+	return a.Running == b.Running && a.Queued == b.Queued && a.Busy == b.Busy && a.Incarnation == b.Incarnation && a.Leaving == b.Leaving && slices.Equal(a.Loaded, b.Loaded)
 }
 
 // loadIfDue sends a load command when the engine's scheduled time has come.
@@ -262,7 +262,7 @@
 // given age. A load is sent at once when the target serves other weights or stops accepting
 // requests, and otherwise after the period that the listener requested.
 func shouldSendLoad(sent, l peer.TargetLoad, age, period time.Duration) bool {
-	return age >= period || sent.Incarnation != l.Incarnation || sent.Accepting != l.Accepting || sent.Model != l.Model || sent.Version != l.Version
+	return age >= period || sent.Incarnation != l.Incarnation || sent.Accepting != l.Accepting || sent.Leaving != l.Leaving || sent.Model != l.Model || sent.Version != l.Version
 }
 
 // currentLoad returns the load that is reported to the entries. mu must be held.
@@ -274,6 +274,7 @@
 	if m, e, ok := s.model(); ok {
 		l.Model, l.Version = m.Name, s.servingVersion(m.Name, e)
 	}
+	l.Leaving = s.isEngineUp && r.Leaving
 	l.Accepting = s.isEngineUp && !r.Busy && l.Version != 0
 	return l
 }
--- a/app/sidecar/sidecar_test.go
+++ b/app/sidecar/sidecar_test.go
@@ -70,11 +70,11 @@
 func TestLoadIsSentAtOnceOnStateChange(t *testing.T) {
 	old := peer.TargetLoad{Incarnation: 1, Version: 1, Accepting: true, Running: 3}
 	const period = 3 * time.Second
-	busier, closed, newer, restarted := old, old, old, old
-	busier.Running, closed.Accepting, newer.Version, restarted.Incarnation = 9, false, 2, 2
+	busier, closed, newer, restarted, leaving := old, old, old, old, old
+	busier.Running, closed.Accepting, newer.Version, restarted.Incarnation, leaving.Leaving = 9, false, 2, 2, true
 	assert.Assert(t, !shouldSendLoad(old, busier, period-1, period))
 	assert.Assert(t, shouldSendLoad(old, busier, period, period))
-	for _, l := range []peer.TargetLoad{closed, newer, restarted} {
+	for _, l := range []peer.TargetLoad{closed, newer, restarted, leaving} {
 		assert.Assert(t, shouldSendLoad(old, l, time.Millisecond, period))
 	}
 }
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -53,6 +53,7 @@
 	Model                 fleet.Model
 	Version               uint64 // version in service, 0 for none
 	Accepting             bool
+	Leaving               bool    // the target states that it leaves
 	Pace                  float64 // a value above 1 means that the target is slow
 }
 
@@ -112,7 +113,7 @@
 		return st.Send(&peerpb.TargetLoad{
 			Born: uint64(l.Incarnation), Running: uint32(l.Running), Queued: uint32(l.Queued),
 			CacheUsed: uint64(l.CacheUsed), CacheTotal: uint64(l.CacheTotal),
-			Model: string(l.Model), Version: l.Version, Accepting: l.Accepting, Pace: l.Pace,
+			Model: string(l.Model), Version: l.Version, Accepting: l.Accepting, Leaving: l.Leaving, Pace: l.Pace,
 		})
 	})
 }
@@ -299,7 +300,7 @@
 		onLoad(TargetLoad{
 			Incarnation: fleet.Incarnation(m.GetBorn()), Running: int(m.GetRunning()), Queued: int(m.GetQueued()),
 			CacheUsed: int(m.GetCacheUsed()), CacheTotal: int(m.GetCacheTotal()),
-			Model: fleet.Model(m.GetModel()), Version: m.GetVersion(), Accepting: m.GetAccepting(), Pace: m.GetPace(),
+			Model: fleet.Model(m.GetModel()), Version: m.GetVersion(), Accepting: m.GetAccepting(), Leaving: m.GetLeaving(), Pace: m.GetPace(),
 		})
 	}
 }
