Gateway: a silent target keeps its stream unless the request can move

Callers saw: a stream that had begun was closed by the entry 1.5 s after its last event, and a request without a response got 502 after 2 s, although the target was sound and went on. Beside a change of the configuration such a request has neither a whole answer nor a refusal.

Cause: the stall timer canceled the attempt first; whether another attempt was possible was decided after that. The retry budget, MaxAttempts or the lack of another target then ended the request.

The last attempt that the route allows has no stall timer. A stall is still recorded as a failure of its target.

Before (go test ./platform -run Silent): --- FAIL: TestSilentTargetWithoutReplacementKeepsItsRequest/before_the_first_event silence_test.go:62: assertion failed: 502 (resp.StatusCode int) != 200 (http.StatusOK int) --- FAIL: TestSilentTargetWithoutReplacementKeepsItsRequest/between_two_events silence_test.go:61: assertion failed: error is not nil: unexpected EOF --- FAIL: TestSilentTargetOfLastAttemptKeepsItsRequest silence_test.go:86: assertion failed: error is not nil: unexpected EOF

Not covered: the attempt on the other target may be refused after the silent one was given up.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -28,9 +28,14 @@
 	result          loadbalance.Result
 	prefillTokens   int
 	crashed         bool
-	headerReceived  bool        // the header of a successful response
-	responseStarted bool        // guarded by the gateway's mu
-	canceled        atomic.Bool // this entry canceled the attempt because the target stalled or its weights became too old
+	headerReceived  bool         // the header of a successful response
+	responseStarted bool         // guarded by the gateway's mu
+	canceled        atomic.Bool  // this entry canceled the attempt because the target stalled or its weights became too old
+	stalled         atomic.Bool  // the target was silent for too long at least once
+	progress        atomic.Int64 // when the last event arrived, as a time.Duration since the request's start
+	stallTimer      *time.Timer  // guarded by the gateway's mu; nil if the request cannot move
+	avoid           []fleet.InstanceID
+	ended           bool // guarded by the gateway's mu
 }
 
 func (a *targetAttempt) run(parent context.Context, t roster.Target) (dispatch.Failure, bool) {
@@ -43,13 +48,9 @@
 		h.g.watchUntilStarted(a)
 		defer h.g.stopWatching(a)
 	}
-	var stallTimer *time.Timer
-	if streaming && h.route.Repeatable() {
-		stallTimer = time.AfterFunc(firstEventTimeout, func() {
-			a.canceled.Store(true)
-			cancel()
-		})
-		defer stallTimer.Stop()
+	if streaming && h.route.Repeatable() && h.state.CanRetryLoss() {
+		a.startStallTimer()
+		defer a.stallTimer.Stop()
 	}
 	sent, err := h.g.targets.Send(ctx, forward.Attempt{
 		Call: h.call, Target: t.ID, Address: t.Address, Workspace: h.workspace, Remaining: h.deadline.Sub(h.g.now()),
@@ -72,7 +73,7 @@
 		defer sent.Close()
 		a.headerReceived = true
 		h.stream.SetVersion(sent.Version)
-		return a.forwardEvents(parent, sent, stallTimer)
+		return a.forwardEvents(parent, sent)
 	}
 	return a.forwardFull(parent, sent)
 }
@@ -116,7 +117,7 @@
 }
 
 // forwardEvents forwards a stream's events as they arrive.
-func (a *targetAttempt) forwardEvents(parent context.Context, sent *platform.Response, stallTimer *time.Timer) (dispatch.Failure, bool) {
+func (a *targetAttempt) forwardEvents(parent context.Context, sent *platform.Response) (dispatch.Failure, bool) {
 	h := a.handler
 	reader := target.NewEventReader(sent.Body)
 	for {
@@ -132,9 +133,7 @@
 		if err != nil {
 			return a.transportFailure(parent, err), false
 		}
-		if stallTimer != nil {
-			stallTimer.Reset(nextEventTimeout)
-		}
+		a.progress.Store(int64(h.g.now().Sub(h.startedAt)))
 		if !h.stream.Accept(ev.ID) {
 			h.g.metrics.Count("events_out_of_order", 1)
 			a.result = loadbalance.ResultFailed
@@ -247,6 +246,9 @@
 		return dispatch.Failure{Kind: dispatch.KindNotSent}
 	}
 	a.result = loadbalance.ResultFailed
+	if a.stalled.Load() && a.canceled.Load() {
+		a.result = loadbalance.ResultUnknown // was recorded when it stalled
+	}
 	var tooLarge *bounded.TooLargeError
 	if errors.As(err, &tooLarge) {
 		a.handler.g.log.requests.Warn().Str("target", string(a.handler.target)).Err(err).Msg("response exceeds a limit")
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -35,11 +35,6 @@
 	maxRefusals = 2
 	// maxResponseBytes limits a response that is read completely before it is forwarded.
 	maxResponseBytes = 32 << 20
-	// firstEventTimeout and nextEventTimeout are the stall timeouts after which a stream is
-	// continued on another target. They are several objectives long, because a slower
-	// response is late but still useful.
-	firstEventTimeout = 2 * time.Second
-	nextEventTimeout  = 1500 * time.Millisecond
 )
 
 // errTruncated reports that a response was started and cannot be completed.
@@ -63,6 +58,7 @@
 	queueWait        time.Duration
 	timeToFirstEvent time.Duration // until the first event or the response
 	responseStarted  bool          // the response header was sent to the caller
+	retryReserved    bool          // a retry was taken from the budget and not used; guarded by Gateway.mu
 	attempts         int
 	target           fleet.InstanceID
 	targetFailure    *failedResponse // forwarded if no other attempt succeeds
@@ -243,7 +239,7 @@
 			return nil
 		}
 		h.g.mu.Lock()
-		step := h.state.Failed(failure, h.g.budget.Allow, h.g.random.Float64(), h.g.now())
+		step := h.state.Failed(failure, h.allowRetry, h.g.random.Float64(), h.g.now())
 		h.g.mu.Unlock()
 		telemetry.FailedAttempt{
 			Request: string(h.call.ID), Target: h.target, Failure: failure, Step: step, Attempts: h.attempts, Events: h.state.Sent(),
@@ -298,6 +294,7 @@
 	a := &targetAttempt{handler: h, service: svc, prefillTokens: h.call.PromptTokens}
 	failure, done := a.run(ctx, target)
 	g.mu.Lock()
+	a.ended = true
 	svc.balancer.RecordEnd(target.ID, a.prefillTokens, a.result, g.now())
 	if a.crashed {
 		g.ledger.RecordCrash([]fleet.Fingerprint{h.fingerprint}, g.now())
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -154,6 +154,12 @@
 	return r.retryStep(f, jitter, now)
 }
 
+// CanRetryLoss reports whether the limits on attempts permit a retry if the current attempt
+// is lost.
+func (r *Request) CanRetryLoss() bool {
+	return !r.settings.AtMostOnce && r.refusals < r.settings.MaxRefusals && r.attempts+1 < r.settings.MaxAttempts
+}
+
 // consumesBudget reports whether another attempt takes a retry from the budget.
 func (r *Request) consumesBudget(f Failure) bool {
 	return r.mayHaveDoneWork(f) || r.settings.ChargeRefusals && f.Kind == KindRefused
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -179,13 +179,24 @@
 	case ResultFull:
 		s.pausedUntil = now.Add(b.settings.FullBackoff)
 	case ResultFailed:
-		s.errorRate += (1 - s.errorRate) / errorWindow
-		backoff := min(b.settings.FailureBackoff<<min(s.failures, maxDoublings), b.settings.FailureBackoffMax)
-		s.pausedUntil = now.Add(backoff)
-		s.failures++
+		b.recordFailure(s, now)
 	}
 }
 
+// RecordFailure records a failure of a target whose request has not ended.
+func (b *Balancer) RecordFailure(id fleet.InstanceID, now time.Time) {
+	if s, ok := b.targets[id]; ok {
+		b.recordFailure(s, now)
+	}
+}
+
+func (b *Balancer) recordFailure(s *targetState, now time.Time) {
+	s.errorRate += (1 - s.errorRate) / errorWindow
+	backoff := min(b.settings.FailureBackoff<<min(s.failures, maxDoublings), b.settings.FailureBackoffMax)
+	s.pausedUntil = now.Add(backoff)
+	s.failures++
+}
+
 const (
 	// errorWindow is the number of requests over which the error rate is averaged.
 	errorWindow = 8
