Stops: a request that is being read is answered, not dropped

Callers saw: at a planned stop of an entry, a whole request ended with its connection, without an answer or a refusal.

Cause: http.Server.Shutdown counts a kept connection as idle until the header of its next request is complete, and closes it although a part was read; after its start the server drops each request whose header it completes (net/http, conn.serve: "if c.server.shuttingDown() { return }"). A pipelined request is dropped as well. A new connection without a request holds a stop up for 5 s.

Change: Server.Drain for both request paths. It ends connections on which nothing has arrived by an expired read deadline: a read either takes bytes, and the request is answered, or takes none. The bytes of a request that crosses the close are never read, and it never reaches the handler.

Not covered: a request that crosses the close of its connection unread, which is HTTP's own race.

--- a/app/daemon/daemon.go
+++ b/app/daemon/daemon.go
@@ -194,6 +194,7 @@
 	Listener net.Listener
 	HTTP     *http.Server
 	GRPC     *grpc.Server
+	conns    *connSet // nil for gRPC
 }
 
 // run serves until the server is stopped.
@@ -216,7 +217,11 @@
 
 // NewHTTPServer returns a server for h.
 func NewHTTPServer(l net.Listener, h http.Handler) *Server {
-	return &Server{Listener: l, HTTP: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}}
+	conns := newConnSet()
+	return &Server{
+		Listener: &connListener{Listener: l, conns: conns}, conns: conns,
+		HTTP: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: trackConn},
+	}
 }
 
 // MetricsServer returns the server for a daemon's metrics on the users' platform.
--- /dev/null
+++ b/app/daemon/drain.go
@@ -0,0 +1,198 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Drain closes the listener and each connection on which nothing has arrived since its last
+// response, and waits until the other requests are answered and their connections closed.
+// http.Server.Shutdown is not used for callers: it drops each request whose header is still
+// being read, without an answer.
+func (s *Server) Drain(ctx context.Context) error {
+	_ = s.Listener.Close() // may be closed already
+	s.conns.drain()
+	select {
+	case <-s.conns.empty:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// connSet is the open connections of a server.
+type connSet struct {
+	mu       sync.Mutex // guards draining and open
+	draining bool
+	open     map[*serverConn]struct{}
+	empty    chan struct{} // closed when no connection is left while draining
+}
+
+func newConnSet() *connSet {
+	return &connSet{open: map[*serverConn]struct{}{}, empty: make(chan struct{})}
+}
+
+func (s *connSet) add(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = struct{}{}
+	if s.draining {
+		c.drain()
+	}
+}
+
+func (s *connSet) remove(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.open[c]; !ok {
+		return
+	}
+	delete(s.open, c)
+	s.checkEmpty()
+}
+
+func (s *connSet) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return
+	}
+	s.draining = true
+	for c := range s.open {
+		c.drain()
+	}
+	s.checkEmpty()
+}
+
+// checkEmpty closes empty. mu must be held.
+func (s *connSet) checkEmpty() {
+	if !s.draining || len(s.open) > 0 {
+		return
+	}
+	select {
+	case <-s.empty: // a connection was accepted after the others were closed
+	default:
+		close(s.empty)
+	}
+}
+
+// connListener adds the connections that it accepts to a set.
+type connListener struct {
+	net.Listener
+	conns *connSet
+}
+
+// Accept implements net.Listener.
+func (l *connListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	sc := &serverConn{Conn: c, conns: l.conns, idle: true}
+	l.conns.add(sc)
+	return sc, nil
+}
+
+// expired is a read deadline in the past. A read that waits when it is set ends without having
+// taken any bytes, so that a request is either read or left to be sent elsewhere.
+var expired = time.Unix(1, 0)
+
+// serverConn is a connection that a drain ends while it is idle.
+type serverConn struct {
+	net.Conn
+	conns *connSet
+
+	mu        sync.Mutex // guards all fields below
+	idle      bool       // nothing has arrived since the last response
+	readAhead bool       // a byte of the next request was read
+	draining  bool
+	deadline  time.Time // the read deadline that the server has set
+}
+
+// Read implements net.Conn.
+func (c *serverConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		// While a request is handled, net/http reads one byte to notice that the caller disconnects.
+		c.readAhead = !c.idle && len(p) == 1
+		c.setIdle(false)
+	}
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *serverConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.draining && c.idle {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *serverConn) Close() error {
+	err := c.Conn.Close()
+	c.conns.remove(c)
+	return err
+}
+
+// CloseWrite lets the server end a response to a request that it has not read completely.
+func (c *serverConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+func (c *serverConn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+	if c.idle {
+		c.setConnDeadline(expired)
+	}
+}
+
+// setIdle must be called with mu held.
+func (c *serverConn) setIdle(idle bool) {
+	if c.idle == idle {
+		return
+	}
+	c.idle = idle
+	switch {
+	case !c.draining:
+	case idle:
+		c.setConnDeadline(expired)
+	default:
+		c.setConnDeadline(c.deadline)
+	}
+}
+
+// setConnDeadline sets the read deadline of the connection. mu must be held.
+func (c *serverConn) setConnDeadline(t time.Time) {
+	_ = c.Conn.SetReadDeadline(t) // fails only if the connection is closed
+}
+
+// trackConn implements the hook http.Server.ConnState.
+func trackConn(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*serverConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateIdle:
+		c.setIdle(!c.readAhead)
+	case http.StateActive: // also for a request that was read together with the previous one
+		c.readAhead = false
+		c.setIdle(false)
+	}
+}
--- a/app/entry/module.go
+++ b/app/entry/module.go
@@ -101,7 +101,7 @@
 	// request that is already being sent.
 	_ = s.callers.Listener.Close()
 	daemon.Sleep(ctx, keepAliveGrace)
-	err := s.callers.HTTP.Shutdown(ctx)
+	err := s.callers.Drain(ctx)
 	s.e.Leave(ctx)
 	s.loops.Stop(ctx)
 	s.e.closeSessions()
--- a/app/gateway/module.go
+++ b/app/gateway/module.go
@@ -105,7 +105,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	daemon.Sleep(ctx, lameDuckPeriod)
-	err := s.callers.HTTP.Shutdown(ctx)
+	err := s.callers.Drain(ctx)
 	s.loops.Stop(ctx)
 	s.peers.GRPC.Stop()
 	for _, d := range s.directory {
