Targets: a response with a status below 100 is no response

Callers saw: a whole request ended with its connection, without an answer or a refusal, if its target sent the status 000 to 099.

Cause: http.ReadResponse accepts such a status, and http.ResponseWriter.WriteHeader panics on it; the server then closes the caller's connection. The same in io/service (with 101, which net/http's client returns as a response).

Change: the clients of targets and of services treat it as no response, so the outcome is unknown (502).

--- a/io/service/service.go
+++ b/io/service/service.go
@@ -115,6 +115,9 @@
 		return Response{}, eris.Wrap(ErrNoResponse, err.Error())
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode < http.StatusOK {
+		return Response{}, eris.Wrapf(ErrNoResponse, "invalid status %d", resp.StatusCode)
+	}
 	respBody, err := bounded.ReadAll(resp.Body, bounded.PartBody, maxResponseBytes)
 	if err != nil {
 		return Response{}, fmt.Errorf("%w: %w", ErrNoResponse, err)
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -110,7 +110,14 @@
 // Unwrap returns the cause.
 func (e *NoResponseError) Unwrap() error { return e.Cause }
 
-var errStaleResponses = errors.New("too many responses to other requests")
+var (
+	errStaleResponses = errors.New("too many responses to other requests")
+	errInvalidStatus  = errors.New("response has an invalid status")
+)
+
+// minStatus is the lowest status of HTTP. http.ReadResponse accepts lower ones, which a server
+// cannot send.
+const minStatus = 100
 
 // Limits of the bodies that ReadBody holds in memory.
 const (
@@ -153,7 +160,11 @@
 func (c *conn) readResponse(hr *http.Request) (*http.Response, error) {
 	c.head = &bounded.Reader{R: c.Conn, Part: bounded.PartHeader, Limit: maxHeadBytes}
 	defer c.endHeader()
-	return http.ReadResponse(c.rd, hr)
+	resp, err := http.ReadResponse(c.rd, hr)
+	if err == nil && resp.StatusCode < minStatus {
+		return nil, errInvalidStatus
+	}
+	return resp, err
 }
 
 func (c *conn) endHeader() { c.head = nil }
