Streams: a begun stream waits for a retry instead of being cut

Callers saw: a stream that had begun and may resume was closed although another target could have continued it a little later.

Cause: after a loss, two refusals by full targets or an empty retry budget ended the request, begun or not. Before the first event that is right, since the caller can be told to come back; after it, the caller gets neither the rest nor a refusal. A reset of several connections takes more retries than the budget holds at that moment.

Change: once an event was sent, refusals are limited by the deadline and the budget only, and a request that lacks only a retry asks for one every 100 ms until its deadline. Both request paths.

Before (go test ./platform -run BegunStream): --- FAIL: TestBegunStreamOutlastsRefusals resume_test.go:34: assertion failed: error is not nil: unexpected EOF --- FAIL: TestBegunStreamWaitsForRetryBudget (the stream ends after two events)

--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -267,6 +267,11 @@
 			Request: h.gen.RequestID, Target: h.target, Failure: failure, Step: step, Attempts: h.attempts, Events: h.state.Sent(),
 			Took: h.e.now().Sub(h.startedAt),
 		}.Log(h.e.log.requests)
+		for step.AwaitsBudget && daemon.Sleep(ctx, dispatch.BudgetCheckInterval) {
+			if h.allowRetry() {
+				step = dispatch.Step{Retry: true}
+			}
+		}
 		if !step.Retry {
 			return step.Refusal
 		}
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -245,6 +245,13 @@
 			Request: string(h.call.ID), Target: h.target, Failure: failure, Step: step, Attempts: h.attempts, Events: h.state.Sent(),
 			Took: h.g.now().Sub(h.startedAt),
 		}.Log(h.g.log.requests)
+		for step.AwaitsBudget && daemon.Sleep(ctx, dispatch.BudgetCheckInterval) {
+			h.g.mu.Lock()
+			if h.allowRetry() {
+				step = dispatch.Step{Retry: true}
+			}
+			h.g.mu.Unlock()
+		}
 		if !step.Retry {
 			if h.targetFailure != nil && !h.responseStarted {
 				h.out.WriteResponse(h.targetFailure.Status, h.targetFailure.Header, h.targetFailure.body)
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -49,7 +49,8 @@
 type Settings struct {
 	// MaxAttempts limits the attempts that may have done work.
 	MaxAttempts int
-	// MaxRefusals limits the attempts that targets refused without doing work.
+	// MaxRefusals limits the attempts that targets refused without doing work, until a token
+	// was sent to the caller. After that, only the deadline limits them.
 	MaxRefusals int
 	// AtMostOnce ends a request after the first attempt that may have done work.
 	AtMostOnce bool
@@ -74,8 +75,14 @@
 	Retry   bool
 	Wait    time.Duration
 	Refusal *fleet.Refusal // set when Retry is false
+	// AwaitsBudget reports that the request has sent tokens and lacks nothing but a retry of
+	// the budget. It may be retried as soon as there is one.
+	AwaitsBudget bool
 }
 
+// BudgetCheckInterval is how often a request that awaits the budget asks for a retry.
+const BudgetCheckInterval = 100 * time.Millisecond
+
 // TokenEvent describes a token received from a target.
 type TokenEvent struct {
 	Version   fleet.Version
@@ -144,12 +151,14 @@
 		return r.endStep(fleet.ReasonTargetLost, 0)
 	case f.Kind == KindRefused && !canRetryElsewhere(f.Refusal):
 		return r.endStep(f.Refusal.Reason, f.Refusal.RetryAfter)
-	case r.refusals >= r.settings.MaxRefusals || r.attempts >= r.settings.MaxAttempts:
+	case r.sent == 0 && r.refusals >= r.settings.MaxRefusals || r.attempts >= r.settings.MaxAttempts:
 		return r.endStep(r.refusalReason(f), retry.MaxDelay)
 	case r.settings.AtMostOnce && r.mayHaveRun:
 		return r.endStep(r.refusalReason(f), 0)
 	case r.consumesBudget(f) && !allow():
-		return r.endStep(r.refusalReason(f), retry.MaxDelay)
+		step := r.endStep(r.refusalReason(f), retry.MaxDelay)
+		step.AwaitsBudget = r.sent > 0
+		return step
 	}
 	return r.retryStep(f, jitter, now)
 }
@@ -157,7 +166,7 @@
 // CanRetryLoss reports whether the limits on attempts permit a retry if the current attempt
 // is lost.
 func (r *Request) CanRetryLoss() bool {
-	return !r.settings.AtMostOnce && r.refusals < r.settings.MaxRefusals && r.attempts+1 < r.settings.MaxAttempts
+	return !r.settings.AtMostOnce && (r.sent > 0 || r.refusals < r.settings.MaxRefusals) && r.attempts+1 < r.settings.MaxAttempts
 }
 
 // consumesBudget reports whether another attempt takes a retry from the budget.
