Gateway: a stream moves after two seconds of silence, before its first event and after

Callers saw: a stream whose engine was silent for 1.5 s was moved at the moment at which the engine went on, was refused by full engines and ended without its rest.

Cause: between two events an entry waited 1,500 ms, no longer than the pause of a sound target. The attempt on the next target can be refused when the first one has been given up.

Change: one limit of two seconds before the first event and after.

Before (go test ./platform -run ShortSilence): --- FAIL: TestShortSilenceDoesNotMoveAStream silence_test.go:120: assertion failed: 2 (...) != 1 (int)

Not covered: a longer silence. The first target is still given up before the next one has accepted.

--- a/app/gateway/stall.go
+++ b/app/gateway/stall.go
@@ -9,11 +9,10 @@
 )
 
 const (
-	// firstEventTimeout and nextEventTimeout are how long a target may be silent before its
-	// stream is continued on another target. They are several objectives long, because a
-	// slower response is late but still useful.
-	firstEventTimeout = 2 * time.Second
-	nextEventTimeout  = 1500 * time.Millisecond
+	// stallTimeout is how long a target may be silent before its stream is continued on
+	// another target. It is several objectives long, because a slower response is late but
+	// still useful, and longer than the second or so that a sound target may pause.
+	stallTimeout = 2 * time.Second
 	// stallCheckInterval is how often a stalled attempt looks for another target.
 	stallCheckInterval = 250 * time.Millisecond
 )
@@ -25,7 +24,7 @@
 	h.g.mu.Lock()
 	defer h.g.mu.Unlock()
 	a.progress.Store(int64(h.g.now().Sub(h.startedAt)))
-	a.stallTimer = time.AfterFunc(firstEventTimeout, a.onStallTimer)
+	a.stallTimer = time.AfterFunc(stallTimeout, a.onStallTimer)
 }
 
 // onStallTimer cancels an attempt whose target is silent if the request can continue on
@@ -39,7 +38,7 @@
 	}
 	now := g.now()
 	silent := now.Sub(h.startedAt) - time.Duration(a.progress.Load())
-	if remaining := nextEventTimeout - silent; remaining > 0 {
+	if remaining := stallTimeout - silent; remaining > 0 {
 		a.stallTimer.Reset(remaining)
 		return
 	}
