Streams: a caller that leaves while its stream waits for a retry is logged as gone

Cause: the wait for the budget ended with the reason of the failed attempt (target_lost), whatever ended it. No caller sees a difference.

--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -267,10 +267,9 @@
 			Request: h.gen.RequestID, Target: h.target, Failure: failure, Step: step, Attempts: h.attempts, Events: h.state.Sent(),
 			Took: h.e.now().Sub(h.startedAt),
 		}.Log(h.e.log.requests)
-		for step.AwaitsBudget && daemon.Sleep(ctx, dispatch.BudgetCheckInterval) {
-			if h.allowRetry() {
-				step = dispatch.Step{Retry: true}
-			}
+		if step.AwaitsBudget {
+			h.awaitBudget(ctx)
+			step = dispatch.Step{Retry: true}
 		}
 		if !step.Retry {
 			return step.Refusal
@@ -287,6 +286,15 @@
 	}
 }
 
+// awaitBudget waits until the request may be retried or ctx ends.
+func (h *requestHandler) awaitBudget(ctx context.Context) {
+	for daemon.Sleep(ctx, dispatch.BudgetCheckInterval) {
+		if h.allowRetry() {
+			return
+		}
+	}
+}
+
 func (h *requestHandler) contextFailureKind(ctx context.Context) dispatch.Kind {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return dispatch.KindDeadline
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -245,12 +245,9 @@
 			Request: string(h.call.ID), Target: h.target, Failure: failure, Step: step, Attempts: h.attempts, Events: h.state.Sent(),
 			Took: h.g.now().Sub(h.startedAt),
 		}.Log(h.g.log.requests)
-		for step.AwaitsBudget && daemon.Sleep(ctx, dispatch.BudgetCheckInterval) {
-			h.g.mu.Lock()
-			if h.allowRetry() {
-				step = dispatch.Step{Retry: true}
-			}
-			h.g.mu.Unlock()
+		if step.AwaitsBudget {
+			h.awaitBudget(ctx)
+			step = dispatch.Step{Retry: true}
 		}
 		if !step.Retry {
 			if h.targetFailure != nil && !h.responseStarted {
@@ -266,6 +263,19 @@
 	}
 }
 
+// awaitBudget waits until the request may be retried or ctx ends; the next attempt then returns
+// the context's failure.
+func (h *requestHandler) awaitBudget(ctx context.Context) {
+	for daemon.Sleep(ctx, dispatch.BudgetCheckInterval) {
+		h.g.mu.Lock()
+		allowed := h.allowRetry()
+		h.g.mu.Unlock()
+		if allowed {
+			return
+		}
+	}
+}
+
 func (h *requestHandler) contextFailureKind(ctx context.Context) dispatch.Kind {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return dispatch.KindDeadline
