Stand-in platform: restore the store from a copy, fault restore-platform

The project's own interface had no test for a platform whose store loses acknowledged publications. Fault restore-platform restores a copy from before the latest configuration, starts an entry and publishes again.

--- a/app/agent/agent.go
+++ b/app/agent/agent.go
@@ -130,6 +130,17 @@
 	return rev
 }
 
+// Configured returns the version of a model that the plan in force assigns.
+func (a *Agent) Configured(m fleet.Model) fleet.Version {
+	plan, _ := a.view.plan()
+	for _, p := range plan.Models {
+		if p.Model == m {
+			return p.Version
+		}
+	}
+	return ""
+}
+
 // Leave makes the agent refuse new work, notifies the entries, and waits until the work
 // in progress has ended or ctx is done.
 func (a *Agent) Leave(ctx context.Context) {
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -192,6 +192,21 @@
 	return rev
 }
 
+// Configured returns the version of a model that the configuration in force assigns by
+// default.
+func (e *Entry) Configured(m fleet.Model) fleet.Version {
+	doc, _ := e.document()
+	if doc == nil {
+		return ""
+	}
+	for _, d := range doc.Defaults.Models {
+		if fleet.Model(d.Name) == m {
+			return fleet.Version(d.Version)
+		}
+	}
+	return ""
+}
+
 // Leave marks the entry as leaving, so that it refuses new work, and waits until the work
 // in progress has finished or ctx ends.
 func (e *Entry) Leave(ctx context.Context) {
--- a/app/local/cluster.go
+++ b/app/local/cluster.go
@@ -57,6 +57,14 @@
 	return d.agent.Revision()
 }
 
+// configured returns the version of a model that the daemon's configuration assigns.
+func (d *runningDaemon) configured(m fleet.Model) fleet.Version {
+	if d.entry != nil {
+		return d.entry.Configured(m)
+	}
+	return d.agent.Configured(m)
+}
+
 // cluster holds the stand-ins and the daemons of one run.
 type cluster struct {
 	opt         Options
--- a/app/local/faults.go
+++ b/app/local/faults.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"amaranthturn/app/daemon"
+	"amaranthturn/core/fleet"
 	"amaranthturn/standin/engine"
 	"amaranthturn/standin/load"
 	"amaranthturn/standin/weights"
@@ -32,6 +33,7 @@
 	faultDuration        = 4 * time.Second
 	instanceListDelay    = 3 * time.Second // from a crash until the platform's list omits the instance
 	crashRequestAttempts = 6
+	configBound          = 7 * time.Second // from a publication until it is in force everywhere
 )
 
 var faultTable = []faultKind{
@@ -47,6 +49,7 @@
 	{name: "version-change", help: "a newer version is published during the distribution", during: versionChange},
 	{name: "platform-down", help: "the configuration service is temporarily down", during: platformDown},
 	{name: "platform-stale", help: "the configuration service temporarily serves the previous revision", during: platformStale},
+	{name: "restore-platform", help: "the configuration service is restored from a copy that lacks the latest revision", before: snapshotPlatform, during: restorePlatform},
 	{name: "refused-config", help: "a configuration that daemons refuse is published before the new version", before: refusedConfig},
 	{name: "partition", help: "a region is temporarily cut off", during: partition},
 	{name: "crash-request", help: "a request crashes every engine that runs it and is sent repeatedly", during: crashRequest},
@@ -257,6 +260,76 @@
 	r.cluster.platform.SetStale(false)
 }
 
+func snapshotPlatform(r *run, _ context.Context) { r.snapshot = r.cluster.platform.Snapshot() }
+
+// restorePlatform restores the copy, starts an entry that knows only the restored store, and
+// publishes another version later.
+func restorePlatform(r *run, ctx context.Context) {
+	guard := &configGuard{r: r, old: r.v1.ID, stop: make(chan struct{}), done: make(chan struct{})}
+	go guard.run()
+	r.cluster.platform.SetDown(true)
+	daemon.Sleep(ctx, faultDelay)
+	r.cluster.platform.Restore(r.snapshot)
+	r.cluster.platform.SetDown(false)
+	r.printf("platform restored from a copy with version %s", r.v1.ID.Short())
+	daemon.Sleep(ctx, faultDuration/4)
+	d, err := r.cluster.newEntry("entry-late", regionNames[0])
+	r.addReplacement(ctx, d, err)
+	daemon.Sleep(ctx, faultDuration/4)
+	versionChange(r, ctx)
+	r.awaitConfigured(ctx, r.wantedVersion.Load().ID)
+	close(guard.stop)
+	<-guard.done
+}
+
+// awaitConfigured waits until every live daemon that configures the model configures version v.
+func (r *run) awaitConfigured(ctx context.Context, v fleet.Version) {
+	took, err := Await(ctx, "version configured", configBound, func() bool {
+		for _, d := range r.cluster.liveDaemons() {
+			if got := d.configured(modelName); got != "" && got != v {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		r.violate("configuration_not_in_force")
+		return
+	}
+	r.printf("version %s is configured everywhere %v later", v.Short(), took.Round(time.Millisecond))
+}
+
+// configGuard reports daemons that configure an old version again.
+type configGuard struct {
+	r    *run
+	old  fleet.Version
+	stop chan struct{}
+	done chan struct{}
+}
+
+func (g *configGuard) run() {
+	defer close(g.done)
+	hasMoved, reported := map[fleet.InstanceID]bool{}, map[fleet.InstanceID]bool{}
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-tick.C:
+		}
+		for _, d := range g.r.cluster.liveDaemons() {
+			id, v := d.instance.ID, d.configured(modelName)
+			hasMoved[id] = hasMoved[id] || v != "" && v != g.old
+			if hasMoved[id] && v == g.old && !reported[id] {
+				reported[id] = true
+				g.r.printf("%s configures version %s again", id, v.Short())
+				g.r.violate("older_configuration_in_force")
+			}
+		}
+	}
+}
+
 func refusedConfig(r *run, ctx context.Context) {
 	r.cluster.platform.Publish([]byte("schema = 1\n[[exceptions]]\nname = \"no reason\"\n[exceptions.scope]\nregion = \"addis\"\n"))
 	daemon.Sleep(ctx, faultDuration/4)
--- a/app/local/run.go
+++ b/app/local/run.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"amaranthturn/app/daemon"
 	"amaranthturn/core/fleet"
 	"amaranthturn/standin/load"
+	"amaranthturn/standin/platform"
 	"amaranthturn/standin/weights"
 )
 
@@ -73,6 +76,9 @@
 	v2              weights.Version
 	wantedVersion   atomic.Pointer[weights.Version] // version that the fleet should serve in the end
 	expectedServing int                             // number of instances that should serve wantedVersion
+	snapshot        platform.Snapshot               // copy of the platform's store
+	mu              sync.Mutex                      // guards violations
+	violations      []string                        // promises that a fault found broken
 }
 
 // Run starts a fleet, sends load, publishes a new version and returns the report. It returns
@@ -99,6 +105,15 @@
 	return r.rep, nil
 }
 
+// violate records a broken promise once.
+func (r *run) violate(promise string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !slices.Contains(r.violations, promise) {
+		r.violations = append(r.violations, promise)
+	}
+}
+
 func (r *run) printf(format string, args ...any) {
 	_, _ = fmt.Fprintf(r.out, format+"\n", args...)
 }
@@ -256,6 +271,9 @@
 	r.rep.FirstTokenP95MS = millis(load.P95(distribution.TimeToFirstToken))
 	r.rep.TokenGapP95MS = millis(load.P95(distribution.TokenGap))
 	r.rep.setVerdict(r.cluster.rec.Verdict())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rep.BrokenPromises = append(r.rep.BrokenPromises, r.violations...)
 }
 
 // converged reports whether the first live entry considers the fleet converged.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -58,6 +58,10 @@
 // Revision is the sequence number of a configuration published by the platform.
 type Revision uint64
 
+// Era counts how often the store of the platform was restored from a copy. It is 0 for a
+// platform that does not state it.
+type Era uint64
+
 // Fingerprint is the hash of a request's workspace, model and body.
 type Fingerprint uint64
 
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -35,8 +35,11 @@
 	"amaranthturn/io/bounded"
 )
 
-// RevisionHeader is the header with the revision of a response.
-const RevisionHeader = "X-Revision"
+// Headers of responses.
+const (
+	RevisionHeader = "X-Revision"
+	EraHeader      = "X-Era" // how often the store was restored from a copy
+)
 
 // maxListBytes is the maximum size of the instance list.
 const maxListBytes = 4 << 20
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -7,6 +7,8 @@
 //	rev := p.Publish(document)
 //	p.SetInstances(list)
 //	http.Serve(l, p.Handler())
+//	snapshot := p.Snapshot()
+//	p.Restore(snapshot) // loses what was published since, in a new era
 package platform
 
 import (
@@ -29,6 +31,7 @@
 	instanceList   document
 	instances      []fleet.Instance
 	isStale        bool
+	era            fleet.Era
 	changed        chan struct{} // closed and replaced on every change
 	down           atomic.Bool
 	reads          atomic.Int64
@@ -44,6 +47,29 @@
 	return &Platform{changed: make(chan struct{})}
 }
 
+// Snapshot is a copy of the published documents.
+type Snapshot struct {
+	config, previousConfig, instanceList document
+	instances                            []fleet.Instance
+}
+
+// Snapshot returns a copy of the published documents.
+func (p *Platform) Snapshot() Snapshot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Snapshot{config: p.config, previousConfig: p.previousConfig, instanceList: p.instanceList, instances: p.instances}
+}
+
+// Restore replaces the published documents by those of an earlier copy and begins a new
+// era. Later publications use the revisions that follow those of the copy.
+func (p *Platform) Restore(s Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.config, p.previousConfig, p.instanceList, p.instances = s.config, s.previousConfig, s.instanceList, s.instances
+	p.era++
+	p.notifyWatchers()
+}
+
 // Publish publishes a document and returns its revision.
 func (p *Platform) Publish(body []byte) fleet.Revision {
 	p.mu.Lock()
@@ -105,40 +131,58 @@
 	return mux
 }
 
-func (p *Platform) currentConfig() (document, <-chan struct{}) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (p *Platform) currentConfig() document {
 	if p.isStale {
-		return p.previousConfig, p.changed
+		return p.previousConfig
 	}
-	return p.config, p.changed
+	return p.config
 }
 
-func (p *Platform) currentInstances() (document, <-chan struct{}) {
+func (p *Platform) currentInstances() document { return p.instanceList }
+
+// state is a document with the era in which it was read.
+type state struct {
+	document
+	era     fleet.Era
+	changed <-chan struct{}
+}
+
+func (p *Platform) read(current func() document) state {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.instanceList, p.changed
+	return state{document: current(), era: p.era, changed: p.changed}
+}
+
+// isNews reports whether a state is newer than revision after of era, which is empty if the
+// client does not state it.
+func (s state) isNews(era string, after uint64) bool {
+	if era != "" && era != strconv.FormatUint(uint64(s.era), 10) {
+		return s.revision > 0
+	}
+	return s.revision > after
 }
 
-func (p *Platform) serve(w http.ResponseWriter, r *http.Request, current func() (document, <-chan struct{})) {
+func (p *Platform) serve(w http.ResponseWriter, r *http.Request, current func() document) {
 	p.reads.Add(1)
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	waitMillis, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	query := r.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	waitMillis, _ := strconv.Atoi(query.Get("wait_ms"))
 	timeout := time.NewTimer(time.Duration(waitMillis) * time.Millisecond)
 	defer timeout.Stop()
 	for {
+		st := p.read(current)
+		w.Header().Set(platform.EraHeader, strconv.FormatUint(uint64(st.era), 10))
 		if p.down.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		doc, changed := current()
-		if doc.revision > after {
-			w.Header().Set(platform.RevisionHeader, strconv.FormatUint(doc.revision, 10))
-			_, _ = w.Write(doc.body)
+		if st.isNews(query.Get("era"), after) {
+			w.Header().Set(platform.RevisionHeader, strconv.FormatUint(st.revision, 10))
+			_, _ = w.Write(st.body)
 			return
 		}
 		select {
-		case <-changed:
+		case <-st.changed:
 		case <-timeout.C:
 			w.WriteHeader(http.StatusNotModified)
 			return
