--- a/app/agent/agent.go
+++ b/app/agent/agent.go
@@ -118,16 +118,16 @@
 	if a.leaving.Load() {
 		return false, "leaving"
 	}
-	if _, rev := a.view.plan(); rev == 0 {
+	if _, at := a.view.plan(); at.IsZero() {
 		return false, "no configuration accepted yet"
 	}
 	return true, ""
 }
 
-// Revision returns the revision in force.
-func (a *Agent) Revision() fleet.Revision {
-	_, rev := a.view.plan()
-	return rev
+// Position returns the position of the plan in force.
+func (a *Agent) Position() fleet.Position {
+	_, at := a.view.plan()
+	return at
 }
 
 // Configured returns the version of a model that the plan in force assigns.
@@ -167,10 +167,10 @@
 
 // report builds the next heartbeat.
 func (a *Agent) report() membership.Report {
-	plan, rev := a.view.plan()
+	plan, at := a.view.plan()
 	r := membership.Report{
 		Instance: a.self.ID, Incarnation: a.incarnation, Region: a.self.Region, Zone: a.self.Zone, Pool: a.self.Pool,
-		Address: a.self.Address, Revision: rev, Leaving: a.leaving.Load() || a.view.isListedLeaving(a.self.ID),
+		Address: a.self.Address, Position: at, Leaving: a.leaving.Load() || a.view.isListedLeaving(a.self.ID),
 		Sequence: a.sequence.Add(1), ChecksCommandSender: a.opt.Settings.Engine.ChecksSender,
 	}
 	if a.opt.Service != nil {
@@ -294,9 +294,9 @@
 	return false
 }
 
-// plan returns the plan in force and its revision. The revision is 0 if no plan is in
-// force yet.
-func (v *view) plan() (config.TargetPlan, fleet.Revision) {
+// plan returns the plan in force and its position, which is zero if no plan is in force
+// yet.
+func (v *view) plan() (config.TargetPlan, fleet.Position) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.holder.Plan()
--- a/app/agent/attach.go
+++ b/app/agent/attach.go
@@ -58,7 +58,7 @@
 func (t *attachments) fetchHomeEntries(ctx context.Context) {
 	warned := false
 	for ctx.Err() == nil {
-		list, err := t.a.opt.Platform.Instances(ctx, 0, 0)
+		list, err := t.a.opt.Platform.Instances(ctx, fleet.Position{}, 0)
 		if err == nil {
 			if homes := membership.HomeEntries(list.Instances, t.a.self.Zone, t.a.self.Pool); len(homes) > 0 {
 				t.a.view.setHomeEntries(homes)
@@ -213,9 +213,9 @@
 	res := a.view.applyNotice(x.entry.ID, n, a.now())
 	switch res.Verdict {
 	case configsync.Accepted:
-		_, rev := a.view.plan()
-		a.opt.Metrics.Gauge("config_revision", float64(rev))
-		a.log.config.Info().Uint64("revision", uint64(rev)).Str("from", string(x.entry.ID)).Msg("plan in force")
+		_, at := a.view.plan()
+		a.opt.Metrics.Gauge("config_revision", float64(at.Revision))
+		a.log.config.Info().Uint64("revision", uint64(at.Revision)).Uint64("era", uint64(at.Era)).Str("from", string(x.entry.ID)).Msg("plan in force")
 		a.attach.heartbeatNow()
 	case configsync.Forged:
 		a.opt.Metrics.Count("plans_forged", 1)
--- a/app/agent/driver.go
+++ b/app/agent/driver.go
@@ -103,8 +103,8 @@
 	if readDue {
 		d.readState(ctx)
 	}
-	plan, rev := d.a.view.plan()
-	if rev == 0 {
+	plan, at := d.a.view.plan()
+	if at.IsZero() {
 		return
 	}
 	d.a.cache.applyPlan(ctx, plan, d.servingVersions())
--- a/app/entry/attach.go
+++ b/app/entry/attach.go
@@ -44,7 +44,7 @@
 	wakeup          chan struct{}
 	ctx             context.Context
 	cancel          context.CancelFunc
-	sentRevision    fleet.Revision
+	sent            [2]fleet.Position // at which the last plan's document was written and held
 	sentPlan        []byte
 	sentHashes      map[fleet.InstanceID]uint64
 	seed            maphash.Seed
@@ -86,6 +86,7 @@
 		e.opt.Metrics.Count("stale_heartbeats", 1)
 		return
 	}
+	e.recordAgentPosition(r.Position, r.Instance)
 	e.updateRequestState(r, now)
 	if r.WantAck {
 		s.pendingAck.Store(r.Sequence)
@@ -222,8 +223,8 @@
 // plan returns the agent's resolved configuration if it changed since it was last sent, and
 // nil otherwise.
 func (s *session) plan() *configsync.SignedPlan {
-	doc, rev := s.e.document()
-	if doc == nil || rev <= s.sentRevision {
+	inForce := s.e.inForce.Load()
+	if inForce == nil || s.sent == [2]fleet.Position{inForce.at, inForce.held} {
 		return nil
 	}
 	s.e.memMu.Lock()
@@ -234,12 +235,12 @@
 		// reports is used until the list contains it.
 		in = s.identity()
 	}
-	signed, err := configsync.SignPlan(s.e.opt.Ring, s.agent, rev, doc.PlanFor(in))
+	signed, err := configsync.SignPlan(s.e.opt.Ring, s.agent, inForce.at, inForce.held, inForce.doc.PlanFor(in))
 	if err != nil {
 		s.e.log.config.Error().Err(err).Msg("cannot sign plan")
 		return nil
 	}
-	s.sentRevision = rev
+	s.sent = [2]fleet.Position{inForce.at, inForce.held}
 	if bytes.Equal(signed.Body, s.sentPlan) {
 		signed.Body = nil
 	} else {
--- a/app/entry/config.go
+++ b/app/entry/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -56,6 +57,18 @@
 	availability availability
 }
 
+// eraCheck logs when the platform stops to state its era.
+type eraCheck struct {
+	isReported bool
+}
+
+func (c *eraCheck) record(log zerolog.Logger, problem error) {
+	if problem != nil && !c.isReported {
+		log.Warn().Err(problem).Msg("platform does not state its era: the known one is assumed")
+	}
+	c.isReported = problem != nil
+}
+
 func (w *configWatcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !w.shouldRead() {
@@ -85,7 +98,7 @@
 // readConfig waits for a configuration newer than the last one received. The first read of
 // a process does not wait.
 func (e *Entry) readConfig(ctx context.Context) error {
-	after, wait := e.seenRevision()
+	after, wait := e.readPosition()
 	e.opt.Metrics.Count("platform_reads", 1)
 	got, err := e.opt.Platform.Config(ctx, after, wait)
 	now := e.now()
@@ -99,10 +112,25 @@
 		return err
 	}
 	e.cfgMu.Lock()
-	res := e.node.OfferPlatformDocument(got.Revision, got.Body, now)
+	e.configEra.record(e.log.config, got.EraProblem)
+	era := e.node.Era()
+	e.cfgMu.Unlock()
+	if era < got.Position.Era {
+		e.askPeers(ctx)
+	}
+	e.cfgMu.Lock()
+	era = e.node.Era()
+	res := e.node.OfferPlatformDocument(got.Position, got.Body, now)
+	isNewEra := era < e.node.Era()
 	e.cfgMu.Unlock()
-	e.handleOffer(res, got.Revision, "platform")
-	if res.Verdict == configsync.Older || res.Verdict == configsync.RevisionConflict {
+	e.handleOffer(res, got.Position, "platform")
+	if isNewEra {
+		e.log.config.Warn().Uint64("era", uint64(got.Position.Era)).Uint64("revision", uint64(got.Position.Revision)).
+			Str("verdict", res.Verdict.String()).Msg("the platform's store was restored from a copy")
+		e.requestAnnouncement()
+	}
+	switch res.Verdict {
+	case configsync.Older, configsync.RevisionConflict, configsync.StaleEra:
 		// The platform returned a stale response without waiting. An immediate retry
 		// would cause a busy loop.
 		daemon.Sleep(ctx, platformRetryMin)
@@ -110,45 +138,83 @@
 	return nil
 }
 
-// seenRevision returns the newest revision that was accepted or refused and how long the
-// next read may wait for a newer one.
-func (e *Entry) seenRevision() (fleet.Revision, time.Duration) {
+// askPeers fetches the configuration and the history of other entries before the first
+// document of an era is judged: an entry that has just started, or was cut off or frozen, cannot
+// tell whether it is older than what the others have in force.
+func (e *Entry) askPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, askPeersTimeout)
+	defer cancel()
 	e.cfgMu.Lock()
-	defer e.cfgMu.Unlock()
-	_, rev := e.node.Document()
-	if r, ok := e.node.Refusal(); ok {
-		rev = max(rev, r.Revision)
+	hasList := !e.listPosition.IsZero()
+	e.cfgMu.Unlock()
+	if !hasList {
+		_ = e.readList(ctx) // the list's watcher reports errors
+	}
+	e.cfgMu.Lock()
+	to := e.node.AnnouncementPeers()
+	e.cfgMu.Unlock()
+	var wg sync.WaitGroup
+	for _, in := range to {
+		wg.Add(1)
+		q := &inquiry{e: e, to: in, done: &wg}
+		go q.run(ctx)
 	}
-	if rev == 0 {
-		return 0, 0
+	wg.Wait()
+}
+
+// inquiry asks one entry for its configuration.
+type inquiry struct {
+	e    *Entry
+	to   fleet.Instance
+	done *sync.WaitGroup
+}
+
+func (q *inquiry) run(ctx context.Context) {
+	defer q.done.Done()
+	q.e.syncWith(ctx, q.to)
+}
+
+// readPosition returns the position of the newest document received and how long the next
+// read may wait for a newer one.
+func (e *Entry) readPosition() (fleet.Position, time.Duration) {
+	e.cfgMu.Lock()
+	defer e.cfgMu.Unlock()
+	p := e.node.ReadPosition()
+	if p.IsZero() {
+		return p, 0
 	}
-	return rev, configPollWait
+	return p, configPollWait
 }
 
 // handleOffer handles the result of offering a document to the configuration node.
-func (e *Entry) handleOffer(res configsync.Result, rev fleet.Revision, from string) {
-	switch res.Verdict {
-	case configsync.Accepted:
+func (e *Entry) handleOffer(res configsync.Result, at fleet.Position, from string) {
+	if res.Changed {
 		e.putInForce(from)
+	}
+	switch res.Verdict {
 	case configsync.Refused:
 		e.opt.Metrics.Count("config_refused", 1)
-		e.log.config.Warn().Uint64("revision", uint64(rev)).Err(res.Problem).Msg("configuration refused")
+		e.log.config.Warn().Uint64("revision", uint64(at.Revision)).Uint64("era", uint64(at.Era)).Err(res.Problem).Msg("configuration refused")
 	case configsync.Forged, configsync.RevisionConflict:
 		e.opt.Metrics.Count("config_forged", 1)
-		e.log.config.Error().Uint64("revision", uint64(rev)).Str("from", from).
+		e.log.config.Error().Uint64("revision", uint64(at.Revision)).Uint64("era", uint64(at.Era)).Str("from", from).
 			Str("verdict", res.Verdict.String()).Msg("configuration rejected")
 	}
 }
 
 func (e *Entry) putInForce(from string) {
 	e.cfgMu.Lock()
-	doc, rev := e.node.Document()
-	if old := e.inForce.Load(); old == nil || old.rev < rev {
-		e.inForce.Store(&configInForce{doc: doc, rev: rev})
+	doc, at := e.node.Document()
+	if doc != nil {
+		e.inForce.Store(&configInForce{doc: doc, at: at, held: e.node.HeldPosition()})
 	}
 	e.cfgMu.Unlock()
-	e.opt.Metrics.Gauge("config_revision", float64(rev))
-	e.log.config.Info().Uint64("revision", uint64(rev)).Str("from", from).Msg(trace.MessageConfiguration)
+	if doc == nil {
+		return
+	}
+	e.opt.Metrics.Gauge("config_revision", float64(at.Revision))
+	e.opt.Metrics.Gauge("config_era", float64(at.Era))
+	e.log.config.Info().Uint64("revision", uint64(at.Revision)).Uint64("era", uint64(at.Era)).Str("from", from).Msg(trace.MessageConfiguration)
 	e.reqMu.Lock()
 	e.ledger.SetMaxCrashedTargets(doc.Defaults.Limits.CrashTargets)
 	e.budget.SetShare(doc.Defaults.Limits.RetryShare)
@@ -157,6 +223,10 @@
 	}
 	e.reqMu.Unlock()
 	e.notifySessions()
+	e.requestAnnouncement()
+}
+
+func (e *Entry) requestAnnouncement() {
 	select {
 	case e.accepted <- struct{}{}:
 	default:
@@ -187,10 +257,10 @@
 
 func (e *Entry) readList(ctx context.Context) error {
 	e.cfgMu.Lock()
-	after := e.listRevision
+	after := e.listPosition
 	e.cfgMu.Unlock()
 	wait := listPollWait
-	if after == 0 {
+	if after.IsZero() {
 		wait = 0
 	}
 	e.opt.Metrics.Count("platform_reads", 1)
@@ -201,18 +271,32 @@
 	if err != nil {
 		return err
 	}
+	if !e.setList(list) {
+		daemon.Sleep(ctx, platformRetryMin)
+	}
+	return nil
+}
+
+// setList puts a received instance list in force, unless it is older than the last one.
+func (e *Entry) setList(list platform.List) bool {
 	e.cfgMu.Lock()
-	e.listRevision = list.Revision
+	e.listEra.record(e.log.members, list.EraProblem)
+	before := e.listPosition
+	if !before.Before(list.Position) {
+		e.cfgMu.Unlock()
+		return false
+	}
+	e.listPosition = list.Position
 	e.node.SetEntries(list.Instances)
-	e.cfgMu.Unlock()
 	e.memMu.Lock()
 	e.table.SetList(list.Instances, e.now())
 	e.memMu.Unlock()
+	e.cfgMu.Unlock()
 	e.notifySessions()
-	return nil
+	return true
 }
 
-// syncer exchanges revisions with other entries: immediately after a change, and
+// syncer exchanges positions with other entries: immediately after a change, and
 // periodically with a random entry.
 type syncer struct{ e *Entry }
 
@@ -267,9 +351,9 @@
 	e.reqMu.Unlock()
 	e.cfgMu.Lock()
 	defer e.cfgMu.Unlock()
-	_, rev := e.node.Document()
 	return peer.SyncMessage{
-		Instance: e.self.ID, Revision: rev, Digest: e.node.Digest(), PlatformAge: e.node.PlatformAge(now), Blamed: blamed,
+		Instance: e.self.ID, Position: e.node.HeldPosition(), HistorySum: e.node.HistorySum(),
+		PlatformAge: e.node.PlatformAge(now), Blamed: blamed,
 	}
 }
 
@@ -280,6 +364,9 @@
 		return
 	}
 	e.recordPeer(in.ID, reply)
+	if reply.History != nil {
+		e.offerHistory(*reply.History, in.ID)
+	}
 	if reply.Update == nil {
 		return
 	}
@@ -288,16 +375,38 @@
 	}
 }
 
+// offerHistory merges the history of another entry, which can put a configuration in force
+// that was received earlier.
+func (e *Entry) offerHistory(s configsync.SignedHistory, from fleet.InstanceID) {
+	e.cfgMu.Lock()
+	res := e.node.OfferHistory(s)
+	at := e.node.HeldPosition()
+	e.cfgMu.Unlock()
+	e.handleOffer(res, at, string(from))
+}
+
+// recordAgentPosition learns from the position of an agent's plan.
+func (e *Entry) recordAgentPosition(p fleet.Position, from fleet.InstanceID) {
+	if p.Era == 0 {
+		return
+	}
+	e.cfgMu.Lock()
+	res := e.node.RecordPlanPosition(p)
+	at := e.node.HeldPosition()
+	e.cfgMu.Unlock()
+	e.handleOffer(res, at, string(from))
+}
+
 func (e *Entry) offer(u configsync.Update, from fleet.InstanceID) configsync.Verdict {
 	e.cfgMu.Lock()
 	res := e.node.OfferPeerUpdate(u, e.now())
 	e.cfgMu.Unlock()
-	e.handleOffer(res, u.Revision, string(from))
+	e.handleOffer(res, u.Position, string(from))
 	return res.Verdict
 }
 
 func (e *Entry) fetchFull(ctx context.Context, in fleet.Instance) {
-	u, err := e.opt.Pool.Document(ctx, in.Address, 0, true)
+	u, err := e.opt.Pool.Document(ctx, in.Address, fleet.Position{}, true)
 	if err == nil {
 		e.offer(u, in.ID)
 	}
@@ -313,16 +422,19 @@
 	e.reqMu.Unlock()
 }
 
-// Sync implements peer.EntryHandler. If the requesting entry has a newer revision, its
-// configuration is requested in return.
+// Sync implements peer.EntryHandler. If the requesting entry has a newer configuration or
+// another history, these are requested in return.
 func (e *Entry) Sync(m peer.SyncMessage) peer.SyncMessage {
 	e.recordPeer(m.Instance, m)
 	out := e.syncMessage()
 	e.cfgMu.Lock()
-	if u, ok := e.node.UpdateFor(m.Revision); ok {
+	if u, ok := e.node.UpdateFor(m.Position); ok {
 		out.Update = &u
 	}
-	isBehind := out.Revision < m.Revision && !e.pulling
+	if s, ok := e.node.HistoryFor(m.HistorySum); ok {
+		out.History = &s
+	}
+	isBehind := e.node.IsBehind(m.Position, m.HistorySum) && !e.pulling
 	if isBehind {
 		e.pulling = true
 	}
@@ -334,7 +446,7 @@
 	return out
 }
 
-// pull fetches the configuration from an entry that reported a newer revision.
+// pull fetches the configuration and the history from an entry that reported newer ones.
 type pull struct {
 	e    *Entry
 	from fleet.InstanceID
@@ -358,7 +470,7 @@
 }
 
 // Document implements peer.EntryHandler.
-func (e *Entry) Document(have fleet.Revision, full bool) (configsync.Update, bool) {
+func (e *Entry) Document(have fleet.Position, full bool) (configsync.Update, bool) {
 	e.cfgMu.Lock()
 	defer e.cfgMu.Unlock()
 	if full {
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -50,6 +50,7 @@
 	pauseThreshold   = 2 * time.Second // a longer gap between ticks means that the process was paused
 	platformRetryMin = 250 * time.Millisecond
 	platformRetryMax = 10 * time.Second
+	askPeersTimeout  = time.Second
 )
 
 // retryBurst is the maximum number of retries that a budget accumulates.
@@ -70,7 +71,9 @@
 // configInForce is the configuration in force. It is immutable and replaced atomically.
 type configInForce struct {
 	doc *config.Document
-	rev fleet.Revision
+	at  fleet.Position // at which the document was written
+	// held is the position of the response that contained the document.
+	held fleet.Position
 }
 
 // Entry is one entry daemon.
@@ -80,9 +83,11 @@
 	issuer  *ticket.Issuer
 	inForce atomic.Pointer[configInForce]
 
-	cfgMu        sync.Mutex // guards node, listRevision and pulling
+	cfgMu        sync.Mutex // guards the fields up to pulling
 	node         *configsync.Node
-	listRevision fleet.Revision
+	listPosition fleet.Position
+	configEra    eraCheck
+	listEra      eraCheck
 	pulling      bool
 	accepted     chan struct{} // signals the syncer to announce a new configuration
 
@@ -154,12 +159,12 @@
 func (e *Entry) now() time.Time { return e.opt.Clock.Now() }
 
 // document returns the configuration in force, or nil before the first one was accepted.
-func (e *Entry) document() (*config.Document, fleet.Revision) {
+func (e *Entry) document() (*config.Document, fleet.Position) {
 	f := e.inForce.Load()
 	if f == nil {
-		return nil, 0
+		return nil, fleet.Position{}
 	}
-	return f.doc, f.rev
+	return f.doc, f.at
 }
 
 func (e *Entry) limitsFor(w fleet.Workspace) admit.Limits {
@@ -186,10 +191,10 @@
 // IsLeaving implements caller.Service.
 func (e *Entry) IsLeaving() bool { return e.leaving.Load() }
 
-// Revision returns the revision in force.
-func (e *Entry) Revision() fleet.Revision {
-	_, rev := e.document()
-	return rev
+// Position returns the position at which the configuration in force was written.
+func (e *Entry) Position() fleet.Position {
+	_, at := e.document()
+	return at
 }
 
 // Configured returns the version of a model that the configuration in force assigns by
--- a/app/entry/status.go
+++ b/app/entry/status.go
@@ -56,15 +56,19 @@
 func (e *Entry) ownFleet() peer.Fleet {
 	now := e.now()
 	e.cfgMu.Lock()
-	_, rev := e.node.Document()
+	at := e.node.Position()
 	refusal, refused := e.node.Refusal()
+	withheld, isWithheld := e.node.Withheld()
 	e.cfgMu.Unlock()
-	out := peer.Fleet{Entry: e.self.ID, Revision: rev}
+	out := peer.Fleet{Entry: e.self.ID, Position: at}
 	if refused {
-		out.RefusedRevision = refusal.Revision
+		out.RefusedPosition = refusal.Position
 		out.Refused = refusal.Problem.Error()
 	}
-	out.Entries = []peer.EntryState{{Instance: e.self.ID, Address: e.self.Address, Revision: rev}}
+	if isWithheld {
+		out.Withheld = withheld
+	}
+	out.Entries = []peer.EntryState{{Instance: e.self.ID, Address: e.self.Address, Position: at}}
 	e.memMu.Lock()
 	defer e.memMu.Unlock()
 	for _, a := range e.table.All() {
@@ -139,9 +143,14 @@
 
 // buildStatus builds the response to an operator's status request.
 func buildStatus(all peer.Fleet, doc *config.Document, list []fleet.Instance, now time.Time) operator.Status {
-	st := operator.Status{Entry: string(all.Entry), Revision: uint64(all.Revision)}
+	st := operator.Status{Entry: string(all.Entry), Revision: uint64(all.Position.Revision), Era: uint64(all.Position.Era)}
 	if all.Refused != "" {
-		st.Refused = &operator.Refused{Revision: uint64(all.RefusedRevision), Problems: all.Refused}
+		st.Refused = &operator.Refused{
+			Revision: uint64(all.RefusedPosition.Revision), Era: uint64(all.RefusedPosition.Era), Problems: all.Refused,
+		}
+	}
+	if !all.Withheld.IsZero() {
+		st.Withheld = &operator.Withheld{Revision: uint64(all.Withheld.Revision), Era: uint64(all.Withheld.Era)}
 	}
 	if doc == nil {
 		return st
@@ -149,9 +158,9 @@
 	st.Exceptions = exceptionStatuses(doc, now)
 	st.Converged = st.Refused == nil
 	for _, state := range all.Entries {
-		entry := operator.EntryStatus{Instance: string(state.Instance), Revision: uint64(state.Revision), AgeMS: state.Age.Milliseconds(), Problem: state.Problem}
+		entry := operator.EntryStatus{Instance: string(state.Instance), Revision: uint64(state.Position.Revision), Era: uint64(state.Position.Era), AgeMS: state.Age.Milliseconds(), Problem: state.Problem}
 		st.Entries = append(st.Entries, entry)
-		if state.Problem == "" && state.Revision != all.Revision {
+		if state.Problem == "" && state.Position != all.Position {
 			st.Converged = false
 		}
 	}
@@ -166,7 +175,7 @@
 			continue
 		}
 		m, ok := reported[in.ID]
-		instances := instanceStatuses(doc, in, m, ok, all.Revision)
+		instances := instanceStatuses(doc, in, m, ok, all.Position)
 		for _, r := range instances {
 			counts.add(r)
 			if r.Lags && !in.Leaving {
@@ -195,13 +204,13 @@
 
 // instanceStatuses returns the status of one instance, one record for each model that it
 // should serve.
-func instanceStatuses(doc *config.Document, in fleet.Instance, m peer.FleetMember, reported bool, rev fleet.Revision) []operator.InstanceStatus {
+func instanceStatuses(doc *config.Document, in fleet.Instance, m peer.FleetMember, reported bool, at fleet.Position) []operator.InstanceStatus {
 	base := operator.InstanceStatus{Instance: string(in.ID), Zone: string(in.Zone), State: stateName(in, m, reported), AgeMS: -1}
 	if reported {
-		base.Revision = uint64(m.Report.Revision)
+		base.Revision, base.Era = uint64(m.Report.Position.Revision), uint64(m.Report.Position.Era)
 		base.AgeMS = m.Age.Milliseconds()
 	}
-	base.Lags = !reported || m.Age > lagThreshold || m.Report.Revision < rev
+	base.Lags = !reported || m.Age > lagThreshold || m.Report.Position.Before(at)
 	if !reported {
 		base.WaitsFor = "not_heard_of"
 	}
@@ -294,17 +303,17 @@
 	e.memMu.Lock()
 	in, ok := e.table.Instance(fleet.InstanceID(id))
 	e.memMu.Unlock()
-	doc, rev := e.document()
+	doc, at := e.document()
 	if !ok || doc == nil {
 		return operator.Explanation{}, operator.ErrNoInstance
 	}
-	out := operator.Explanation{Instance: id, Revision: uint64(rev), Settings: doc.Explain(in)}
+	out := operator.Explanation{Instance: id, Revision: uint64(at.Revision), Era: uint64(at.Era), Settings: doc.Explain(in)}
 	all := e.Fleet(ctx, true)
 	i := slices.IndexFunc(all.Members, func(m peer.FleetMember) bool { return m.Report.Instance == in.ID })
 	var m peer.FleetMember
 	if i >= 0 {
 		m = all.Members[i]
 	}
-	out.State = instanceStatuses(doc, in, m, i >= 0, rev)
+	out.State = instanceStatuses(doc, in, m, i >= 0, at)
 	return out, nil
 }
--- a/app/local/cluster.go
+++ b/app/local/cluster.go
@@ -50,11 +50,11 @@
 	stopped  bool           // stopped or killed
 }
 
-func (d *runningDaemon) revision() fleet.Revision {
+func (d *runningDaemon) position() fleet.Position {
 	if d.entry != nil {
-		return d.entry.Revision()
+		return d.entry.Position()
 	}
-	return d.agent.Revision()
+	return d.agent.Position()
 }
 
 // configured returns the version of a model that the daemon's configuration assigns.
--- a/app/local/faults.go
+++ b/app/local/faults.go
@@ -243,8 +243,8 @@
 	v3 := weights.New(modelName, o.Seed+2, o.ModelBytes, o.chunkBytes())
 	r.cluster.origin.Add(v3)
 	r.wantedVersion.Store(&v3)
-	rev := r.cluster.platform.Publish(configDocument(o, v3.ID))
-	r.printf("version %s published as revision %d", v3.ID.Short(), rev)
+	at := r.cluster.platform.Publish(configDocument(o, v3.ID))
+	r.printf("version %s published as revision %d of era %d", v3.ID.Short(), at.Revision, at.Era)
 	daemon.Sleep(ctx, faultDuration/4)
 }
 
@@ -282,9 +282,10 @@
 	<-guard.done
 }
 
-// awaitConfigured waits until every live daemon that configures the model configures version v.
+// awaitConfigured waits until every live daemon that configures the model configures version v,
+// which versionChange published.
 func (r *run) awaitConfigured(ctx context.Context, v fleet.Version) {
-	took, err := Await(ctx, "version configured", configBound, func() bool {
+	took, err := Await(ctx, "version configured", configBound-faultDuration/4, func() bool {
 		for _, d := range r.cluster.liveDaemons() {
 			if got := d.configured(modelName); got != "" && got != v {
 				return false
--- a/app/local/run.go
+++ b/app/local/run.go
@@ -144,7 +144,7 @@
 // entriesConfigured reports whether every live entry has a configuration in force.
 func (r *run) entriesConfigured() bool {
 	for _, d := range r.cluster.liveDaemons() {
-		if d.entry != nil && d.entry.Revision() == 0 {
+		if d.entry != nil && d.entry.Position().IsZero() {
 			return false
 		}
 	}
@@ -185,10 +185,10 @@
 	faults := &faultInjector{r: r}
 	faults.before(ctx)
 	r.wantedVersion.Store(&r.v2)
-	rev := r.cluster.platform.Publish(configDocument(o, r.v2.ID))
-	r.printf("version %s published as revision %d", r.v2.ID.Short(), rev)
+	at := r.cluster.platform.Publish(configDocument(o, r.v2.ID))
+	r.printf("version %s published as revision %d", r.v2.ID.Short(), at.Revision)
 	faults.start(ctx)
-	if err := r.awaitConfig(ctx, began, rev); err != nil {
+	if err := r.awaitConfig(ctx, began, at); err != nil {
 		return err
 	}
 	r.awaitServing(ctx, began)
@@ -224,12 +224,13 @@
 	r.load.Start(ctx)
 }
 
-// awaitConfig waits until every live daemon has revision rev or a later one in force.
-func (r *run) awaitConfig(ctx context.Context, began time.Time, rev fleet.Revision) error {
+// awaitConfig waits until every live daemon has the configuration of position at or a later one
+// in force.
+func (r *run) awaitConfig(ctx context.Context, began time.Time, at fleet.Position) error {
 	timeout := convergeTimeout
 	if _, err := Await(ctx, "configuration in force", timeout, func() bool {
 		for _, d := range r.cluster.liveDaemons() {
-			if d.revision() < rev {
+			if d.position().Before(at) {
 				return false
 			}
 		}
--- a/app/local/standins.go
+++ b/app/local/standins.go
@@ -126,7 +126,7 @@
 				break
 			}
 		}
-		_, _ = fmt.Fprintf(w, "revision %d\n", s.platform.Publish(body))
+		_, _ = fmt.Fprintf(w, "revision %d\n", s.platform.Publish(body).Revision)
 	})
 	return mux
 }
--- a/cmd/amaranthturn/cmds/query.go
+++ b/cmd/amaranthturn/cmds/query.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -159,9 +160,13 @@
 	if st.Converged {
 		state = "converged"
 	}
-	_, _ = fmt.Fprintf(w, "%s, revision %d, reported by %s, %d bytes from the origin\n", state, st.Revision, st.Entry, st.OriginBytes)
+	_, _ = fmt.Fprintf(w, "%s, revision %s, reported by %s, %d bytes from the origin\n", state, position(st.Era, st.Revision), st.Entry, st.OriginBytes)
 	if st.Refused != nil {
-		_, _ = fmt.Fprintf(w, "refused revision %d: %s\n", st.Refused.Revision, st.Refused.Problems)
+		_, _ = fmt.Fprintf(w, "refused revision %s: %s\n", position(st.Refused.Era, st.Refused.Revision), st.Refused.Problems)
+	}
+	if st.Withheld != nil {
+		_, _ = fmt.Fprintf(w, "the platform was restored from a copy and contains an older configuration (revision %s); publish the latest one again\n",
+			position(st.Withheld.Era, st.Withheld.Revision))
 	}
 	t := newTable(w, "MODEL", "VERSION", "DESIRED", "SERVING", "LOADING", "STUCK")
 	for _, m := range st.Models {
@@ -176,18 +181,26 @@
 	t = newTable(w, "INSTANCE", "ZONE", "STATE", "REVISION", "SERVING", "PHASE", "CHUNKS", "AGE", "WAITS FOR")
 	for _, in := range st.Instances {
 		if in.Lags {
-			t.addRow(in.Instance, in.Zone, in.State, in.Revision, fleet.Version(in.Serving).Short(), in.Phase,
+			t.addRow(in.Instance, in.Zone, in.State, position(in.Era, in.Revision), fleet.Version(in.Serving).Short(), in.Phase,
 				fmt.Sprintf("%d/%d", in.ChunksHeld, in.ChunksTotal), age(in.AgeMS), in.WaitsFor)
 		}
 	}
 	t.flush()
 	t = newTable(w, "ENTRY", "REVISION", "AGE", "PROBLEM")
 	for _, e := range st.Entries {
-		t.addRow(e.Instance, e.Revision, age(e.AgeMS), e.Problem)
+		t.addRow(e.Instance, position(e.Era, e.Revision), age(e.AgeMS), e.Problem)
 	}
 	t.flush()
 }
 
+// position returns a revision, preceded by its era unless that is 0.
+func position(era, revision uint64) string {
+	if era == 0 {
+		return strconv.FormatUint(revision, 10)
+	}
+	return fmt.Sprintf("%d/%d", era, revision)
+}
+
 func expiry(x operator.ExceptionStatus) string {
 	if x.Expires == nil {
 		return "-"
@@ -255,7 +268,7 @@
 		printJSON(p.out, e)
 		return ExitOK
 	}
-	p.printf("%s at revision %d\n", e.Instance, e.Revision)
+	p.printf("%s at revision %s\n", e.Instance, position(e.Era, e.Revision))
 	t := newTable(p.out, "SETTING", "VALUE", "FROM", "REASON")
 	for _, s := range e.Settings {
 		t.addRow(s.Key, s.Value, s.From, s.Reason)
--- a/core/configsync/bench_test.go
+++ b/core/configsync/bench_test.go
@@ -14,7 +14,7 @@
 
 // Message sizes in bytes, including transport framing, and delays of the simulation.
 const (
-	syncBytes         = 190
+	syncBytes         = 130
 	noticeBytes       = 105 // a plan that is unchanged for this target
 	heartbeatBytes    = 42
 	updateOverhead    = 120
@@ -75,7 +75,7 @@
 	for i, entry := range sim.instances {
 		node := NewNode(DefaultSettings(entry.ID, entry.Zone), r, rand.New(rand.NewPCG(uint64(i), 5)), start)
 		node.SetEntries(sim.instances)
-		node.OfferPlatformDocument(1, largeDocument(1), start)
+		node.OfferPlatformDocument(at(0, 1), largeDocument(1), start)
 		sim.entries = append(sim.entries, node)
 		index[entry.ID] = i
 	}
@@ -119,7 +119,7 @@
 		sim.platformReads++
 		sim.schedule(hopDelay+time.Duration(sim.random.IntN(5))*time.Millisecond, func() {
 			sim.controlBytes[i] += float64(len(body)) / 4 // compressed
-			sim.handleResult(i, node.OfferPlatformDocument(2, body, sim.now))
+			sim.handleResult(i, node.OfferPlatformDocument(at(0, 2), body, sim.now))
 		})
 	}
 	for i := range sim.entries {
@@ -178,8 +178,13 @@
 }
 
 func (sim *syncSimulation) pull(to, from int) {
-	_, have := sim.entries[to].Document()
-	u, ok := sim.entries[from].UpdateFor(have)
+	if h, ok := sim.entries[from].HistoryFor(sim.entries[to].HistorySum()); ok {
+		size := float64(len(h.Body) + updateOverhead)
+		sim.controlBytes[from] += size
+		sim.controlBytes[to] += size
+		sim.schedule(hopDelay, func() { sim.entries[to].OfferHistory(h) })
+	}
+	u, ok := sim.entries[from].UpdateFor(sim.entries[to].HeldPosition())
 	if !ok {
 		return
 	}
--- a/core/configsync/configsync.go
+++ b/core/configsync/configsync.go
@@ -6,9 +6,9 @@
 //	n := configsync.NewNode(settings, ring, random, now)
 //	n.SetEntries(list)
 //	if n.ShouldReadPlatform(now) { /* read or watch the platform */ }
-//	res := n.OfferPlatformDocument(revision, body, now)
-//	if res.Changed { for _, entry := range n.AnnouncementPeers() { /* announce the revision */ } }
-//	update, ok := n.UpdateFor(peerRevision) // to send to a daemon with an older revision
+//	res := n.OfferPlatformDocument(position, body, now)
+//	if res.Changed { for _, entry := range n.AnnouncementPeers() { /* announce the position */ } }
+//	update, ok := n.UpdateFor(peerPosition) // to send to a daemon with an older document
 //	res = n.OfferPeerUpdate(update, now)
 //
 // # Propagation
@@ -24,10 +24,16 @@
 //
 // # Ordering
 //
-// Revisions only increase. A document is accepted or refused by its content alone,
-// so every daemon keeps the same highest accepted revision regardless of the path
-// by which it arrived. Documents sent between daemons carry a MAC over revision and
-// content.
+// Documents are ordered by the position, era and revision, at which they were written. A
+// document is accepted or refused by its content alone, so every daemon keeps the same
+// latest accepted document regardless of the path by which it arrived. Documents sent
+// between daemons carry a MAC over position and content.
+//
+// A platform's store that is restored from a copy begins a new era: it holds an older
+// document at a new position and gives out revisions again. A document that came with the
+// copy keeps the position of the earlier era at which it was written, so that the document
+// in force stays until one is written in the new era. Daemons exchange the signed history
+// by which they tell the two apart.
 package configsync
 
 import (
@@ -59,6 +65,7 @@
 	Forged                          // forged
 	DeltaMismatch                   // delta_does_not_fit
 	RevisionConflict                // same_revision_other_content
+	StaleEra                        // stale_era
 )
 
 // Settings holds the parameters of a Node.
@@ -74,31 +81,31 @@
 	TakeoverAfter time.Duration
 	// Fanout is the number of entries to which a new revision is announced.
 	Fanout int
-	// History is the number of earlier accepted bodies kept as bases of deltas.
-	History int
+	// Bases is the number of earlier accepted bodies kept as bases of deltas.
+	Bases int
 }
 
 // DefaultSettings returns the default parameters of an entry.
 func DefaultSettings(self fleet.InstanceID, zone fleet.Zone) Settings {
 	return Settings{
 		Self: self, Zone: zone, WatchersPerZone: 2, Epoch: 10 * time.Minute,
-		TakeoverAfter: 2 * time.Second, Fanout: 4, History: 4,
+		TakeoverAfter: 2 * time.Second, Fanout: 4, Bases: 4,
 	}
 }
 
 // SignedDocument is an accepted document with its MAC.
 type SignedDocument struct {
-	Revision fleet.Revision
+	Position fleet.Position // of the platform's response that contained the document
 	Body     []byte
 	MAC      keys.MAC
 }
 
-// Update brings another daemon to a revision. It carries the full body, or a delta
+// Update brings another daemon to a position. It carries the full body, or a delta
 // from a base that the other daemon holds.
 type Update struct {
-	Revision fleet.Revision
+	Position fleet.Position
 	Body     []byte
-	Base     fleet.Revision // 0 when Body is the full document
+	Base     fleet.Position // zero when Body is the full document
 	Delta    Delta
 	MAC      keys.MAC
 }
@@ -106,14 +113,15 @@
 // Result is the result of an offered document or plan.
 type Result struct {
 	Verdict Verdict
-	Changed bool // a new document or plan is in force
+	Changed bool // a new document or plan is in force, or its position is known better
 	Problem error
 }
 
-// Refusal is the refused document with the highest revision.
+// Refusal is the refused document with the highest position.
 type Refusal struct {
-	Revision fleet.Revision
+	Position fleet.Position
 	Problem  error
+	digest   contentDigest
 }
 
 // Node holds the configuration of one entry. It is not safe for concurrent use.
@@ -123,8 +131,12 @@
 	random            *rand.Rand
 	doc               *config.Document
 	signed            SignedDocument
-	digest            fleet.Digest
-	history           []SignedDocument
+	digest            contentDigest    // of the document in force
+	bases             []SignedDocument // earlier documents in force, as bases of deltas
+	store             history
+	previousSum       uint64         // of the history without the document in force; 0 if it differs by more
+	read              fleet.Position // highest position read from the platform
+	withheld          SignedDocument // latest document of the platform that is older than the one in force
 	refused           Refusal
 	zoneEntries       []fleet.InstanceID
 	peers             []fleet.Instance
@@ -196,12 +208,15 @@
 
 // OfferPlatformDocument offers a document received from the platform. A refused document
 // does not change the document in force.
-func (n *Node) OfferPlatformDocument(rev fleet.Revision, body []byte, now time.Time) Result {
+func (n *Node) OfferPlatformDocument(p fleet.Position, body []byte, now time.Time) Result {
 	n.RecordPlatformContact(now)
-	if r, done := n.checkRevision(rev, body); done {
-		return r
+	if p.Era < n.Era() {
+		return Result{Verdict: StaleEra}
+	}
+	if n.read.Before(p) {
+		n.read = p
 	}
-	return n.accept(rev, body, n.ring.Sign(documentPurpose, encodeRevision(rev), body))
+	return n.offer(SignedDocument{Position: p, Body: body, MAC: n.ring.Sign(documentPurpose, encodePosition(p), body)})
 }
 
 // OfferPeerUpdate offers an update received from another daemon.
@@ -210,78 +225,152 @@
 	if !ok {
 		return Result{Verdict: DeltaMismatch}
 	}
-	if err := n.ring.Verify(documentPurpose, u.MAC, encodeRevision(u.Revision), body); err != nil {
+	if err := n.ring.Verify(documentPurpose, u.MAC, encodePosition(u.Position), body); err != nil {
+		return Result{Verdict: Forged, Problem: err}
+	}
+	return n.offer(SignedDocument{Position: u.Position, Body: body, MAC: u.MAC})
+}
+
+// OfferHistory merges what another daemon knows of the platform's store.
+func (n *Node) OfferHistory(s SignedHistory) Result {
+	if err := n.ring.Verify(historyPurpose, s.MAC, s.Body); err != nil {
+		return Result{Verdict: Forged, Problem: err}
+	}
+	other, err := decodeHistory(s.Body)
+	if err != nil {
 		return Result{Verdict: Forged, Problem: err}
 	}
-	if r, done := n.checkRevision(u.Revision, body); done {
-		return r
+	return n.updateHistory(func() { n.store.merge(other) })
+}
+
+// RecordPlanPosition records the position of an agent's plan, which shows that a document was
+// written there. It matters only if no entry knows an earlier era any more.
+func (n *Node) RecordPlanPosition(p fleet.Position) Result {
+	if p.Era == 0 || p.Revision == 0 || n.store.writtenAt(p) == p && p.Era <= n.store.era() || len(n.store.before(p.Era)) > 0 {
+		return Result{Verdict: Known}
+	}
+	return n.updateHistory(func() { n.store.add(sighting{at: fleet.Position{Era: p.Era, Revision: p.Revision - 1}}) })
+}
+
+// updateHistory changes the history and puts the withheld document in force if it turns
+// out to be newer than the one in force.
+func (n *Node) updateHistory(change func()) Result {
+	before := n.Position()
+	change()
+	n.previousSum = 0
+	r := Result{Verdict: Known}
+	if w := n.withheld; w.Body != nil && n.Position().Before(n.store.writtenAt(w.Position)) {
+		r = n.offer(w)
 	}
-	return n.accept(u.Revision, body, u.MAC)
+	r.Changed = r.Changed || n.Position() != before
+	return r
 }
 
-// checkRevision returns the result of an offer that is not newer than the document
-// in force, or that repeats the last refused revision.
-func (n *Node) checkRevision(rev fleet.Revision, body []byte) (Result, bool) {
+func (n *Node) offer(s SignedDocument) Result {
+	digest := contentDigestOf(s.Body)
+	before := n.Position()
+	sum := n.store.sum()
+	isNews := n.store.add(sighting{at: s.Position, digest: digest})
+	r, done := n.checkPosition(s, digest)
+	if !done {
+		r = n.accept(s, digest)
+	}
 	switch {
-	case rev < n.signed.Revision:
+	case isNews && r.Verdict == Accepted:
+		n.previousSum = sum
+	case isNews:
+		n.previousSum = 0
+	}
+	r.Changed = r.Changed || n.Position() != before
+	return r
+}
+
+// checkPosition returns the result of an offer that is not newer than the document
+// in force, or that repeats the last refused one.
+func (n *Node) checkPosition(s SignedDocument, digest contentDigest) (Result, bool) {
+	if s.Position == n.refused.Position && n.refused.Problem != nil && digest == n.refused.digest {
+		return Result{Verdict: Refused, Problem: n.refused.Problem}, true
+	}
+	if n.doc == nil {
+		return Result{}, false
+	}
+	switch n.store.writtenAt(s.Position).Compare(n.Position()) {
+	case -1:
+		n.withhold(s)
 		return Result{Verdict: Older}, true
-	case rev == n.signed.Revision && fleet.DigestOf(body) == n.digest:
-		return Result{Verdict: Known}, true
-	case rev == n.signed.Revision && n.doc != nil:
+	case 0:
+		if digest == n.digest {
+			return Result{Verdict: Known}, true
+		}
+		if s.Position != n.signed.Position {
+			n.withhold(s)
+			return Result{Verdict: Older}, true
+		}
 		return Result{Verdict: RevisionConflict}, true
-	case rev == n.refused.Revision && n.refused.Problem != nil:
-		return Result{Verdict: Refused, Problem: n.refused.Problem}, true
 	}
 	return Result{}, false
 }
 
-func (n *Node) accept(rev fleet.Revision, body []byte, mac keys.MAC) Result {
-	doc, err := config.Parse(body)
+func (n *Node) accept(s SignedDocument, digest contentDigest) Result {
+	doc, err := config.Parse(s.Body)
 	if err != nil {
-		if rev > n.refused.Revision {
-			n.refused = Refusal{rev, err}
+		if n.refused.Position.Before(s.Position) {
+			n.refused = Refusal{Position: s.Position, Problem: err, digest: digest}
 		}
 		return Result{Verdict: Refused, Problem: err}
 	}
 	if n.doc != nil {
-		n.history = append(n.history, n.signed)
-		n.history = n.history[max(0, len(n.history)-n.settings.History):]
+		n.bases = append(n.bases, n.signed)
+		n.bases = n.bases[max(0, len(n.bases)-n.settings.Bases):]
 	}
+	previous := n.signed
 	n.doc = doc
-	n.signed = SignedDocument{Revision: rev, Body: slices.Clone(body), MAC: mac}
-	n.digest = fleet.DigestOf(body)
-	if n.refused.Revision < rev {
+	n.signed = SignedDocument{Position: s.Position, Body: slices.Clone(s.Body), MAC: s.MAC}
+	n.digest = digest
+	n.withhold(previous)
+	if n.refused.Position.Before(s.Position) {
 		n.refused = Refusal{}
 	}
 	return Result{Verdict: Accepted, Changed: true}
 }
 
+// withhold keeps a document that the store held after the one in force was written, if it
+// is the latest such document: it may turn out to be newer.
+func (n *Node) withhold(s SignedDocument) {
+	if n.withheld.Position.Before(s.Position) && n.signed.Position.Before(s.Position) {
+		n.withheld = SignedDocument{Position: s.Position, Body: slices.Clone(s.Body), MAC: s.MAC}
+	}
+	if !n.signed.Position.Before(n.withheld.Position) {
+		n.withheld = SignedDocument{}
+	}
+}
+
 // rebuild returns the full body of an update, or false if its delta is not based on
 // the document in force.
 func (n *Node) rebuild(u Update) ([]byte, bool) {
-	if u.Base == 0 {
+	if u.Base.IsZero() {
 		return u.Body, true
 	}
-	if n.doc == nil || u.Base != n.signed.Revision {
+	if n.doc == nil || u.Base != n.signed.Position {
 		return nil, false
 	}
 	return u.Delta.Apply(n.signed.Body)
 }
 
-// UpdateFor returns the update from revision have to the one in force here, or false
-// if have is not older.
-func (n *Node) UpdateFor(have fleet.Revision) (Update, bool) {
-	if n.doc == nil || have >= n.signed.Revision {
+// UpdateFor returns the update from the document held at position have to the one in force
+// here, or false if have is not older.
+func (n *Node) UpdateFor(have fleet.Position) (Update, bool) {
+	if n.doc == nil || !n.store.writtenAt(have).Before(n.Position()) {
 		return Update{}, false
 	}
-	u := Update{Revision: n.signed.Revision, MAC: n.signed.MAC}
-	i := slices.IndexFunc(n.history, func(s SignedDocument) bool { return s.Revision == have })
+	u := Update{Position: n.signed.Position, MAC: n.signed.MAC}
+	i := slices.IndexFunc(n.bases, func(s SignedDocument) bool { return s.Position == have })
 	if i < 0 {
 		u.Body = n.signed.Body
 		return u, true
 	}
 	u.Base = have
-	u.Delta = Diff(n.history[i].Body, n.signed.Body)
+	u.Delta = Diff(n.bases[i].Body, n.signed.Body)
 	return u, true
 }
 
@@ -291,7 +380,48 @@
 	if n.doc == nil {
 		return Update{}, false
 	}
-	return Update{Revision: n.signed.Revision, Body: n.signed.Body, MAC: n.signed.MAC}, true
+	return Update{Position: n.signed.Position, Body: n.signed.Body, MAC: n.signed.MAC}, true
+}
+
+// IsBehind reports whether a daemon that holds a document at position p and a history with
+// the given sum knows more than this one. A daemon that keeps no history has the sum 0.
+func (n *Node) IsBehind(p fleet.Position, historySum uint64) bool {
+	return n.Position().Before(n.store.writtenAt(p)) || historySum != 0 && n.isHistoryNews(historySum)
+}
+
+// HistorySum identifies the content of the history.
+func (n *Node) HistorySum() uint64 { return n.store.sum() }
+
+// HistoryFor returns the history for a daemon whose history has another sum, or false if
+// that daemon will have the same one once it has the document in force.
+func (n *Node) HistoryFor(sum uint64) (SignedHistory, bool) {
+	if n.store.sum() == 0 || !n.isHistoryNews(sum) {
+		return SignedHistory{}, false
+	}
+	body := slices.Clone(n.store.encode())
+	return SignedHistory{Body: body, MAC: n.ring.Sign(historyPurpose, body)}, true
+}
+
+func (n *Node) isHistoryNews(sum uint64) bool {
+	return sum != n.store.sum() && (sum == 0 || sum != n.previousSum)
+}
+
+// Era returns the highest era that is known.
+func (n *Node) Era() fleet.Era { return max(n.store.era(), n.signed.Position.Era) }
+
+// ReadPosition returns the position after which the platform's next document is news.
+func (n *Node) ReadPosition() fleet.Position {
+	p := n.read
+	if p.Before(n.signed.Position) {
+		p = n.signed.Position
+	}
+	if n.refused.Problem != nil && p.Before(n.refused.Position) {
+		p = n.refused.Position
+	}
+	if p.Era < n.Era() {
+		p = fleet.Position{Era: n.Era()}
+	}
+	return p
 }
 
 // AnnouncementPeers returns the entries to notify of a new revision: up to Fanout-1 random
@@ -324,19 +454,35 @@
 	return list[:max(0, min(k, len(list)))]
 }
 
-// Document returns the document in force and its revision; the document is nil if
-// none is in force.
-func (n *Node) Document() (*config.Document, fleet.Revision) { return n.doc, n.signed.Revision }
+// Document returns the document in force and the position at which it was written; the
+// document is nil if none is in force.
+func (n *Node) Document() (*config.Document, fleet.Position) { return n.doc, n.Position() }
+
+// Position returns the position at which the document in force was written.
+func (n *Node) Position() fleet.Position { return n.store.writtenAt(n.signed.Position) }
 
-// Digest returns the digest of the document in force.
-func (n *Node) Digest() fleet.Digest { return n.digest }
+// HeldPosition returns the position of the response that contained the document in force.
+// Updates are based on it.
+func (n *Node) HeldPosition() fleet.Position { return n.signed.Position }
 
-// Refusal returns the refused document with the highest revision, and whether it is
+// Withheld returns the position of the platform's document if it is an older one that a
+// restored copy contained, and false if it is in force.
+func (n *Node) Withheld() (fleet.Position, bool) {
+	return n.withheld.Position, n.withheld.Body != nil && n.withheld.Position.Era == n.Era()
+}
+
+// Refusal returns the refused document with the highest position, and whether it is
 // newer than the document in force.
 func (n *Node) Refusal() (Refusal, bool) {
-	return n.refused, n.refused.Problem != nil && n.refused.Revision > n.signed.Revision
+	return n.refused, n.refused.Problem != nil && n.Position().Before(n.store.writtenAt(n.refused.Position))
 }
 
-func encodeRevision(rev fleet.Revision) []byte {
-	return binary.BigEndian.AppendUint64(nil, uint64(rev))
+// encodePosition returns the input of a MAC. Builds that do not know eras sign the revision
+// alone.
+func encodePosition(p fleet.Position) []byte {
+	out := binary.BigEndian.AppendUint64(nil, uint64(p.Revision))
+	if p.Era == 0 {
+		return out
+	}
+	return binary.BigEndian.AppendUint64(out, uint64(p.Era))
 }
--- a/core/configsync/configsync_string.go
+++ b/core/configsync/configsync_string.go
@@ -15,11 +15,12 @@
 	_ = x[Forged-4]
 	_ = x[DeltaMismatch-5]
 	_ = x[RevisionConflict-6]
+	_ = x[StaleEra-7]
 }
 
-const _Verdict_name = "acceptedknownolderrefusedforgeddelta_does_not_fitsame_revision_other_content"
+const _Verdict_name = "acceptedknownolderrefusedforgeddelta_does_not_fitsame_revision_other_contentstale_era"
 
-var _Verdict_index = [...]uint8{0, 8, 13, 18, 25, 31, 49, 76}
+var _Verdict_index = [...]uint8{0, 8, 13, 18, 25, 31, 49, 76, 85}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
--- a/core/configsync/property_test.go
+++ b/core/configsync/property_test.go
@@ -42,6 +42,10 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
+func at(era fleet.Era, rev fleet.Revision) fleet.Position {
+	return fleet.Position{Era: era, Revision: rev}
+}
+
 func entryInstance(i, zones int) fleet.Instance {
 	return fleet.Instance{ID: fleet.InstanceID(fmt.Sprintf("e%03d", i)), Role: fleet.RoleEntry, Zone: fleet.Zone(fmt.Sprintf("z%d", i%zones))}
 }
@@ -94,7 +98,7 @@
 }
 
 func (s *syncHarness) checkEntry(i int) {
-	_, rev := s.nodes[i].Document()
+	rev := s.nodes[i].Position().Revision
 	if rev < s.highest[i] {
 		s.t.Fatalf("entry %d reverted from revision %d to %d", i, s.highest[i], rev)
 	}
@@ -117,13 +121,12 @@
 	}
 	rev := rapid.IntRange(1, len(s.published)).Draw(t, "revision")
 	i := s.anyEntry(t)
-	s.nodes[i].OfferPlatformDocument(fleet.Revision(rev), s.published[rev-1], start)
+	s.nodes[i].OfferPlatformDocument(at(0, fleet.Revision(rev)), s.published[rev-1], start)
 	s.checkEntry(i)
 }
 
 func (s *syncHarness) exchange(to, from int) {
-	_, have := s.nodes[to].Document()
-	u, ok := s.nodes[from].UpdateFor(have)
+	u, ok := s.nodes[from].UpdateFor(s.nodes[to].HeldPosition())
 	if !ok {
 		return
 	}
@@ -145,7 +148,7 @@
 	i := s.anyEntry(t)
 	rev := fleet.Revision(rapid.IntRange(1, 99).Draw(t, "revision"))
 	body := document(999, true)
-	u := Update{Revision: rev, Body: body, MAC: s.forgedRing.Sign(documentPurpose, encodeRevision(rev), body)}
+	u := Update{Position: at(0, rev), Body: body, MAC: s.forgedRing.Sign(documentPurpose, encodePosition(at(0, rev)), body)}
 	if res := s.nodes[i].OfferPeerUpdate(u, start); res.Verdict != Forged {
 		t.Fatalf("forged update got verdict %v", res.Verdict)
 	}
@@ -157,8 +160,7 @@
 func (s *syncHarness) converge() {
 	top := fleet.Revision(0)
 	for _, node := range s.nodes {
-		_, rev := node.Document()
-		top = max(top, rev)
+		top = max(top, node.Position().Revision)
 	}
 	for range s.nodes {
 		for a := range s.nodes {
@@ -168,7 +170,7 @@
 		}
 	}
 	for i, node := range s.nodes {
-		if _, rev := node.Document(); rev != top {
+		if rev := node.Position().Revision; rev != top {
 			s.t.Fatalf("entry %d ended at revision %d, want %d", i, rev, top)
 		}
 	}
@@ -201,25 +203,25 @@
 	old, both := newRing(t, "k1", "k1"), newRing(t, "k2", "k1", "k2")
 	a := NewNode(DefaultSettings("a", "z"), old, rand.New(rand.NewPCG(1, 1)), start)
 	b := NewNode(DefaultSettings("b", "z"), both, rand.New(rand.NewPCG(2, 1)), start)
-	a.OfferPlatformDocument(1, document(1, true), start)
-	u, _ := a.UpdateFor(0)
+	a.OfferPlatformDocument(at(0, 1), document(1, true), start)
+	u, _ := a.UpdateFor(at(0, 0))
 	assert.Equal(t, b.OfferPeerUpdate(u, start).Verdict, Accepted)
-	b.OfferPlatformDocument(2, document(2, true), start)
-	u, _ = b.UpdateFor(1)
+	b.OfferPlatformDocument(at(0, 2), document(2, true), start)
+	u, _ = b.UpdateFor(at(0, 1))
 	assert.Equal(t, a.OfferPeerUpdate(u, start).Verdict, Forged, "a does not have key k2 yet")
 }
 
 func TestPlanIsBoundToItsTarget(t *testing.T) {
 	r := newRing(t, "k1", "k1")
 	n := NewNode(DefaultSettings("e", "z"), r, rand.New(rand.NewPCG(1, 1)), start)
-	n.OfferPlatformDocument(7, document(1, true), start)
-	doc, rev := n.Document()
-	s, err := SignPlan(r, "t1", rev, doc.PlanFor(fleet.Instance{ID: "t1", Pool: "p"}))
+	n.OfferPlatformDocument(at(0, 7), document(1, true), start)
+	doc, p := n.Document()
+	s, err := SignPlan(r, "t1", p, p, doc.PlanFor(fleet.Instance{ID: "t1", Pool: "p"}))
 	assert.NilError(t, err)
 	assert.Equal(t, NewPlanHolder(r, "t2").Offer(s).Verdict, Forged)
 	h := NewPlanHolder(r, "t1")
 	assert.Equal(t, h.Offer(s).Verdict, Accepted)
-	s.Revision = 6
+	s.Position, s.Held = at(0, 6), at(0, 6)
 	assert.Equal(t, h.Offer(s).Verdict, Older)
 }
 
@@ -236,7 +238,7 @@
 		for i := range n {
 			node := NewNode(DefaultSettings(list[i].ID, "z0"), newRing(t, "k1", "k1"), rand.New(rand.NewPCG(1, 1)), start)
 			node.SetEntries(list)
-			node.OfferPlatformDocument(1, document(1, true), start)
+			node.OfferPlatformDocument(at(0, 1), document(1, true), start)
 			if node.ShouldReadPlatform(start.Add(sinceContact)) {
 				k++
 			}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -13,6 +13,7 @@
 package fleet
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -62,6 +63,24 @@
 // platform that does not state it.
 type Era uint64
 
+// Position orders what the platform published. A store that is restored from a copy gives
+// out its revisions again, in a higher era.
+type Position struct {
+	Era      Era
+	Revision Revision
+}
+
+// Compare returns -1, 0 or 1 for an earlier, equal or later position than q.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
+}
+
+// Before reports whether p is earlier than q.
+func (p Position) Before(q Position) bool { return p.Compare(q) < 0 }
+
+// IsZero reports whether p is the position before the first publication.
+func (p Position) IsZero() bool { return p == Position{} }
+
 // Fingerprint is the hash of a request's workspace, model and body.
 type Fingerprint uint64
 
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -87,7 +87,7 @@
 	Zone                fleet.Zone
 	Pool                fleet.Pool
 	Address             string
-	Revision            fleet.Revision
+	Position            fleet.Position // of the plan in force
 	Leaving             bool
 	Models              []ModelState
 	Services            []fleet.Service
--- a/io/operator/status.go
+++ b/io/operator/status.go
@@ -21,7 +21,9 @@
 	Converged    bool              `json:"converged"`
 	Entry        string            `json:"entry"`
 	Revision     uint64            `json:"revision"`
+	Era          uint64            `json:"era,omitempty"` // of the revision: how often the platform's store was restored
 	Refused      *Refused          `json:"refused,omitempty"`
+	Withheld     *Withheld         `json:"withheld,omitempty"`
 	Models       []ModelStatus     `json:"models"`
 	Exceptions   []ExceptionStatus `json:"exceptions"`
 	Instances    []InstanceStatus  `json:"instances"`
@@ -33,9 +35,17 @@
 // Refused describes a published configuration that was refused and changed nothing.
 type Refused struct {
 	Revision uint64 `json:"revision"`
+	Era      uint64 `json:"era,omitempty"`
 	Problems string `json:"problems"`
 }
 
+// Withheld is the position of an older configuration that the platform's store contains since
+// it was restored from a copy. It is not in force.
+type Withheld struct {
+	Revision uint64 `json:"revision"`
+	Era      uint64 `json:"era"`
+}
+
 // ModelStatus counts the instances of one model and version.
 type ModelStatus struct {
 	Model   string `json:"model"`
@@ -60,6 +70,7 @@
 	Zone        string `json:"availability_zone"`
 	State       string `json:"state"`
 	Revision    uint64 `json:"revision"`
+	Era         uint64 `json:"era,omitempty"`
 	AgeMS       int64  `json:"age_ms"` // age of the latest report; -1 if none was received
 	Model       string `json:"model,omitempty"`
 	Desired     string `json:"desired,omitempty"`
@@ -75,6 +86,7 @@
 type EntryStatus struct {
 	Instance string `json:"instance"`
 	Revision uint64 `json:"revision"`
+	Era      uint64 `json:"era,omitempty"`
 	AgeMS    int64  `json:"age_ms"`
 	Problem  string `json:"problem,omitempty"`
 }
@@ -83,6 +95,7 @@
 type Explanation struct {
 	Instance string           `json:"instance"`
 	Revision uint64           `json:"revision"`
+	Era      uint64           `json:"era,omitempty"`
 	Settings []config.Setting `json:"settings"`
 	State    []InstanceStatus `json:"state"`
 }
--- a/io/peer/brief.go
+++ b/io/peer/brief.go
@@ -10,7 +10,7 @@
 // canSendBrief reports whether heartbeat b can be sent in the brief form after the full
 // heartbeat a.
 func canSendBrief(a, b membership.Report) bool {
-	return a.Incarnation == b.Incarnation && a.Revision == b.Revision && a.Leaving == b.Leaving &&
+	return a.Incarnation == b.Incarnation && a.Position == b.Position && a.Leaving == b.Leaving &&
 		a.Pool == b.Pool && len(b.Crashed) == 0 &&
 		slices.Equal(a.Services, b.Services) && slices.EqualFunc(a.Models, b.Models, equalModelStates)
 }
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -275,14 +275,16 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	r, err := c.Sync(ctx, &peerpb.SyncRequest{
-		Instance: string(m.Instance), Revision: uint64(m.Revision), Digest: string(m.Digest),
-		Suspects: suspectsToWire(m.Blamed), PlatformAgeMs: m.PlatformAge.Milliseconds(),
+		Instance: string(m.Instance), Revision: uint64(m.Position.Revision), Era: uint64(m.Position.Era),
+		HistorySum: m.HistorySum,
+		Suspects:   suspectsToWire(m.Blamed), PlatformAgeMs: m.PlatformAge.Milliseconds(),
 	})
 	if err != nil {
 		return SyncMessage{}, wrapError(addr, err)
 	}
 	out := SyncMessage{
-		Revision: fleet.Revision(r.GetRevision()), Digest: fleet.Digest(r.GetDigest()),
+		Position: positionFromWire(r.GetEra(), r.GetRevision()), HistorySum: r.GetHistorySum(),
+		History:     historyFromWire(r.GetHistory()),
 		PlatformAge: time.Duration(r.GetPlatformAgeMs()) * time.Millisecond, Blamed: suspectsFromWire(r.GetSuspects()),
 	}
 	if d := r.GetDocument(); d != nil {
@@ -294,21 +296,22 @@
 
 func syncFromWire(p *peerpb.SyncRequest) SyncMessage {
 	return SyncMessage{
-		Instance: fleet.InstanceID(p.GetInstance()), Revision: fleet.Revision(p.GetRevision()), Digest: fleet.Digest(p.GetDigest()),
+		Instance: fleet.InstanceID(p.GetInstance()), Position: positionFromWire(p.GetEra(), p.GetRevision()),
+		HistorySum:  p.GetHistorySum(),
 		PlatformAge: time.Duration(p.GetPlatformAgeMs()) * time.Millisecond, Blamed: suspectsFromWire(p.GetSuspects()),
 	}
 }
 
-// Document fetches the configuration newer than revision have from the entry at addr. If
+// Document fetches the configuration newer than position have from the entry at addr. If
 // full is set, the update contains the full document rather than a delta.
-func (p *Pool) Document(ctx context.Context, addr string, have fleet.Revision, full bool) (configsync.Update, error) {
+func (p *Pool) Document(ctx context.Context, addr string, have fleet.Position, full bool) (configsync.Update, error) {
 	c, err := p.entry(addr)
 	if err != nil {
 		return configsync.Update{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	d, err := c.FetchDocument(ctx, &peerpb.FetchDocumentRequest{HaveRevision: uint64(have), Whole: full})
+	d, err := c.FetchDocument(ctx, &peerpb.FetchDocumentRequest{HaveRevision: uint64(have.Revision), HaveEra: uint64(have.Era), Whole: full})
 	if err != nil {
 		return configsync.Update{}, wrapError(addr, err)
 	}
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -13,11 +13,15 @@
 	"amaranthturn/io/peer/peerpb"
 )
 
+func positionFromWire(era, rev uint64) fleet.Position {
+	return fleet.Position{Era: fleet.Era(era), Revision: fleet.Revision(rev)}
+}
+
 func reportToWire(r membership.Report) *peerpb.AgentReport {
 	out := &peerpb.AgentReport{
 		Instance: string(r.Instance), Incarnation: uint64(r.Incarnation), Region: string(r.Region),
 		AvailabilityZone: string(r.Zone), Pool: string(r.Pool), Address: r.Address,
-		Revision: uint64(r.Revision), Leaving: r.Leaving, Models: modelsToWire(r.Models),
+		Revision: uint64(r.Position.Revision), Era: uint64(r.Position.Era), Leaving: r.Leaving, Models: modelsToWire(r.Models),
 		Load:           loadToWire(r.Load),
 		CachedPrefixes: r.Cached, Sequence: r.Sequence,
 		OriginBytes: uint64(r.OriginBytes), PeerBytes: uint64(r.PeerBytes), ChecksOrders: r.ChecksCommandSender, WantAck: r.WantAck, CrashBoot: r.CrashedIncarnation,
@@ -35,7 +39,7 @@
 	r := membership.Report{
 		Instance: fleet.InstanceID(p.GetInstance()), Incarnation: fleet.Incarnation(p.GetIncarnation()),
 		Region: fleet.Region(p.GetRegion()), Zone: fleet.Zone(p.GetAvailabilityZone()), Pool: fleet.Pool(p.GetPool()),
-		Address: p.GetAddress(), Revision: fleet.Revision(p.GetRevision()), Leaving: p.GetLeaving(),
+		Address: p.GetAddress(), Position: positionFromWire(p.GetEra(), p.GetRevision()), Leaving: p.GetLeaving(),
 		Models: modelsFromWire(p.GetModels()), Load: loadFromWire(p.GetLoad()),
 		Cached: p.GetCachedPrefixes(), Sequence: p.GetSequence(),
 		OriginBytes: fleet.Bytes(p.GetOriginBytes()), PeerBytes: fleet.Bytes(p.GetPeerBytes()), ChecksCommandSender: p.GetChecksOrders(), WantAck: p.GetWantAck(), CrashedIncarnation: p.GetCrashBoot(),
@@ -126,7 +130,11 @@
 func noticeToWire(n Notice) *peerpb.AgentNotice {
 	out := &peerpb.AgentNotice{MembersSet: n.Replace, Ack: n.Ack}
 	if n.Plan != nil {
-		out.Revision = uint64(n.Plan.Revision)
+		out.Revision = uint64(n.Plan.Position.Revision)
+		out.Era = uint64(n.Plan.Position.Era)
+		if n.Plan.Held.Era > 0 {
+			out.HeldEra, out.HeldRevision = uint64(n.Plan.Held.Era), uint64(n.Plan.Held.Revision)
+		}
 		out.Plan = n.Plan.Body
 		out.PlanMac = n.Plan.MAC.Sum
 		out.KeyId = string(n.Plan.MAC.Key)
@@ -146,8 +154,11 @@
 	n := Notice{Replace: p.GetMembersSet(), Ack: p.GetAck()}
 	if len(p.GetPlanMac()) > 0 {
 		n.Plan = &configsync.SignedPlan{
-			Revision: fleet.Revision(p.GetRevision()), Body: nilIfEmpty(p.GetPlan()),
-			MAC: keys.MAC{Key: keys.ID(p.GetKeyId()), Sum: p.GetPlanMac()},
+			Position: positionFromWire(p.GetEra(), p.GetRevision()), Held: positionFromWire(p.GetHeldEra(), p.GetHeldRevision()),
+			Body: nilIfEmpty(p.GetPlan()), MAC: keys.MAC{Key: keys.ID(p.GetKeyId()), Sum: p.GetPlanMac()},
+		}
+		if n.Plan.Held.Era == 0 {
+			n.Plan.Held = n.Plan.Position
 		}
 	}
 	for _, m := range p.GetMembers() {
@@ -269,9 +280,10 @@
 
 func updateToWire(u configsync.Update) *peerpb.Document {
 	d := &peerpb.Document{
-		Revision: uint64(u.Revision), Body: u.Body, Mac: u.MAC.Sum, KeyId: string(u.MAC.Key), Base: uint64(u.Base),
+		Revision: uint64(u.Position.Revision), Era: uint64(u.Position.Era), Body: u.Body,
+		Mac: u.MAC.Sum, KeyId: string(u.MAC.Key), Base: uint64(u.Base.Revision), BaseEra: uint64(u.Base.Era),
 	}
-	if u.Base != 0 {
+	if !u.Base.IsZero() {
 		d.Body = u.Delta.Middle
 		d.Prefix = uint32(u.Delta.Prefix)
 		d.Suffix = uint32(u.Delta.Suffix)
@@ -281,10 +293,10 @@
 
 func updateFromWire(d *peerpb.Document) configsync.Update {
 	u := configsync.Update{
-		Revision: fleet.Revision(d.GetRevision()), Base: fleet.Revision(d.GetBase()),
+		Position: positionFromWire(d.GetEra(), d.GetRevision()), Base: positionFromWire(d.GetBaseEra(), d.GetBase()),
 		MAC: keys.MAC{Key: keys.ID(d.GetKeyId()), Sum: d.GetMac()},
 	}
-	if u.Base == 0 {
+	if u.Base.IsZero() {
 		u.Body = d.GetBody()
 		return u
 	}
@@ -292,6 +304,20 @@
 	return u
 }
 
+func historyToWire(s *configsync.SignedHistory) *peerpb.StoreHistory {
+	if s == nil {
+		return nil
+	}
+	return &peerpb.StoreHistory{Body: s.Body, Mac: s.MAC.Sum, KeyId: string(s.MAC.Key)}
+}
+
+func historyFromWire(p *peerpb.StoreHistory) *configsync.SignedHistory {
+	if p == nil {
+		return nil
+	}
+	return &configsync.SignedHistory{Body: p.GetBody(), MAC: keys.MAC{Key: keys.ID(p.GetKeyId()), Sum: p.GetMac()}}
+}
+
 func suspectsToWire(list []crashblame.Blame) []*peerpb.Suspect {
 	var out []*peerpb.Suspect
 	for _, b := range list {
@@ -310,14 +336,16 @@
 
 func fleetToWire(f Fleet) *peerpb.FleetReply {
 	out := &peerpb.FleetReply{
-		Entry: string(f.Entry), Revision: uint64(f.Revision), Refused: f.Refused, RefusedRevision: uint64(f.RefusedRevision),
+		Entry: string(f.Entry), Revision: uint64(f.Position.Revision), Era: uint64(f.Position.Era),
+		Refused: f.Refused, RefusedRevision: uint64(f.RefusedPosition.Revision), RefusedEra: uint64(f.RefusedPosition.Era),
+		WithheldRevision: uint64(f.Withheld.Revision), WithheldEra: uint64(f.Withheld.Era),
 	}
 	for _, m := range f.Members {
 		out.Members = append(out.Members, &peerpb.FleetMember{Report: reportToWire(m.Report), AgeMs: m.Age.Milliseconds()})
 	}
 	for _, e := range f.Entries {
 		out.Entries = append(out.Entries, &peerpb.EntryState{
-			Instance: string(e.Instance), Address: e.Address, Revision: uint64(e.Revision),
+			Instance: string(e.Instance), Address: e.Address, Revision: uint64(e.Position.Revision), Era: uint64(e.Position.Era),
 			AgeMs: e.Age.Milliseconds(), Problem: e.Problem,
 		})
 	}
@@ -326,8 +354,9 @@
 
 func fleetFromWire(p *peerpb.FleetReply) Fleet {
 	f := Fleet{
-		Entry: fleet.InstanceID(p.GetEntry()), Revision: fleet.Revision(p.GetRevision()),
-		Refused: p.GetRefused(), RefusedRevision: fleet.Revision(p.GetRefusedRevision()),
+		Entry: fleet.InstanceID(p.GetEntry()), Position: positionFromWire(p.GetEra(), p.GetRevision()),
+		Refused: p.GetRefused(), RefusedPosition: positionFromWire(p.GetRefusedEra(), p.GetRefusedRevision()),
+		Withheld: positionFromWire(p.GetWithheldEra(), p.GetWithheldRevision()),
 	}
 	for _, m := range p.GetMembers() {
 		f.Members = append(f.Members, FleetMember{
@@ -336,7 +365,7 @@
 	}
 	for _, e := range p.GetEntries() {
 		f.Entries = append(f.Entries, EntryState{
-			Instance: fleet.InstanceID(e.GetInstance()), Address: e.GetAddress(), Revision: fleet.Revision(e.GetRevision()),
+			Instance: fleet.InstanceID(e.GetInstance()), Address: e.GetAddress(), Position: positionFromWire(e.GetEra(), e.GetRevision()),
 			Age: time.Duration(e.GetAgeMs()) * time.Millisecond, Problem: e.GetProblem(),
 		})
 	}
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -13,6 +13,7 @@
 
 	"amaranthturn/core/configsync"
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/keys"
 	"amaranthturn/core/membership"
 	"amaranthturn/core/swarm"
 	"amaranthturn/core/switchover"
@@ -138,7 +139,7 @@
 
 func TestReportsSurviveTheWire(t *testing.T) {
 	r := membership.Report{
-		Instance: "a", Incarnation: 7, Region: "r", Zone: "z", Pool: "p", Address: "x:1", Revision: 9, Leaving: true,
+		Instance: "a", Incarnation: 7, Region: "r", Zone: "z", Pool: "p", Address: "x:1", Position: fleet.Position{Era: 2, Revision: 9}, Leaving: true,
 		Models: []membership.ModelState{{
 			Model: "m", Desired: "d", Serving: "s", Staged: "g", Loaded: []fleet.Version{"s"}, Phase: switchover.PhaseStaged,
 			ChunksHeld: 3, ChunksTotal: 4, WaitsFor: "w", Failures: 1, Intent: 5, Promises: []switchover.Promise{{To: "b", Nonce: 2}}, TwoSlots: true,
@@ -151,11 +152,72 @@
 	brief := r
 	brief.Sequence, brief.Load.Running = 5, 9
 	assert.DeepEqual(t, applyBrief(r, briefReportToWire(brief)), brief)
-	u := configsync.Update{Revision: 3, Base: 2, Delta: configsync.Delta{Prefix: 1, Suffix: 2, Middle: []byte("x")}}
+	u := configsync.Update{Position: fleet.Position{Era: 2, Revision: 3}, Base: fleet.Position{Era: 1, Revision: 2}, Delta: configsync.Delta{Prefix: 1, Suffix: 2, Middle: []byte("x")}}
 	decoded := updateFromWire(updateToWire(u))
 	assert.DeepEqual(t, decoded.Delta, u.Delta)
 }
 
+func TestPositionsSurviveTheWire(t *testing.T) {
+	at, held := fleet.Position{Era: 1, Revision: 3}, fleet.Position{Era: 2, Revision: 4}
+	mac := keys.MAC{Key: "k", Sum: []byte{1}}
+	u := configsync.Update{Position: held, Base: at, MAC: mac, Delta: configsync.Delta{Prefix: 1, Suffix: 2, Middle: []byte("x")}}
+	assert.DeepEqual(t, updateFromWire(updateToWire(u)), u)
+	for _, plan := range []configsync.SignedPlan{
+		{Position: at, Held: held, Body: []byte("x"), MAC: mac},
+		{Position: fleet.Position{Revision: 7}, Held: fleet.Position{Revision: 7}, Body: []byte("x"), MAC: mac},
+	} {
+		assert.DeepEqual(t, *noticeFromWire(noticeToWire(Notice{Plan: &plan})).Plan, plan)
+	}
+	f := Fleet{
+		Entry: "e", Position: at, RefusedPosition: held, Refused: "x", Withheld: fleet.Position{Era: 3, Revision: 1},
+		Entries: []EntryState{{Instance: "e", Address: "x:1", Position: at}},
+	}
+	assert.DeepEqual(t, fleetFromWire(fleetToWire(f)), f)
+}
+
+// fakeEntry records the last message and the last fetch, and responds with a fixed message.
+type fakeEntry struct {
+	EntryHandler
+	reply    SyncMessage
+	received SyncMessage
+	have     fleet.Position
+}
+
+func (f *fakeEntry) Sync(m SyncMessage) SyncMessage {
+	f.received = m
+	return f.reply
+}
+
+func (f *fakeEntry) Document(have fleet.Position, _ bool) (configsync.Update, bool) {
+	f.have = have
+	return *f.reply.Update, true
+}
+
+func TestSyncKeepsEveryFieldOnTheWire(t *testing.T) {
+	mac := keys.MAC{Key: "k", Sum: []byte{1}}
+	f := &fakeEntry{reply: SyncMessage{
+		Position: fleet.Position{Era: 1, Revision: 3}, HistorySum: 5, PlatformAge: time.Second,
+		Update:  &configsync.Update{Position: fleet.Position{Era: 2, Revision: 4}, Body: []byte("x"), MAC: mac},
+		History: &configsync.SignedHistory{Body: []byte("y"), MAC: mac},
+	}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := grpc.NewServer(ServerOptions(nil)...)
+	RegisterEntry(srv, f)
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(srv.Stop)
+	p := NewPool(DialOptions{})
+	t.Cleanup(p.Close)
+	sent := SyncMessage{Instance: "a", Position: fleet.Position{Era: 4, Revision: 2}, HistorySum: 6, PlatformAge: time.Minute}
+	got, err := p.Sync(t.Context(), l.Addr().String(), sent)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, f.reply)
+	assert.DeepEqual(t, f.received, sent)
+	_, err = p.Document(t.Context(), l.Addr().String(), sent.Position, false)
+	assert.NilError(t, err)
+	assert.Equal(t, f.have, sent.Position)
+}
+
 // BenchmarkTokens measures the time to send one token from an agent to an entry over
 // loopback.
 func BenchmarkTokens(b *testing.B) {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -29,7 +29,7 @@
 type EntryHandler interface {
 	Attach(first membership.Report) (Session, error)
 	Sync(m SyncMessage) SyncMessage
-	Document(have fleet.Revision, full bool) (configsync.Update, bool)
+	Document(have fleet.Position, full bool) (configsync.Update, bool)
 	Fleet(ctx context.Context, forward bool) Fleet
 	Relay(ctx context.Context, r GenerateRequest, send func(GenerateEvent) error) error
 }
@@ -124,7 +124,8 @@
 func (s *entryServer) Sync(_ context.Context, p *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
 	r := s.h.Sync(syncFromWire(p))
 	out := &peerpb.SyncReply{
-		Revision: uint64(r.Revision), Digest: string(r.Digest),
+		Revision: uint64(r.Position.Revision), Era: uint64(r.Position.Era),
+		HistorySum: r.HistorySum, History: historyToWire(r.History),
 		PlatformAgeMs: r.PlatformAge.Milliseconds(), Suspects: suspectsToWire(r.Blamed),
 	}
 	if r.Update != nil {
@@ -135,7 +136,7 @@
 
 // FetchDocument implements peerpb.EntryServer.
 func (s *entryServer) FetchDocument(_ context.Context, p *peerpb.FetchDocumentRequest) (*peerpb.Document, error) {
-	u, ok := s.h.Document(fleet.Revision(p.GetHaveRevision()), p.GetWhole())
+	u, ok := s.h.Document(positionFromWire(p.GetHaveEra(), p.GetHaveRevision()), p.GetWhole())
 	if !ok {
 		return nil, status.Error(codes.NotFound, "nothing newer")
 	}
--- a/io/peer/types.go
+++ b/io/peer/types.go
@@ -114,18 +114,19 @@
 // SyncMessage is the periodic exchange between entries.
 type SyncMessage struct {
 	Instance    fleet.InstanceID
-	Revision    fleet.Revision
-	Digest      fleet.Digest
-	PlatformAge time.Duration // time since the sender last reached the platform
+	Position    fleet.Position // of the response that contained the document in force
+	HistorySum  uint64         // 0 from a build that keeps no history
+	PlatformAge time.Duration  // time since the sender last reached the platform
 	Blamed      []crashblame.Blame
-	Update      *configsync.Update // replies only: the change that the requesting entry lacks
+	Update      *configsync.Update        // replies only: the change that the requesting entry lacks
+	History     *configsync.SignedHistory // replies only: set if the requesting entry has another one
 }
 
 // EntryState is the state of an entry as seen by another entry.
 type EntryState struct {
 	Instance fleet.InstanceID
 	Address  string
-	Revision fleet.Revision
+	Position fleet.Position
 	Age      time.Duration
 	Problem  string
 }
@@ -138,10 +139,13 @@
 
 // Fleet is an entry's view of the fleet.
 type Fleet struct {
-	Entry           fleet.InstanceID
-	Revision        fleet.Revision
-	RefusedRevision fleet.Revision
-	Refused         string // problems of the refused revision
+	Entry    fleet.InstanceID
+	Position fleet.Position // at which the configuration in force was written
+	// RefusedPosition and Refused are the position and the problems of a refused
+	// configuration.
+	RefusedPosition fleet.Position
+	Refused         string
+	Withheld        fleet.Position // of the platform's document if it is older than the one in force
 	Members         []FleetMember
 	Entries         []EntryState
 }
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -12,10 +12,15 @@
 //
 // # Protocol
 //
-// GET /v1/config?after=REVISION&wait_ms=N returns the document with the header
+// GET /v1/config?after=REVISION&era=ERA&wait_ms=N returns the document with the header
 // X-Revision, or 304 if nothing newer was published within the wait. GET /v1/instances
 // returns the instance list as JSON in the same way. The HTTP transport compresses the
 // bodies.
+//
+// Every response has the header X-Era, which rises by one whenever the platform's store is
+// restored from a copy. Revisions are then given out again, so a revision is meaningful only
+// with its era: if era is not that of the store, the current document is returned at once.
+// A response without a valid era counts as one of the era asked for.
 package platform
 
 import (
@@ -68,15 +73,23 @@
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
 
+// Version is the position of a published document.
+type Version struct {
+	Position fleet.Position
+	// EraProblem reports that the response did not state its era, although the era asked for
+	// shows that the platform does.
+	EraProblem error
+}
+
 // Config is a published configuration document.
 type Config struct {
-	Revision fleet.Revision
-	Body     []byte
+	Version
+	Body []byte
 }
 
 // List is a published instance list.
 type List struct {
-	Revision  fleet.Revision
+	Version
 	Instances []fleet.Instance
 }
 
@@ -103,20 +116,20 @@
 	return &Client{base: base, http: h}
 }
 
-// Config returns the document if it is newer than revision after. It waits up to wait
+// Config returns the document if it is newer than position after. It waits up to wait
 // for a newer one. Errors: ErrUnchanged, *UnreachableError.
-func (c *Client) Config(ctx context.Context, after fleet.Revision, wait time.Duration) (Config, error) {
-	rev, body, err := c.get(ctx, "/v1/config", after, wait, config.MaxDocumentBytes+1)
+func (c *Client) Config(ctx context.Context, after fleet.Position, wait time.Duration) (Config, error) {
+	version, body, err := c.get(ctx, "/v1/config", after, wait, config.MaxDocumentBytes+1)
 	if err != nil {
 		return Config{}, err
 	}
-	return Config{Revision: rev, Body: body}, nil
+	return Config{Version: version, Body: body}, nil
 }
 
-// Instances returns the list if it is newer than revision after. It waits up to wait for
+// Instances returns the list if it is newer than position after. It waits up to wait for
 // a newer one. Errors: ErrUnchanged, *UnreachableError.
-func (c *Client) Instances(ctx context.Context, after fleet.Revision, wait time.Duration) (List, error) {
-	rev, body, err := c.get(ctx, "/v1/instances", after, wait, maxListBytes)
+func (c *Client) Instances(ctx context.Context, after fleet.Position, wait time.Duration) (List, error) {
+	version, body, err := c.get(ctx, "/v1/instances", after, wait, maxListBytes)
 	if err != nil {
 		return List{}, err
 	}
@@ -124,7 +137,7 @@
 	if err := json.Unmarshal(body, &records); err != nil {
 		return List{}, &UnreachableError{URL: c.base, Cause: eris.Wrap(err, "instance list")}
 	}
-	list := List{Revision: rev}
+	list := List{Version: version}
 	for _, r := range records {
 		in, err := r.Instance()
 		if err != nil {
@@ -155,33 +168,53 @@
 	}
 }
 
-func (c *Client) get(ctx context.Context, path string, after fleet.Revision, wait time.Duration, limit int64) (fleet.Revision, []byte, error) {
+func (c *Client) get(ctx context.Context, path string, after fleet.Position, wait time.Duration, limit int64) (Version, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+requestMargin)
 	defer cancel()
-	q := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	q := url.Values{
+		"after": {strconv.FormatUint(uint64(after.Revision), 10)}, "era": {strconv.FormatUint(uint64(after.Era), 10)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path+"?"+q.Encode(), nil)
 	if err != nil {
-		return 0, nil, &UnreachableError{URL: c.base, Cause: err}
+		return Version{}, nil, &UnreachableError{URL: c.base, Cause: err}
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, nil, &UnreachableError{URL: c.base, Cause: err}
+		return Version{}, nil, &UnreachableError{URL: c.base, Cause: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotModified:
-		return 0, nil, ErrUnchanged
+		return Version{}, nil, ErrUnchanged
 	default:
-		return 0, nil, &UnreachableError{URL: c.base, Status: resp.StatusCode}
+		return Version{}, nil, &UnreachableError{URL: c.base, Status: resp.StatusCode}
 	}
 	rev, err := strconv.ParseUint(resp.Header.Get(RevisionHeader), 10, 64)
 	if err != nil {
-		return 0, nil, &UnreachableError{URL: c.base, Cause: eris.Wrap(err, RevisionHeader)}
+		return Version{}, nil, &UnreachableError{URL: c.base, Cause: eris.Wrap(err, RevisionHeader)}
 	}
 	body, err := bounded.ReadAll(resp.Body, bounded.PartBody, limit)
 	if err != nil {
-		return 0, nil, &UnreachableError{URL: c.base, Cause: err}
+		return Version{}, nil, &UnreachableError{URL: c.base, Cause: err}
+	}
+	era, problem := eraOf(resp.Header, after.Era)
+	return Version{Position: fleet.Position{Era: era, Revision: fleet.Revision(rev)}, EraProblem: problem}, body, nil
+}
+
+// eraOf returns the era that a response states, or known if it does not state a valid one.
+func eraOf(h http.Header, known fleet.Era) (fleet.Era, error) {
+	values := h.Values(EraHeader)
+	if len(values) == 0 && known == 0 {
+		return 0, nil
+	}
+	if len(values) != 1 {
+		return known, eris.Errorf("%s is stated %d times", EraHeader, len(values))
+	}
+	era, err := strconv.ParseUint(values[0], 10, 64)
+	if err != nil {
+		return known, eris.Wrap(err, EraHeader)
 	}
-	return fleet.Revision(rev), body, nil
+	return fleet.Era(era), nil
 }
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"amaranthturn/core/fleet"
 	"amaranthturn/io/bounded"
 	"amaranthturn/io/platform"
 )
@@ -27,8 +28,8 @@
 	}))
 	t.Cleanup(srv.Close)
 	c := platform.NewClient(srv.URL, srv.Client())
-	_, configErr := c.Config(t.Context(), 0, 0)
-	_, listErr := c.Instances(t.Context(), 0, 0)
+	_, configErr := c.Config(t.Context(), fleet.Position{}, 0)
+	_, listErr := c.Instances(t.Context(), fleet.Position{}, 0)
 	for _, err := range []error{configErr, listErr} {
 		var failed *platform.UnreachableError
 		assert.Assert(t, errors.As(err, &failed), "%v", err)
@@ -36,3 +37,45 @@
 		assert.Assert(t, errors.As(err, &tooLarge), "%v", err)
 	}
 }
+
+// A response without a valid era counts as one of the era asked for.
+func TestMissingEraCountsAsKnownEra(t *testing.T) {
+	var headers http.Header
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for k, v := range headers {
+			w.Header()[k] = v
+		}
+		_, _ = io.WriteString(w, "[]")
+	}))
+	t.Cleanup(srv.Close)
+	c := platform.NewClient(srv.URL, srv.Client())
+	tests := []struct {
+		stated    []string
+		known     fleet.Era
+		want      fleet.Era
+		isProblem bool
+	}{
+		{nil, 0, 0, false},
+		{nil, 3, 3, true},
+		{[]string{"4"}, 3, 4, false},
+		{[]string{"2"}, 3, 2, false},
+		{[]string{""}, 3, 3, true},
+		{[]string{"-1"}, 3, 3, true},
+		{[]string{"four"}, 0, 0, true},
+		{[]string{"18446744073709551616"}, 3, 3, true},
+		{[]string{"4", "5"}, 3, 3, true},
+	}
+	for _, tt := range tests {
+		headers = http.Header{platform.RevisionHeader: {"1"}}
+		if tt.stated != nil {
+			headers[platform.EraHeader] = tt.stated
+		}
+		got, err := c.Config(t.Context(), fleet.Position{Era: tt.known}, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, got.Position, fleet.Position{Era: tt.want, Revision: 1}, "%v", tt.stated)
+		assert.Equal(t, got.EraProblem != nil, tt.isProblem, "%v: %v", tt.stated, got.EraProblem)
+		list, err := c.Instances(t.Context(), fleet.Position{Era: tt.known}, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, list.Position, got.Position)
+	}
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	p := platform.New()
-//	rev := p.Publish(document)
+//	position := p.Publish(document)
 //	p.SetInstances(list)
 //	http.Serve(l, p.Handler())
 //	snapshot := p.Snapshot()
@@ -70,14 +70,14 @@
 	p.notifyWatchers()
 }
 
-// Publish publishes a document and returns its revision.
-func (p *Platform) Publish(body []byte) fleet.Revision {
+// Publish publishes a document and returns its position.
+func (p *Platform) Publish(body []byte) fleet.Position {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.previousConfig = p.config
 	p.config = document{p.config.revision + 1, body}
 	p.notifyWatchers()
-	return fleet.Revision(p.config.revision)
+	return fleet.Position{Era: p.era, Revision: fleet.Revision(p.config.revision)}
 }
 
 // SetInstances publishes the instance list.
