Membership: a restored instance list drops no live instance

What callers would see: the first instance list after the platform's store was restored from a copy lacks targets and entries that registered after the copy was made, until they have registered again. A target that is missing gets no work although it sends heartbeats; one that was leaving according to the list is not any more.

Cause: SetList replaces the list, whatever store it is from. Change: for ten seconds after a restoration the list from before it supplements the restored one, and leaving instances stay leaving. Leases decide about work as before.

Without the previous list: TestRestoredListDropsNoLiveInstance: assertion failed: ac (string) != ab (string): b is live, c is leaving, gone sends no heartbeats

--- a/app/entry/config.go
+++ b/app/entry/config.go
@@ -287,15 +287,35 @@
 		return false
 	}
 	e.listPosition = list.Position
-	e.node.SetEntries(list.Instances)
+	now := e.now()
 	e.memMu.Lock()
-	e.table.SetList(list.Instances, e.now())
+	if before.Era < list.Position.Era && !before.IsZero() {
+		e.table.SetRestoredList(list.Instances, now)
+	} else {
+		e.table.SetList(list.Instances, now)
+	}
+	e.node.SetEntries(e.table.List())
 	e.memMu.Unlock()
 	e.cfgMu.Unlock()
 	e.notifySessions()
 	return true
 }
 
+// endListGrace drops the instances that a restored list lacks and that were kept.
+func (e *Entry) endListGrace(now time.Time) {
+	e.cfgMu.Lock()
+	e.memMu.Lock()
+	changed := e.table.EndGrace(now)
+	if changed {
+		e.node.SetEntries(e.table.List())
+	}
+	e.memMu.Unlock()
+	e.cfgMu.Unlock()
+	if changed {
+		e.notifySessions()
+	}
+}
+
 // syncer exchanges positions with other entries: immediately after a change, and
 // periodically with a random entry.
 type syncer struct{ e *Entry }
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -262,6 +262,7 @@
 	e.notifyWaiters(admitted, expired)
 	queued, inFlight := e.queue.Queued(), e.queue.InFlight()
 	e.reqMu.Unlock()
+	e.endListGrace(now)
 	if now.Sub(e.lastCleanup) >= cleanupInterval {
 		e.lastCleanup = now
 		e.dropRemovedInstances(now)
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -48,11 +48,14 @@
 	// ForgetAfter is the time after which an agent that is not in the list and sends
 	// no heartbeats is deleted.
 	ForgetAfter time.Duration
+	// RestoredGrace is the time for which the list from before a restoration of the
+	// platform's store supplements the restored one, until instances have registered again.
+	RestoredGrace time.Duration
 }
 
 // DefaultSettings has a lease short enough that a leaving target receives no new work
 // well within 3 s.
-var DefaultSettings = Settings{Lease: 2500 * time.Millisecond, ForgetAfter: 2 * time.Minute}
+var DefaultSettings = Settings{Lease: 2500 * time.Millisecond, ForgetAfter: 2 * time.Minute, RestoredGrace: 10 * time.Second}
 
 // ModelState is the state of one model as reported by an agent.
 type ModelState struct {
@@ -119,6 +122,11 @@
 	settings Settings
 	agents   map[fleet.InstanceID]*Agent
 	list     map[fleet.InstanceID]fleet.Instance
+	latest   []fleet.Instance // the platform's latest list
+	// previous is the list from before a restoration of the platform's store. It
+	// supplements the latest one until previousUntil.
+	previous      []fleet.Instance
+	previousUntil time.Time
 	// trustFrom is the time before which heartbeats do not count.
 	trustFrom time.Time
 	version   uint64
@@ -131,9 +139,42 @@
 
 // SetList replaces the platform's list.
 func (t *Table) SetList(list []fleet.Instance, now time.Time) {
+	t.latest = list
+	t.applyList(now)
+}
+
+// SetRestoredList replaces the platform's list by the first one after the platform's store
+// was restored from a copy. It can lack instances that are live and contain ones that were
+// leaving or have left; no instance gets work for being listed.
+func (t *Table) SetRestoredList(list []fleet.Instance, now time.Time) {
+	t.previous, t.previousUntil = t.List(), now.Add(t.settings.RestoredGrace)
+	t.SetList(list, now)
+}
+
+// EndGrace drops the list from before a restoration after RestoredGrace. It reports whether
+// the list changed.
+func (t *Table) EndGrace(now time.Time) bool {
+	if t.previous == nil || now.Before(t.previousUntil) {
+		return false
+	}
+	t.applyList(now)
+	return true
+}
+
+func (t *Table) applyList(now time.Time) {
 	t.version++
-	t.list = make(map[fleet.InstanceID]fleet.Instance, len(list))
-	for _, in := range list {
+	if !now.Before(t.previousUntil) {
+		t.previous = nil
+	}
+	t.list = make(map[fleet.InstanceID]fleet.Instance, len(t.latest))
+	for _, in := range t.latest {
+		t.list[in.ID] = in
+	}
+	for _, in := range t.previous {
+		if listed, ok := t.list[in.ID]; ok {
+			listed.Leaving = listed.Leaving || in.Leaving
+			in = listed
+		}
 		t.list[in.ID] = in
 	}
 	for id, a := range t.agents {
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -154,3 +154,36 @@
 		})
 	}
 }
+
+// A live instance that registered after the copy was made was dropped when the platform's store
+// was restored, and one that was leaving got work again.
+func TestRestoredListDropsNoLiveInstance(t *testing.T) {
+	table := newTestTable()
+	table.SetList([]fleet.Instance{{ID: "a", Role: fleet.RoleTarget}, {ID: "b", Role: fleet.RoleTarget}, {ID: "c", Role: fleet.RoleTarget, Leaving: true}}, now)
+	table.RecordHeartbeat(report("c", 1, 1), now)
+	serving := func(at time.Time) string {
+		out := ""
+		for _, a := range table.Serving("m", at) {
+			out += string(a.Instance)
+		}
+		return out
+	}
+	assert.Equal(t, serving(now), "ab")
+	restored := []fleet.Instance{{ID: "a", Role: fleet.RoleTarget}, {ID: "c", Role: fleet.RoleTarget}, {ID: "gone", Role: fleet.RoleTarget}}
+	table.SetRestoredList(restored, now)
+	table.RecordHeartbeat(report("c", 1, 2), now)
+	assert.Equal(t, serving(now), "ab", "b is live, c is leaving, gone sends no heartbeats")
+	table.SetList(restored[:2], now.Add(time.Second))
+	assert.Equal(t, serving(now.Add(time.Second)), "ab")
+	assert.Equal(t, serving(now.Add(3*time.Second)), "", "only leases count")
+
+	end := now.Add(DefaultSettings.RestoredGrace)
+	for _, id := range []fleet.InstanceID{"a", "b"} {
+		table.RecordHeartbeat(report(id, 1, 3), end)
+	}
+	assert.Assert(t, !table.EndGrace(end.Add(-time.Millisecond)))
+	assert.Assert(t, table.EndGrace(end))
+	assert.Equal(t, serving(end), "a", "b did not register again")
+	assert.Equal(t, len(table.List()), 2)
+	assert.Assert(t, !table.EndGrace(end))
+}
