--- a/app/local/cluster.go
+++ b/app/local/cluster.go
@@ -50,11 +50,19 @@
 	stopped  bool           // stopped or killed
 }
 
-func (d *runningDaemon) revision() fleet.Revision {
+func (d *runningDaemon) position() fleet.Position {
 	if d.entry != nil {
-		return d.entry.Revision()
+		return d.entry.Position()
 	}
-	return d.agent.Revision()
+	return d.agent.Position()
+}
+
+// configured returns the version of a model that the daemon's configuration assigns.
+func (d *runningDaemon) configured(m fleet.Model) fleet.Version {
+	if d.entry != nil {
+		return d.entry.Configured(m)
+	}
+	return d.agent.Configured(m)
 }
 
 // cluster holds the stand-ins and the daemons of one run.
