Entries together no longer send full targets more than they have slots for

Cause: the requests of other entries in a report counted with a half-life of 0.7 s, though a report is replaced only after 0.2 to 0.6 s and the target is as full as before. Seven entries that each stop at 16 by that estimate hold 23.4 on an engine of 16 slots, as the timeline shows: 7 wait there, 0.8 s to the first event. Without the decay alone a second fault remains: a slot that one entry frees is seen, and taken, by all seven before any of them sees the others.

Change: a report counts in full until it is 5 s old, longer than the interval of reports (0.56 s with 7 entries, 3.5 s with 44). Of the slots that others have freed an entry counts a quarter; what remains free shows in the next report. A slot that an own request leaves is the entry's own, as before.

--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -19,8 +19,13 @@
 // where admission is fair and requests that cannot be served in time are refused.
 //
 // Several entries share targets: an entry counts its own requests exactly and estimates
-// those of other entries from reports that are several hundred milliseconds old. The
-// estimate decays with the age of the report.
+// those of other entries from reports that are several hundred milliseconds old. A report
+// counts in full until it is much older than that; if it counted less with its age, the
+// entries together would keep more requests on a full target than it has slots.
+//
+// A slot that becomes free is seen by all entries before any of them sees that another has
+// taken it. An entry therefore counts only a share of what a report shows to have become
+// free, while a slot that its own request leaves is its own to fill.
 //
 // Many entries and few targets: between two reports all entries would choose the same
 // least loaded target. Each entry therefore prefers its home targets, whose load it knows
@@ -54,9 +59,13 @@
 
 // Settings are the parameters of a Balancer.
 type Settings struct {
-	// ReportHalfLife is the age at which the requests of other entries in a report count
-	// half.
-	ReportHalfLife time.Duration
+	// ReportHold is the age up to which the requests of other entries in a report count in
+	// full. It is longer than the interval between reports. ReportHalfLife is the time after
+	// it in which they come to count half, because the target's agent may be gone.
+	ReportHold, ReportHalfLife time.Duration
+	// FreedShare is the share of the other entries' requests that a report shows to have
+	// ended which an entry counts as free slots.
+	FreedShare float64
 	// HomeBonus is how much more load than others, as a share of the slots, a home target
 	// may have and still be chosen. The entries have different home targets, so they
 	// do not all fill the same target between two reports.
@@ -75,7 +84,7 @@
 // DefaultSettings suit engines that report several times a second and low-bandwidth links
 // between regions.
 var DefaultSettings = Settings{
-	ReportHalfLife: 700 * time.Millisecond, HomeBonus: 0.5, OtherZonePenalty: 0.35,
+	ReportHold: 5 * time.Second, ReportHalfLife: 700 * time.Millisecond, FreedShare: 0.25, HomeBonus: 0.5, OtherZonePenalty: 0.35,
 	FullBackoff: 60 * time.Millisecond, FailureBackoff: 300 * time.Millisecond, FailureBackoffMax: 5 * time.Second,
 	PrefillWeight: 2,
 }
@@ -140,8 +149,11 @@
 // this entry.
 func (b *Balancer) RecordReport(id fleet.InstanceID, requests int, now time.Time) {
 	if s, ok := b.targets[id]; ok {
-		s.othersRequests = math.Max(0, float64(requests-s.ownRequests))
-		s.reportedAt = now
+		others := math.Max(0, float64(requests-s.ownRequests))
+		if known := b.estimatedOthers(s, now); others < known {
+			others = known - b.settings.FreedShare*(known-others)
+		}
+		s.othersRequests, s.reportedAt = others, now
 	}
 }
 
@@ -197,10 +209,14 @@
 )
 
 // estimatedRequests returns the number of requests on a target: this entry's own and the
-// decayed number of other entries' requests.
+// estimated number of other entries' requests.
 func (b *Balancer) estimatedRequests(s *targetState, now time.Time) float64 {
-	age := max(0, now.Sub(s.reportedAt))
-	return float64(s.ownRequests) + s.othersRequests*math.Exp2(-float64(age)/float64(b.settings.ReportHalfLife))
+	return float64(s.ownRequests) + b.estimatedOthers(s, now)
+}
+
+func (b *Balancer) estimatedOthers(s *targetState, now time.Time) float64 {
+	excess := max(0, now.Sub(s.reportedAt)-b.settings.ReportHold)
+	return s.othersRequests * math.Exp2(-float64(excess)/float64(b.settings.ReportHalfLife))
 }
 
 // FreeSlots returns the estimated number of free slots on all available targets.
