Callers that come back after a refusal no longer displace new requests

Cause: a refused caller comes back once after 1.2 to 2 s, past its objective of 0.4 or 0.5 s. It was admitted like a new one, which is then refused, comes back and is late as well: at 1.3 times the capacity p (2 - p) = 0.77 gives p = 0.52.

Change: an entry recognizes such a request by a timeout below 0.8 of the longest that callers of the same route and workspace had in the last half minute (admit.Patience), and admits it only while a quarter of the limit is free and nothing waits; otherwise it is refused at once. A resumed stream is never late. Retry-After grows with the time left, for a timeout of 6 s from 1.2 to 2.0 s to 2.1 to 3.9 s, so that callers return when a short overload has ended and have time for the answer. A caller that repeats at once isn't recognized and counts as new.

Test: TestReturningCallersDoNotDisplaceNewOnes, bound 0.85 of the best rate. TestOverloadEndsWithItsLoad and TestOverloadIsSharedFairly hold.

--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -85,6 +85,7 @@
 	waiters          map[admit.RequestID]chan admit.Verdict
 	unstarted        map[*targetAttempt]struct{} // sent to a target, no response yet
 	nextID           admit.RequestID
+	patience         admit.Patience
 	budget           *retry.Budget
 	ledger           *crashblame.Ledger
 	parts            *crashblame.PartLedger
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -31,6 +31,11 @@
 	// can start to serve.
 	baseRetryAfter   = 800 * time.Millisecond
 	retryAfterJitter = 800 * time.Millisecond
+	// retryAfterShare and retryJitterShare apply instead if they are longer. They are shares
+	// of the time for which the caller still waits: a returning caller finds more room after a
+	// longer time, and needs time for the response.
+	retryAfterShare  = 0.2
+	retryJitterShare = 0.3
 	// maxRefusals is how many targets without free slots one request is sent to.
 	maxRefusals = 2
 	// maxResponseBytes limits a response that is read completely before it is forwarded.
@@ -164,6 +169,7 @@
 	}
 	g.nextID++
 	req.ID = g.nextID
+	req.Late = h.hasReturned(now)
 	g.budget.RecordRequest()
 	svc := g.service(h.serviceName)
 	decision := svc.queue.Offer(req, now)
@@ -190,6 +196,16 @@
 	return h.run(ctx, svc)
 }
 
+// hasReturned reports whether the caller comes back after a refusal. An interrupted stream that is
+// resumed has been partly served and is not late. Gateway.mu must be held.
+func (h *requestHandler) hasReturned(now time.Time) bool {
+	if h.call.Timeout == 0 || h.call.LastEventID != "" {
+		return false
+	}
+	group := admit.CallerGroup{Route: h.route.Name, Workspace: h.workspace}
+	return h.g.patience.HasReturned(group, h.call.Timeout, now)
+}
+
 // crashesTargets reports whether the request or a part of its prompt is known to crash the
 // targets that run it. Gateway.mu must be held.
 func (h *requestHandler) crashesTargets(now time.Time) bool {
@@ -207,7 +223,9 @@
 }
 
 func (h *requestHandler) retryAfter() time.Duration {
-	return baseRetryAfter + h.g.jitter(retryAfterJitter)
+	left := float64(h.deadline.Sub(h.g.now()))
+	base := max(baseRetryAfter, time.Duration(retryAfterShare*left))
+	return base + h.g.jitter(max(retryAfterJitter, time.Duration(retryJitterShare*left)))
 }
 
 func (h *requestHandler) awaitVerdict(ctx context.Context, svc *service, req admit.Request, verdict chan admit.Verdict) *fleet.Refusal {
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -18,6 +18,13 @@
 // while idle. Within a workspace, requests are ordered by class, then by arrival. A
 // workspace gains nothing by marking all its requests urgent: classes only order its
 // own requests.
+//
+// # Late requests
+//
+// A caller who comes back after a refusal gets a late response at best. Under overload such
+// requests would take the slots of new ones, which would be refused, come back and be late as
+// well. They are therefore admitted only while a part of the slots is free, and else refused at
+// once. Patience recognizes them.
 package admit
 
 import (
@@ -50,8 +57,12 @@
 	CauseDeadlineUnreachable              // deadline_cannot_be_met
 	CauseDeadlineExpired                  // deadline_passed_in_queue
 	CauseClassNotAllowed                  // class_not_allowed
+	CauseNoRoomForLate                    // no_room_for_late
 )
 
+// reserveShare is the share of the limit that must be free for a late request to be admitted.
+const reserveShare = 0.25
+
 // RequestID identifies a request within one entry.
 type RequestID uint64
 
@@ -64,6 +75,9 @@
 	Deadline time.Time
 	// Cost is the expected work in tokens. Release replaces it by the actual number.
 	Cost float64
+	// Late reports that the request can't be answered within its objective any more. It is
+	// admitted only if it takes no slot from requests that can.
+	Late bool
 }
 
 // Limits are the limits of one workspace.
@@ -132,6 +146,9 @@
 func (q *Queue) Offer(r Request, now time.Time) Decision {
 	ws := q.workspaceState(r.Workspace)
 	ws.lastUsed = now
+	if r.Late && !q.hasReserve() {
+		return Decision{Verdict: Refused, Cause: CauseNoRoomForLate, RetryAfter: q.estimateWait(ws)}
+	}
 	if q.queued == 0 && q.inFlight < q.limit.Value() {
 		q.start(ws, r)
 		return Decision{Verdict: Admitted}
@@ -146,6 +163,12 @@
 	return Decision{Verdict: Queued}
 }
 
+// hasReserve reports whether a late request leaves enough slots to others.
+func (q *Queue) hasReserve() bool {
+	limit := float64(q.limit.Value())
+	return q.queued == 0 && float64(q.inFlight) < (1-reserveShare)*limit
+}
+
 // Release ends an admitted request that used the given number of tokens. It returns
 // the waiting requests that are admitted to the free slots, and those found expired.
 func (q *Queue) Release(r Request, tokens float64, now time.Time) (admitted, expired []Request) {
--- a/core/admit/admit_string.go
+++ b/core/admit/admit_string.go
@@ -33,11 +33,12 @@
 	_ = x[CauseDeadlineUnreachable-2]
 	_ = x[CauseDeadlineExpired-3]
 	_ = x[CauseClassNotAllowed-4]
+	_ = x[CauseNoRoomForLate-5]
 }
 
-const _Cause_name = "nonequeue_fulldeadline_cannot_be_metdeadline_passed_in_queueclass_not_allowed"
+const _Cause_name = "nonequeue_fulldeadline_cannot_be_metdeadline_passed_in_queueclass_not_allowedno_room_for_late"
 
-var _Cause_index = [...]uint8{0, 4, 14, 36, 60, 77}
+var _Cause_index = [...]uint8{0, 4, 14, 36, 60, 77, 93}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/core/loadbalance/overload_test.go
+++ b/core/loadbalance/overload_test.go
@@ -12,7 +12,7 @@
 )
 
 // present is the policy of app/gateway.
-var present = policy{name: "present", settings: loadbalance.DefaultSettings, limit: freeSlots, waitShare: 0.35}
+var present = policy{name: "present", settings: loadbalance.DefaultSettings, limit: freeSlots, waitShare: 0.35, newFirst: true}
 
 func freeSlots(b *loadbalance.Balancer, now func() time.Time) admit.Limiter {
 	return loadbalance.AdmissionLimit{Balancer: b, Now: now}
@@ -24,8 +24,10 @@
 	decaying.ReportHold, decaying.FreedShare = 0, 1
 	immediate := loadbalance.DefaultSettings
 	immediate.FreedShare = 1
+	alike := present
+	alike.name, alike.newFirst = "returning callers like new ones", false
 	return []policy{
-		present,
+		present, alike,
 		{name: "decaying reports", settings: decaying, limit: freeSlots, waitShare: 0.35},
 		{name: "freed slots at once", settings: immediate, limit: freeSlots, waitShare: 0.35},
 		{name: "no queue at entries", settings: loadbalance.DefaultSettings, waitShare: 0.35, limit: unlimited},
@@ -47,6 +49,13 @@
 	return traffic{load: func(time.Duration) float64 { return load }}
 }
 
+// returning is a load whose callers come back once after a refusal, as app/gateway tells them.
+func returning(load float64) traffic {
+	t := steady(load)
+	t.returns, t.retryMin, t.retrySpread = true, 1750*time.Millisecond, 1800*time.Millisecond
+	return t
+}
+
 const (
 	replayTime = 30 * time.Second
 	warmUp     = 8 * time.Second
@@ -89,16 +98,30 @@
 	}
 }
 
+// Callers that were refused come back past their objective. If they get the slots of new requests,
+// these are refused, come back as well, and half of all responses are late.
+func TestReturningCallersDoNotDisplaceNewOnes(t *testing.T) {
+	best := bestRate(t)
+	for _, load := range []float64{0.8, 1.1, 1.3, 2, 3} {
+		o := replaySteady(present, returning(load), 1)
+		goal := minGoodput * min(best, engineCapacity*load)
+		t.Logf("load %.1f: %v; begun at the first attempt %.2f", load, &o, float64(o.begunFirst)/float64(o.asked))
+		assert.Check(t, o.inAimRate() >= goal, "load %.1f: in aim %.0f a second, best %.0f, goal %.0f", load, o.inAimRate(), best, goal)
+	}
+}
+
 // After an overload the engines are available at once to the requests of all entries, although
 // an entry counts only a share of the slots that others free.
 func TestOverloadEndsWithItsLoad(t *testing.T) {
 	const overloadEnd, requestTime = 15 * time.Second, 1300 * time.Millisecond
-	r := newReplay(present, traffic{load: func(elapsed time.Duration) float64 {
+	burst := returning(0)
+	burst.load = func(elapsed time.Duration) float64 {
 		if elapsed < overloadEnd {
 			return 2
 		}
 		return 0.75
-	}}, 3)
+	}
+	r := newReplay(present, burst, 3)
 	r.run(replayTime)
 	o := r.outcome(overloadEnd+2*requestTime, replayTime)
 	t.Log(&o)
@@ -109,7 +132,7 @@
 // and engines for the same number of requests, and large requests are served as often as others.
 func TestOverloadIsSharedFairly(t *testing.T) {
 	for _, load := range []float64{1.3, 2} {
-		o := replaySteady(present, steady(load), 1)
+		o := replaySteady(present, returning(load), 1)
 		all := o.bySize[1].ratio()
 		assert.Check(t, o.bySize[0].ratio() >= all/2, "load %.1f: largest tenth %.2f, all %.2f", load, o.bySize[0].ratio(), all)
 		for i, s := range o.byZone {
@@ -126,7 +149,7 @@
 		for _, load := range []float64{0.8, 1.1, 1.3, 2, 3} {
 			b.Run(fmt.Sprintf("%s/%.1f", p.name, load), func(b *testing.B) {
 				for range b.N {
-					r := newReplay(p, steady(load), 1)
+					r := newReplay(p, returning(load), 1)
 					r.run(replayTime)
 					o := r.outcome(warmUp, replayTime)
 					asked := float64(o.asked)
--- a/core/loadbalance/replay_test.go
+++ b/core/loadbalance/replay_test.go
@@ -35,6 +35,8 @@
 	otherZonePeriod = 560 * time.Millisecond
 	tickInterval    = 20 * time.Millisecond
 	workspaces      = 10
+	minTimeout      = 5 * time.Second // of callers
+	timeoutSpread   = time.Second
 	// engineCapacity is the rate, in requests a second, at which 14 engines finish requests
 	// that are always available.
 	engineCapacity = 136
@@ -66,6 +68,8 @@
 	limit func(b *loadbalance.Balancer, now func() time.Time) admit.Limiter
 	// waitShare is the share of the objective for which a request may wait at its entry.
 	waitShare float64
+	// newFirst reports whether entries recognize returning callers.
+	newFirst bool
 }
 
 // traffic is a load pattern.
@@ -90,6 +94,7 @@
 	attempts  int
 	refusals  int
 	asked     time.Time // first attempt
+	timeout   time.Duration
 	offered   time.Time // last attempt
 	sent      time.Time
 	first     time.Time // first event
@@ -109,6 +114,7 @@
 	zone     int
 	balancer *loadbalance.Balancer
 	queue    *admit.Queue
+	patience admit.Patience
 	waiting  map[admit.RequestID]*call
 }
 
@@ -268,7 +274,7 @@
 	}
 	k := kinds[i]
 	c := &call{
-		kind: k, zone: r.random.IntN(3), asked: r.now,
+		kind: k, zone: r.random.IntN(3), asked: r.now, timeout: minTimeout + r.randomTime(timeoutSpread),
 		prompt: r.logNormal(k.promptTokens, k.promptSpread, k.maxPromptTokens), events: r.logNormal(k.events, 0.8, maxEvents),
 	}
 	c.Workspace = fleet.Workspace(fmt.Sprintf("w%d", int(workspaces*r.random.Float64()*r.random.Float64())))
@@ -289,6 +295,10 @@
 	c.entry, c.ID, c.offered = entries[r.random.IntN(len(entries))], r.lastID, r.now
 	c.attempts++
 	c.Deadline = r.now.Add(time.Duration(r.policy.waitShare * float64(c.kind.objective)))
+	if r.policy.newFirst {
+		group := admit.CallerGroup{Workspace: c.Workspace}
+		c.Late = c.entry.patience.HasReturned(group, c.timeout-r.now.Sub(c.asked), r.now)
+	}
 	c.entry.waiting[c.ID] = c
 	switch c.entry.queue.Offer(c.Request, r.now).Verdict {
 	case admit.Admitted:
