Refusals on arrival name their cause

What operators saw: every request that the queue refuses on arrival is logged as queue_full, also one that can't be admitted in time and one whose caller comes back too late, so that the log of an overload looks like that of one greedy workspace (timeline of docs/incidents/2026-12-lost-beside-crashing-part.md).

Change: the reason follows admit.Cause; no_room_for_late is new. The status stays 503 and no decision changes.

--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -181,7 +181,7 @@
 	g.mu.Unlock()
 	switch decision.Verdict {
 	case admit.Refused:
-		return fleet.NotRun(fleet.ReasonQueueFull, h.retryAfter())
+		return fleet.NotRun(reasonOf(decision.Cause), h.retryAfter())
 	case admit.Queued:
 		if refusal := h.awaitVerdict(ctx, svc, req, verdict); refusal != nil {
 			return refusal
@@ -196,6 +196,17 @@
 	return h.run(ctx, svc)
 }
 
+// reasonOf returns the reason of a refusal on arrival.
+func reasonOf(c admit.Cause) fleet.Reason {
+	switch c {
+	case admit.CauseDeadlineUnreachable:
+		return fleet.ReasonDeadlineCannotBeMet
+	case admit.CauseNoRoomForLate:
+		return fleet.ReasonNoRoomForLate
+	}
+	return fleet.ReasonQueueFull
+}
+
 // hasReturned reports whether the caller comes back after a refusal. An interrupted stream that is
 // resumed has been partly served and is not late. Gateway.mu must be held.
 func (h *requestHandler) hasReturned(now time.Time) bool {
--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -17,6 +17,7 @@
 	ReasonNoTarget            Reason = "no_target"
 	ReasonQueueFull           Reason = "queue_full"
 	ReasonDeadlineCannotBeMet Reason = "deadline_cannot_be_met"
+	ReasonNoRoomForLate       Reason = "no_room_for_late"
 	ReasonDeadlinePassed      Reason = "deadline_passed"
 	ReasonClassNotAllowed     Reason = "class_not_allowed"
 	ReasonCrashesTargets      Reason = "request_crashes_targets"
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -161,7 +161,7 @@
 		return g.explainByLast("the configuration in force does not allow it", at, sameInstance(MessageConfiguration), "")
 	case fleet.ReasonCrashesTargets:
 		return g.explainByLast("requests like this one crashed several targets", at, func(l Line) bool { return l.hasMessage(MessageEngineCrashed) }, "")
-	case fleet.ReasonQueueFull, fleet.ReasonDeadlineCannotBeMet, fleet.ReasonNoTarget, fleet.ReasonTargetBusy:
+	case fleet.ReasonQueueFull, fleet.ReasonDeadlineCannotBeMet, fleet.ReasonNoRoomForLate, fleet.ReasonNoTarget, fleet.ReasonTargetBusy:
 		return g.explainNoSlot(at)
 	case fleet.ReasonCallerDisconnected:
 		return "the caller disconnected", at
