Test: states retained in an earlier era bring back a target that has left

TestRecallDoesNotBringBackATargetThatLeft fails: 1 (int) != 0 (int).

mayBeRestored compares the revision of a tombstone that an earlier era has left with the base of the current era, and Recall accepts states from a daemon that is in an earlier era.

--- a/core/mirror/restored_review_test.go
+++ b/core/mirror/restored_review_test.go
@@ -108,3 +108,16 @@
 	out := load(m, t0, at(2, 7), event("t/a", "v2", 2, 7))
 	assert.DeepEqual(t, out, []mirror.Event{event("t/a", "v2", 2, 7)})
 }
+
+// Another daemon is still in the era before, in which it retains a target that this one knows to
+// have left.
+func TestRecallDoesNotBringBackATargetThatLeft(t *testing.T) {
+	m, behind := mirror.New(retentions), mirror.New(retentions)
+	load(behind, t0, at(1, 2), event("t/a", "v1", 1, 2))
+	load(m, t0, at(2, 3), event("t/a", "v2", 2, 3))
+	load(behind, t0, at(2, 4))
+	assert.Equal(t, len(load(m, t0, at(2, 4))), 1, "it has left")
+	load(m, t0, at(3, 4))
+	out := m.Recall(behind.Retained(), t0)
+	assert.Equal(t, len(out), 0, "%v", out)
+}
