States of different eras are compared by their values, not by their revisions

What callers could see: after a second restoration from a copy that is older than the first one, a draining target comes back and the newest configuration is not handed on; a target that has left comes back through what an entry of the era before retains. Cause: a revision that is not lower was taken for a later state, which holds only if both eras share the history up to the copy; retained states were ordered by position across eras; a record went back within its incarnation, since only its start and state were compared. Change: states are compared by the operator's version, or by incarnation, state and sequence of a target; a deleted item keeps its last value for that. Removals that a read of this daemon only missed are told apart from stated ones. Retained states are taken from daemons of the same era only; while states of targets are retained, entries exchange them; streams carry those recalled later; a recalled removal is not taken for an expired record; a daemon of an earlier era sends one of a later era no complete copy. The first read of a process is not logged as a restoration.

--- a/app/gateway/follow.go
+++ b/app/gateway/follow.go
@@ -7,6 +7,7 @@
 	"amaranthturn/app/daemon"
 	"amaranthturn/core/mirror"
 	"amaranthturn/io/peer"
+	"amaranthturn/platform"
 )
 
 // Exchange implements peer.MeshHandler.
@@ -23,11 +24,12 @@
 // Follow implements peer.MeshHandler.
 func (g *Gateway) Follow(ctx context.Context, after mirror.Position, heartbeat time.Duration, send func(peer.StoreChanges) error) error {
 	isFirst := true
+	recalls := 0
 	for {
 		g.mu.Lock()
 		update := peer.StoreChanges{Update: g.mirror.ChangesSince(after), Age: g.now().Sub(g.mirror.CurrentAt()), StoreUnavailable: g.storeUnavailable}
-		if isFirst || update.Full {
-			update.Retained = g.mirror.Retained()
+		if isFirst || update.Full || recalls != g.recalls {
+			update.Retained, recalls = g.mirror.Retained(), g.recalls
 		}
 		changed := g.changed
 		g.mu.Unlock()
@@ -134,8 +136,18 @@
 // mu must be held.
 func (g *Gateway) recall(events []mirror.Event) {
 	now := g.now()
-	if recalled := g.mirror.Recall(events, now); len(recalled) > 0 {
-		g.log.config.Info().Int("items", len(recalled)).Msg("states from before the store's restoration are known from another daemon")
-		g.handleChanges(recalled, g.mirror.CurrentAt(), now)
+	recalled := g.mirror.Recall(events, now)
+	if len(recalled) == 0 {
+		return
 	}
+	g.recalls++
+	g.log.config.Info().Int("items", len(recalled)).Msg("states from before the store's restoration are known from another daemon")
+	for _, e := range recalled {
+		if id, ok := platform.RemovedTarget(e); ok {
+			g.roster.Drop(id) // it has left, its record has not expired
+		}
+	}
+	g.handleChanges(recalled, g.mirror.CurrentAt(), now)
+	g.refreshBalancers(now)
+	g.notifyFollowers()
 }
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -75,6 +75,7 @@
 	mirror           *mirror.Mirror
 	changed          chan struct{} // closed and replaced when the mirror changes
 	storeUnavailable bool
+	recalls          int  // how often states were recalled from other daemons
 	initialReadDone  bool // the complete store was read once
 	roster           *roster.Roster
 	entryList        *gossip.List
@@ -141,7 +142,10 @@
 }
 
 func newMirror(settings *platform.Settings) *mirror.Mirror {
-	return mirror.New(map[string]mirror.Retention{platform.TargetKeys: roster.DefaultSettings.Retention(settings.RecordRenewal, platform.CompareTargets)})
+	return mirror.New(map[string]mirror.Retention{
+		platform.OperatorKeys: {Compare: platform.CompareVersions},
+		platform.TargetKeys:   roster.DefaultSettings.Retention(settings.RecordRenewal, platform.CompareTargets),
+	})
 }
 
 // The limit on retries applies to the entire system, and entries don't coordinate retries:
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -114,12 +114,16 @@
 }
 
 // retainedFor returns the retained states if the sender of a message has an older
-// configuration. mu must be held.
+// configuration, or may lack states of targets because it has started since the restoration. mu
+// must be held.
 func (g *Gateway) retainedFor(received peer.ExchangeMessage) []mirror.Event {
-	if received.StorePosition.Era == 0 || received.ConfigVersion >= g.configVersion() {
+	if received.StorePosition.Era == 0 || received.StorePosition.Era != g.mirror.Position().Era {
 		return nil
 	}
-	return g.mirror.Retained()
+	if received.ConfigVersion < g.configVersion() || g.mirror.HasTimedRetentions() {
+		return g.mirror.Retained()
+	}
+	return nil
 }
 
 // configVersion returns the version of the configuration in force, or 0 if there is none.
@@ -146,7 +150,9 @@
 		if n := g.applyUpdate(update.Update, g.currentAsOf(startedAt, update.Age)); n > 0 {
 			g.metrics.Count("store_news_from_entries", int64(n))
 		}
-		g.recall(update.Retained)
+		if update.At.Era == g.mirror.Position().Era {
+			g.recall(update.Retained)
+		}
 		return false
 	})
 	if err != nil {
@@ -170,7 +176,9 @@
 
 // mergeEntryUpdate merges a message from another entry. mu must be held.
 func (g *Gateway) mergeEntryUpdate(update peer.ExchangeMessage, now time.Time) {
-	g.recall(update.Retained)
+	if update.StorePosition.Era == g.mirror.Position().Era {
+		g.recall(update.Retained)
+	}
 	g.entryList.Merge(update.Records, now)
 	g.ledger.Merge(update.Blamed, now)
 	if g.parts.Merge(update.Crashes, update.ProvenParts, now) {
--- a/app/gateway/restored_review_test.go
+++ b/app/gateway/restored_store_test.go
@@ -18,7 +18,7 @@
 
 func targetEvent(id, state string, version int, era mirror.Era, rev mirror.Revision) mirror.Event {
 	return mirror.Event{Key: platform.TargetKeys + id, Era: era, Revision: rev, Value: fmt.Appendf(nil,
-		`{"Service":"s","Address":"10.0.0.9:1","Zone":"z","Slots":4,"State":%q,"born":5,"Sequence":%d,"Models":[{"Name":"m","Version":%d}]}`, state, rev, version)}
+		`{"Service":"s","Address":"10.0.0.9:1","Zone":"z","Version":"v1","Slots":4,"State":%q,"ColdLeftMs":0,"born":5,"Sequence":%d,"Models":[{"Name":"m","Version":%d}]}`, state, rev, version)}
 }
 
 // exchangeBothWays lets two entries exchange as they do every half second, once from each side,
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -135,11 +135,11 @@
 	defer cancel()
 	g := s.g
 	g.mu.Lock()
-	known, previous := g.mirror.Position().Era, g.mirror.CurrentAt()
+	before, previous := g.mirror.Position(), g.mirror.CurrentAt()
 	g.mu.Unlock()
 	g.metrics.Count("store_calls", platform.CallsToReadAll)
 	startedAt := g.now()
-	snapshots, err := g.store.ReadAll(ctx, known)
+	snapshots, err := g.store.ReadAll(ctx, before.Era)
 	if err != nil {
 		return err
 	}
@@ -149,21 +149,24 @@
 	for _, snapshot := range snapshots {
 		g.handleChanges(g.mirror.Load(snapshot, asOf, g.now()), previous, asOf)
 	}
-	g.recordEra(known)
+	g.recordEra(before)
 	g.initialReadDone = true
 	return nil
 }
 
-// recordEra handles that the copy may have entered a later era than the given one. mu must be
-// held.
-func (g *Gateway) recordEra(before mirror.Era) {
+// recordEra handles that the copy may have entered a later era than that of the given position.
+// mu must be held.
+func (g *Gateway) recordEra(before mirror.Position) {
 	at := g.mirror.Position()
-	if at.Era == before {
+	if at.Era == before.Era {
 		return
 	}
 	g.notifyFollowers()
 	g.metrics.Gauge("store_era", float64(at.Era))
-	g.log.config.Warn().Uint64("era_before", uint64(before)).Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision)).
+	if before.Revision == 0 {
+		return // the first read
+	}
+	g.log.config.Warn().Uint64("era_before", uint64(before.Era)).Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision)).
 		Int("retained", len(g.mirror.Retained())).Msg(trace.MessageStoreRestored)
 }
 
@@ -223,10 +226,10 @@
 // applyUpdate applies an update that was current at currentAt, and returns the number of
 // changes. mu must be held.
 func (g *Gateway) applyUpdate(u mirror.Update, currentAt time.Time) int {
-	previous, era := g.mirror.CurrentAt(), g.mirror.Position().Era
+	previous, before := g.mirror.CurrentAt(), g.mirror.Position()
 	changes := g.mirror.Merge(u, currentAt, g.now())
 	g.handleChanges(changes, previous, currentAt)
-	g.recordEra(era)
+	g.recordEra(before)
 	return len(changes)
 }
 
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -87,7 +87,10 @@
 }
 
 func newMirror(settings *platform.Settings) *mirror.Mirror {
-	return mirror.New(map[string]mirror.Retention{platform.TargetKeys: roster.DefaultSettings.Retention(settings.RecordRenewal, platform.CompareTargets)})
+	return mirror.New(map[string]mirror.Retention{
+		platform.OperatorKeys: {Compare: platform.CompareVersions},
+		platform.TargetKeys:   roster.DefaultSettings.Retention(settings.RecordRenewal, platform.CompareTargets),
+	})
 }
 
 // Reload applies the settings that may change while the daemon runs, which are the seeds.
@@ -145,7 +148,7 @@
 	}
 	s.mu.Lock()
 	s.mergeExchange(update)
-	if update.StorePosition.Era > 0 && update.ConfigVersion < message.ConfigVersion {
+	if at := s.mirror.Position(); at.Era > 0 && update.StorePosition.Era == at.Era && update.ConfigVersion < message.ConfigVersion {
 		message.Retained = s.mirror.Retained()
 	}
 	s.mu.Unlock()
@@ -174,7 +177,9 @@
 // mergeExchange merges the message of an entry. mu must be held.
 func (s *Sidecar) mergeExchange(m peer.ExchangeMessage) {
 	now := s.now()
-	s.handleChanges(s.mirror.Recall(m.Retained, now), false)
+	if m.StorePosition.Era == s.mirror.Position().Era {
+		s.handleChanges(s.mirror.Recall(m.Retained, now), false)
+	}
 	s.entryList.Merge(m.Records, now)
 	for model, ages := range m.Declared {
 		s.declarationsOf(model).Merge(ages, now)
@@ -274,7 +279,7 @@
 	s.handleChanges(s.mirror.Merge(update.Update, now.Add(-update.Age), now), isFirst)
 	s.handleChanges(s.mirror.Recall(update.Retained, now), isFirst)
 	s.handleChanges(s.mirror.Tick(now), false)
-	if at := s.mirror.Position(); at.Era != before.Era {
+	if at := s.mirror.Position(); at.Era != before.Era && !isFirst {
 		s.log.config.Warn().Uint64("era_before", uint64(before.Era)).Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision)).
 			Int("retained", len(s.mirror.Retained())).Msg(trace.MessageStoreRestored)
 	}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -24,9 +24,10 @@
 // A restored store may list an item in an older state than the one known from the previous
 // era, or lack it, until its writer has written it again. The later state is retained
 // meanwhile. Retention states for how long: a target renews its record, so the listed state
-// applies once its writer has had the time to. Values of other keys carry a version of their
-// own, by which the users of the mirror order them: they are reported as listed, and the
-// retained state is only handed on to daemons that do not know it.
+// applies once its writer has had the time to. Revisions say nothing about the order of states
+// of different eras, since a copy may be from before an earlier restoration; values are compared.
+// Items without a period are reported as listed, and the retained state is only handed on to
+// daemons that do not know it.
 package mirror
 
 import (
@@ -64,19 +65,26 @@
 	Value    []byte
 	Era      Era
 	Revision Revision
-	Deleted  bool
+	// Deleted reports that the item is gone. Value is then its last known state, for comparison.
+	Deleted bool
+	// Missing reports that the item is known to be gone only because a complete read lacked it.
+	// Revision is that of the read.
+	Missing bool
 }
 
 // Position returns the position at which the event was read.
 func (e Event) Position() Position { return Position{e.Era, e.Revision} }
 
 // isSame reports whether two events leave an item in the same state.
-func (e Event) isSame(f Event) bool { return e.Deleted == f.Deleted && bytes.Equal(e.Value, f.Value) }
+func (e Event) isSame(f Event) bool {
+	return e.Deleted == f.Deleted && (e.Deleted || bytes.Equal(e.Value, f.Value))
+}
 
 // Retention decides how long the state of an item from before a restoration remains in force.
+// Without periods it remains until the item is written again, and users of the mirror order its states.
 type Retention struct {
-	// Compare returns a number below, at or above 0 if by its content the first state is
-	// earlier than, equal to or later than the second one of the same item. Neither is deleted.
+	// Compare returns a number below, at or above 0 if by its value the first state is earlier
+	// than, equal to or later than the second one of the same item.
 	Compare func(a, b Event) int
 	// Missing applies to an item that the restored store lacks.
 	Missing time.Duration
@@ -161,7 +169,7 @@
 	}
 	for k, e := range m.items {
 		if strings.HasPrefix(k, s.Prefix) && !present[k] && m.isMissing(e, s.At) {
-			out = m.put(out, Event{Key: k, Era: s.At.Era, Revision: s.At.Revision, Deleted: true})
+			out = m.put(out, Event{Key: k, Era: s.At.Era, Revision: s.At.Revision, Deleted: true, Missing: true})
 		}
 	}
 	m.advance(s.At, asOf)
@@ -218,10 +226,18 @@
 // force now.
 func (m *Mirror) put(out []Event, e Event) []Event {
 	old, ok := m.items[e.Key]
+	if m.endsRetention(e, old) {
+		delete(m.retained, e.Key)
+		return append(out, e)
+	}
 	if ok && (e.Position().Before(old.Position()) || e.Position() == old.Position() && old.Deleted == e.Deleted) {
 		return out
 	}
-	m.items[e.Key] = e
+	listed := e
+	if listed.Deleted && len(listed.Value) == 0 {
+		listed.Value = old.Value
+	}
+	m.items[e.Key] = listed
 	m.appendLog(e)
 	inForce, isRetained := m.retained[e.Key]
 	if !isRetained {
@@ -245,35 +261,54 @@
 	return out
 }
 
+// endsRetention reports whether an event states the removal of an item that a read of this
+// daemon was already lacking, and whose earlier state is retained.
+func (m *Mirror) endsRetention(e, listed Event) bool {
+	_, isRetained := m.retained[e.Key]
+	return isRetained && listed.Missing && e.Deleted && !e.Missing && e.Era == m.position.Era && e.Revision > m.eraBase
+}
+
 // mayBeOlder reports whether the state e, which is listed now, may be older than the one from
 // an earlier era by their positions and contents.
 func (m *Mirror) mayBeOlder(e, earlier Event) bool {
 	if e.isSame(earlier) || !m.mayBeRestored(e, earlier) {
 		return false
 	}
-	r, ok := m.retention(e.Key)
-	return !ok || e.Deleted || earlier.Deleted || r.Compare(e, earlier) < 0
+	if e.Missing {
+		return true
+	}
+	c, ok := m.compare(e, earlier)
+	return !ok || c < 0 || c == 0 && earlier.Deleted
+}
+
+// compare compares two states of an item by their values, or the last ones before a deletion. It
+// reports false if they cannot be compared.
+func (m *Mirror) compare(a, b Event) (int, bool) {
+	r, ok := m.retention(a.Key)
+	if !ok || r.Compare == nil || len(a.Value) == 0 || len(b.Value) == 0 {
+		return 0, false
+	}
+	return r.Compare(a, b), true
 }
 
-// mayBeRestored reports whether the state e, which is listed now, may be older than the one
-// from an earlier era. One with a revision that is not lower is later in any case: the history up
-// to the copy is shared, and what follows it in this era was written after the restoration.
-// That an item is missing is known by the revision of the read, not of a deletion.
+// mayBeRestored reports whether the state e, which is listed now, may be from the copy and the
+// other one from before the restoration. What is written after the first read of an era is not.
 func (m *Mirror) mayBeRestored(e, earlier Event) bool {
-	return e.Era > earlier.Era && e.Revision <= m.eraBase && (e.Revision < earlier.Revision || e.Deleted)
+	return e.Era > earlier.Era && (e.Missing || e.Revision <= m.eraBase)
 }
 
 // retainUntil returns until when an earlier state remains in force instead of the listed one,
 // or zero for items that have a version of their own.
 func (m *Mirror) retainUntil(listed Event) time.Time {
 	r, ok := m.retention(listed.Key)
-	switch {
-	case !ok:
+	period := r.Older
+	if listed.Deleted {
+		period = r.Missing
+	}
+	if !ok || period == 0 {
 		return time.Time{}
-	case listed.Deleted:
-		return m.eraSince.Add(r.Missing)
 	}
-	return m.eraSince.Add(r.Older)
+	return m.eraSince.Add(period)
 }
 
 func (m *Mirror) retention(key string) (Retention, bool) {
@@ -296,6 +331,16 @@
 	}
 }
 
+// HasTimedRetentions reports whether states are retained for a period that has not ended.
+func (m *Mirror) HasTimedRetentions() bool {
+	for _, r := range m.retained {
+		if !r.until.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // Tick ends the retentions that are due and returns the listed states that are in force
 // instead.
 func (m *Mirror) Tick(now time.Time) []Event {
@@ -332,7 +377,7 @@
 	for _, e := range events {
 		listed, isListed := m.items[e.Key]
 		if !isListed {
-			listed = Event{Key: e.Key, Era: m.position.Era, Revision: m.eraBase, Deleted: true}
+			listed = Event{Key: e.Key, Era: m.position.Era, Revision: m.eraBase, Deleted: true, Missing: true}
 		}
 		until := m.retainUntil(listed)
 		known, isRetained := m.retained[e.Key]
@@ -341,6 +386,8 @@
 			continue // not from before the restoration
 		case !until.IsZero() && !now.Before(until):
 			continue
+		case isListed && listed.Deleted && m.hasSeenLater(listed, e):
+			continue // known to have been there, and to be gone since
 		case isRetained && !m.isLater(e, known.Event):
 			continue
 		case !m.mayBeOlder(listed, e):
@@ -353,13 +400,20 @@
 	return out
 }
 
-// isLater reports whether a state that another daemon retains is later than the one retained
-// here. Both may be from any era before the current one.
+// hasSeenLater reports whether an item that is gone is known in a state that is not earlier than
+// e, or was gone before the restoration.
+func (m *Mirror) hasSeenLater(gone, e Event) bool {
+	c, ok := m.compare(e, gone)
+	return ok && c <= 0 || !ok && gone.Era < m.position.Era
+}
+
+// isLater reports whether a state that another daemon retains is later than the known one.
+// Both may be from any era before the current one.
 func (m *Mirror) isLater(e, known Event) bool {
-	if r, ok := m.retention(e.Key); ok && !e.Deleted && !known.Deleted {
-		return r.Compare(e, known) > 0
+	if c, ok := m.compare(e, known); ok {
+		return c > 0 || c == 0 && e.Deleted && !known.Deleted
 	}
-	return e.Era >= known.Era && e.Revision > known.Revision
+	return known.Position().Before(e.Position()) && known.Era == e.Era
 }
 
 // Update is what another daemon needs to have the same copy.
@@ -377,6 +431,9 @@
 // the update is full.
 func (m *Mirror) ChangesSince(after Position) Update {
 	u := Update{At: m.position, EraBase: m.eraBase}
+	if after.Era > m.position.Era {
+		return u // a daemon of a later era ignores all others
+	}
 	if after.Era != m.position.Era || after.Revision == 0 || after.Revision < m.logBase {
 		u.Full = true
 		for _, e := range m.items {
--- a/core/mirror/restored_test.go
+++ b/core/mirror/restored_test.go
@@ -15,7 +15,7 @@
 )
 
 // The states of the targets t/… are versions, or ready and draining.
-var retentions = map[string]mirror.Retention{"t/": {
+var retentions = map[string]mirror.Retention{"op/": {Compare: func(a, b mirror.Event) int { return bytes.Compare(a.Value, b.Value) }}, "t/": {
 	Compare: func(a, b mirror.Event) int {
 		if string(a.Value) == "ready" || string(b.Value) == "ready" {
 			return len(a.Value) - len(b.Value)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -58,7 +58,9 @@
 	State   State
 	// Incarnation is the start of this incarnation; a target may restart under the same id.
 	Incarnation fleet.Incarnation
-	Loaded      []LoadedVersion
+	// Sequence rises with each renewal of the record within an incarnation.
+	Sequence uint64
+	Loaded   []LoadedVersion
 }
 
 // Version returns the version of model m that the target serves, or 0 for none.
@@ -100,9 +102,9 @@
 
 // Compare returns a number below, at or above 0 if t is an earlier state of a target than u,
 // the same or a later one. Within an incarnation, a target that drains does not become ready
-// again.
+// again, and each renewal has a higher sequence.
 func (t *Target) Compare(u *Target) int {
-	return cmp.Or(cmp.Compare(t.Incarnation, u.Incarnation), cmp.Compare(t.State, u.State))
+	return cmp.Or(cmp.Compare(t.Incarnation, u.Incarnation), cmp.Compare(t.State, u.State), cmp.Compare(t.Sequence, u.Sequence))
 }
 
 type record struct {
--- a/io/peer/compress.go
+++ b/io/peer/compress.go
@@ -69,8 +69,10 @@
 func (c *valueCompressor) eventsToWire(events []mirror.Event) []*peerpb.StoreEvent {
 	out := make([]*peerpb.StoreEvent, 0, len(events))
 	for _, e := range events {
-		w := &peerpb.StoreEvent{Key: e.Key, Era: uint64(e.Era), Revision: uint64(e.Revision), Deleted: e.Deleted}
-		w.Value, w.Packed = c.compress(e)
+		w := &peerpb.StoreEvent{Key: e.Key, Era: uint64(e.Era), Revision: uint64(e.Revision), Deleted: e.Deleted, Missing: e.Missing}
+		if !e.Deleted {
+			w.Value, w.Packed = c.compress(e)
+		}
 		out = append(out, w)
 	}
 	return out
@@ -96,7 +98,7 @@
 func (d *valueDecompressor) eventsFromWire(events []*peerpb.StoreEvent) ([]mirror.Event, error) {
 	out := make([]mirror.Event, 0, len(events))
 	for _, w := range events {
-		e := mirror.Event{Key: w.GetKey(), Value: w.GetValue(), Era: mirror.Era(w.GetEra()), Revision: mirror.Revision(w.GetRevision()), Deleted: w.GetDeleted()}
+		e := mirror.Event{Key: w.GetKey(), Value: w.GetValue(), Era: mirror.Era(w.GetEra()), Revision: mirror.Revision(w.GetRevision()), Deleted: w.GetDeleted(), Missing: w.GetMissing()}
 		if w.GetPacked() {
 			var err error
 			if e.Value, err = d.decompress(e.Value); err != nil {
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -44,7 +44,7 @@
 	large := bytes.Repeat([]byte("w"), minCompressBytes)
 	want := StoreChanges{
 		Update: mirror.Update{
-			Events: []mirror.Event{{Key: "k", Value: large, Era: 2, Revision: 7}, {Key: "l", Value: []byte{}, Era: 1, Revision: 9, Deleted: true}},
+			Events: []mirror.Event{{Key: "k", Value: large, Era: 2, Revision: 7}, {Key: "l", Era: 1, Revision: 9, Deleted: true, Missing: true}},
 			At:     mirror.Position{Era: 2, Revision: 8}, EraBase: 6, Full: true,
 		},
 		Retained: []mirror.Event{{Key: "k", Value: []byte("old"), Era: 1, Revision: 12}}, Age: time.Second, StoreUnavailable: true,
