--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -31,15 +31,15 @@
 	// can start to serve.
 	baseRetryAfter   = 800 * time.Millisecond
 	retryAfterJitter = 800 * time.Millisecond
+	// retryAfterShare and retryJitterShare apply instead if they are longer. They are shares
+	// of the time for which the caller still waits: a returning caller finds more room after a
+	// longer time, and needs time for the response.
+	retryAfterShare  = 0.2
+	retryJitterShare = 0.3
 	// maxRefusals is how many targets without free slots one request is sent to.
 	maxRefusals = 2
 	// maxResponseBytes limits a response that is read completely before it is forwarded.
 	maxResponseBytes = 32 << 20
-	// firstEventTimeout and nextEventTimeout are the stall timeouts after which a stream is
-	// continued on another target. They are several objectives long, because a slower
-	// response is late but still useful.
-	firstEventTimeout = 2 * time.Second
-	nextEventTimeout  = 1500 * time.Millisecond
 )
 
 // errTruncated reports that a response was started and cannot be completed.
@@ -63,6 +63,7 @@
 	queueWait        time.Duration
 	timeToFirstEvent time.Duration // until the first event or the response
 	responseStarted  bool          // the response header was sent to the caller
+	retryReserved    bool          // a retry was taken from the budget and not used; guarded by Gateway.mu
 	attempts         int
 	target           fleet.InstanceID
 	targetFailure    *failedResponse // forwarded if no other attempt succeeds
@@ -168,6 +169,7 @@
 	}
 	g.nextID++
 	req.ID = g.nextID
+	req.Late = h.hasReturned(now)
 	g.budget.RecordRequest()
 	svc := g.service(h.serviceName)
 	decision := svc.queue.Offer(req, now)
@@ -179,7 +181,7 @@
 	g.mu.Unlock()
 	switch decision.Verdict {
 	case admit.Refused:
-		return fleet.NotRun(fleet.ReasonQueueFull, h.retryAfter())
+		return fleet.NotRun(reasonOf(decision.Cause), h.retryAfter())
 	case admit.Queued:
 		if refusal := h.awaitVerdict(ctx, svc, req, verdict); refusal != nil {
 			return refusal
@@ -194,6 +196,27 @@
 	return h.run(ctx, svc)
 }
 
+// reasonOf returns the reason of a refusal on arrival.
+func reasonOf(c admit.Cause) fleet.Reason {
+	switch c {
+	case admit.CauseDeadlineUnreachable:
+		return fleet.ReasonDeadlineCannotBeMet
+	case admit.CauseNoRoomForLate:
+		return fleet.ReasonNoRoomForLate
+	}
+	return fleet.ReasonQueueFull
+}
+
+// hasReturned reports whether the caller comes back after a refusal. An interrupted stream that is
+// resumed has been partly served and is not late. Gateway.mu must be held.
+func (h *requestHandler) hasReturned(now time.Time) bool {
+	if h.call.Timeout == 0 || h.call.LastEventID != "" {
+		return false
+	}
+	group := admit.CallerGroup{Route: h.route.Name, Workspace: h.workspace}
+	return h.g.patience.HasReturned(group, h.call.Timeout, now)
+}
+
 // crashesTargets reports whether the request or a part of its prompt is known to crash the
 // targets that run it. Gateway.mu must be held.
 func (h *requestHandler) crashesTargets(now time.Time) bool {
@@ -211,7 +234,9 @@
 }
 
 func (h *requestHandler) retryAfter() time.Duration {
-	return baseRetryAfter + h.g.jitter(retryAfterJitter)
+	left := float64(h.deadline.Sub(h.g.now()))
+	base := max(baseRetryAfter, time.Duration(retryAfterShare*left))
+	return base + h.g.jitter(max(retryAfterJitter, time.Duration(retryJitterShare*left)))
 }
 
 func (h *requestHandler) awaitVerdict(ctx context.Context, svc *service, req admit.Request, verdict chan admit.Verdict) *fleet.Refusal {
@@ -247,12 +272,16 @@
 			return nil
 		}
 		h.g.mu.Lock()
-		step := h.state.Failed(failure, h.g.budget.Allow, h.g.random.Float64(), h.g.now())
+		step := h.state.Failed(failure, h.allowRetry, h.g.random.Float64(), h.g.now())
 		h.g.mu.Unlock()
 		telemetry.FailedAttempt{
 			Request: string(h.call.ID), Target: h.target, Failure: failure, Step: step, Attempts: h.attempts, Events: h.state.Sent(),
 			Took: h.g.now().Sub(h.startedAt),
 		}.Log(h.g.log.requests)
+		if step.AwaitsBudget {
+			h.awaitBudget(ctx)
+			step = dispatch.Step{Retry: true}
+		}
 		if !step.Retry {
 			if h.targetFailure != nil && !h.responseStarted {
 				h.out.WriteResponse(h.targetFailure.Status, h.targetFailure.Header, h.targetFailure.body)
@@ -267,6 +296,19 @@
 	}
 }
 
+// awaitBudget waits until the request may be retried or ctx ends; the next attempt then returns
+// the context's failure.
+func (h *requestHandler) awaitBudget(ctx context.Context) {
+	for daemon.Sleep(ctx, dispatch.BudgetCheckInterval) {
+		h.g.mu.Lock()
+		allowed := h.allowRetry()
+		h.g.mu.Unlock()
+		if allowed {
+			return
+		}
+	}
+}
+
 func (h *requestHandler) contextFailureKind(ctx context.Context) dispatch.Kind {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return dispatch.KindDeadline
@@ -306,6 +348,7 @@
 	a := &targetAttempt{handler: h, service: svc, prefillTokens: h.call.PromptTokens}
 	failure, done := a.run(ctx, target)
 	g.mu.Lock()
+	a.ended = true
 	svc.balancer.RecordEnd(target.ID, a.prefillTokens, a.result, g.now())
 	if a.crashed {
 		g.ledger.RecordCrash([]fleet.Fingerprint{h.fingerprint}, g.now())
--- a/app/local/run.go
+++ b/app/local/run.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"amaranthturn/app/daemon"
 	"amaranthturn/core/fleet"
 	"amaranthturn/standin/load"
+	"amaranthturn/standin/platform"
 	"amaranthturn/standin/weights"
 )
 
@@ -73,6 +76,9 @@
 	v2              weights.Version
 	wantedVersion   atomic.Pointer[weights.Version] // version that the fleet should serve in the end
 	expectedServing int                             // number of instances that should serve wantedVersion
+	snapshot        platform.Snapshot               // copy of the platform's store
+	mu              sync.Mutex                      // guards violations
+	violations      []string                        // promises that a fault found broken
 }
 
 // Run starts a fleet, sends load, publishes a new version and returns the report. It returns
@@ -99,6 +105,15 @@
 	return r.rep, nil
 }
 
+// violate records a broken promise once.
+func (r *run) violate(promise string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !slices.Contains(r.violations, promise) {
+		r.violations = append(r.violations, promise)
+	}
+}
+
 func (r *run) printf(format string, args ...any) {
 	_, _ = fmt.Fprintf(r.out, format+"\n", args...)
 }
@@ -129,7 +144,7 @@
 // entriesConfigured reports whether every live entry has a configuration in force.
 func (r *run) entriesConfigured() bool {
 	for _, d := range r.cluster.liveDaemons() {
-		if d.entry != nil && d.entry.Revision() == 0 {
+		if d.entry != nil && d.entry.Position().IsZero() {
 			return false
 		}
 	}
@@ -170,10 +185,10 @@
 	faults := &faultInjector{r: r}
 	faults.before(ctx)
 	r.wantedVersion.Store(&r.v2)
-	rev := r.cluster.platform.Publish(configDocument(o, r.v2.ID))
-	r.printf("version %s published as revision %d", r.v2.ID.Short(), rev)
+	at := r.cluster.platform.Publish(configDocument(o, r.v2.ID))
+	r.printf("version %s published as revision %d", r.v2.ID.Short(), at.Revision)
 	faults.start(ctx)
-	if err := r.awaitConfig(ctx, began, rev); err != nil {
+	if err := r.awaitConfig(ctx, began, at); err != nil {
 		return err
 	}
 	r.awaitServing(ctx, began)
@@ -209,12 +224,13 @@
 	r.load.Start(ctx)
 }
 
-// awaitConfig waits until every live daemon has revision rev or a later one in force.
-func (r *run) awaitConfig(ctx context.Context, began time.Time, rev fleet.Revision) error {
+// awaitConfig waits until every live daemon has the configuration of position at or a later one
+// in force.
+func (r *run) awaitConfig(ctx context.Context, began time.Time, at fleet.Position) error {
 	timeout := convergeTimeout
 	if _, err := Await(ctx, "configuration in force", timeout, func() bool {
 		for _, d := range r.cluster.liveDaemons() {
-			if d.revision() < rev {
+			if d.position().Before(at) {
 				return false
 			}
 		}
@@ -256,6 +272,9 @@
 	r.rep.FirstTokenP95MS = millis(load.P95(distribution.TimeToFirstToken))
 	r.rep.TokenGapP95MS = millis(load.P95(distribution.TokenGap))
 	r.rep.setVerdict(r.cluster.rec.Verdict())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rep.BrokenPromises = append(r.rep.BrokenPromises, r.violations...)
 }
 
 // converged reports whether the first live entry considers the fleet converged.
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -19,8 +19,13 @@
 // where admission is fair and requests that cannot be served in time are refused.
 //
 // Several entries share targets: an entry counts its own requests exactly and estimates
-// those of other entries from reports that are several hundred milliseconds old. The
-// estimate decays with the age of the report.
+// those of other entries from reports that are several hundred milliseconds old. A report
+// counts in full until it is much older than that; if it counted less with its age, the
+// entries together would keep more requests on a full target than it has slots.
+//
+// A slot that becomes free is seen by all entries before any of them sees that another has
+// taken it. An entry therefore counts only a share of what a report shows to have become
+// free, while a slot that its own request leaves is its own to fill.
 //
 // Many entries and few targets: between two reports all entries would choose the same
 // least loaded target. Each entry therefore prefers its home targets, whose load it knows
@@ -57,9 +62,13 @@
 
 // Settings are the parameters of a Balancer.
 type Settings struct {
-	// ReportHalfLife is the age at which the requests of other entries in a report count
-	// half.
-	ReportHalfLife time.Duration
+	// ReportHold is the age up to which the requests of other entries in a report count in
+	// full. It is longer than the interval between reports. ReportHalfLife is the time after
+	// it in which they come to count half, because the target's agent may be gone.
+	ReportHold, ReportHalfLife time.Duration
+	// FreedShare is the share of the other entries' requests that a report shows to have
+	// ended which an entry counts as free slots.
+	FreedShare float64
 	// HomeBonus is how much more load than others, as a share of the slots, a home target
 	// may have and still be chosen. The entries have different home targets, so they
 	// do not all fill the same target between two reports.
@@ -78,7 +87,7 @@
 // DefaultSettings suit engines that report several times a second and low-bandwidth links
 // between regions.
 var DefaultSettings = Settings{
-	ReportHalfLife: 700 * time.Millisecond, HomeBonus: 0.5, OtherZonePenalty: 0.35,
+	ReportHold: 5 * time.Second, ReportHalfLife: 700 * time.Millisecond, FreedShare: 0.1, HomeBonus: 0.5, OtherZonePenalty: 0.35,
 	FullBackoff: 60 * time.Millisecond, FailureBackoff: 300 * time.Millisecond, FailureBackoffMax: 5 * time.Second,
 	PrefillWeight: 2,
 }
@@ -92,6 +101,8 @@
 	SameZone bool
 	// Home reports whether the target is one of those in its zone that this entry prefers.
 	Home bool
+	// ReportsLoad reports whether an agent reports the target's load.
+	ReportsLoad bool
 	// Closed reports whether the target finishes its requests and accepts no new ones.
 	Closed bool
 	// NotBefore is the end of the time in which the target wants no requests.
@@ -104,7 +115,8 @@
 	ownRequests    int
 	prefillTokens  int // prompt tokens of own requests without a first event
 	othersRequests float64
-	reportedAt     time.Time
+	reportedAt     time.Time // zero before the first report
+	knownSince     time.Time // first use of a target without a report
 	pausedUntil    time.Time // excluded from selection until then
 	failures       int
 	errorRate      float64 // moving average of the share of failed requests
@@ -145,8 +157,11 @@
 // this entry.
 func (b *Balancer) RecordReport(id fleet.InstanceID, requests int, now time.Time) {
 	if s, ok := b.targets[id]; ok {
-		s.othersRequests = math.Max(0, float64(requests-s.ownRequests))
-		s.reportedAt = now
+		others := math.Max(0, float64(requests-s.ownRequests))
+		if known := b.estimatedOthers(s, now); others < known {
+			others = known - b.settings.FreedShare*(known-others)
+		}
+		s.othersRequests, s.reportedAt = others, now
 	}
 }
 
@@ -184,13 +199,24 @@
 	case ResultFull:
 		s.pausedUntil = now.Add(b.settings.FullBackoff)
 	case ResultFailed:
-		s.errorRate += (1 - s.errorRate) / errorWindow
-		backoff := min(b.settings.FailureBackoff<<min(s.failures, maxDoublings), b.settings.FailureBackoffMax)
-		s.pausedUntil = now.Add(backoff)
-		s.failures++
+		b.recordFailure(s, now)
+	}
+}
+
+// RecordFailure records a failure of a target whose request has not ended.
+func (b *Balancer) RecordFailure(id fleet.InstanceID, now time.Time) {
+	if s, ok := b.targets[id]; ok {
+		b.recordFailure(s, now)
 	}
 }
 
+func (b *Balancer) recordFailure(s *targetState, now time.Time) {
+	s.errorRate += (1 - s.errorRate) / errorWindow
+	backoff := min(b.settings.FailureBackoff<<min(s.failures, maxDoublings), b.settings.FailureBackoffMax)
+	s.pausedUntil = now.Add(backoff)
+	s.failures++
+}
+
 const (
 	// errorWindow is the number of requests over which the error rate is averaged.
 	errorWindow = 8
@@ -202,10 +228,22 @@
 )
 
 // estimatedRequests returns the number of requests on a target: this entry's own and the
-// decayed number of other entries' requests.
+// estimated number of other entries' requests.
 func (b *Balancer) estimatedRequests(s *targetState, now time.Time) float64 {
-	age := max(0, now.Sub(s.reportedAt))
-	return float64(s.ownRequests) + s.othersRequests*math.Exp2(-float64(age)/float64(b.settings.ReportHalfLife))
+	return float64(s.ownRequests) + b.estimatedOthers(s, now)
+}
+
+func (b *Balancer) estimatedOthers(s *targetState, now time.Time) float64 {
+	others, since := s.othersRequests, s.reportedAt
+	if s.ReportsLoad && since.IsZero() {
+		// A new target is empty, and all entries see it.
+		if s.knownSince.IsZero() {
+			s.knownSince = now
+		}
+		others, since = min((1-b.settings.FreedShare)*float64(s.Slots), float64(s.Slots-1)), s.knownSince
+	}
+	excess := max(0, now.Sub(since)-b.settings.ReportHold)
+	return others * math.Exp2(-float64(excess)/float64(b.settings.ReportHalfLife))
 }
 
 // FreeSlots returns the estimated number of free slots on all available targets.
