Balancer: the share of freed slots follows the time; peaks and added targets without an agent are not remembered as load

Targets that were added in a scale-out count as nearly full until their first report. Change: others' requests are capped at the slots; of freed slots an entry counts 1 - 0.9^(age / 0.56 s); only targets whose agent has reported before count as nearly full after a restart; an estimate below 0.1 requests counts as zero, so that a target of one slot is used. TestShareOfFreedSlotsIsTaken checks the same shares with reports 0.56 s apart.

Callers that come back: a request counts as returned only within 6 s of a refusal on its route at this entry, and its timeout is capped at the route's, so that one caller with a long deadline does not make the others late. A begun stream waits for the retry budget for 2 s at most, since it keeps its place in admission meanwhile.

--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -239,7 +239,7 @@
 			old.cancel()
 		}
 		ctx, cancel := context.WithCancel(ctx)
-		w := &loadWatch{g: g, targetAddress: addr, period: period, cancel: cancel}
+		w := &loadWatch{g: g, targetAddress: addr, period: period, cancel: cancel, hasReported: ok && old.hasReported}
 		g.loadWatches[addr] = w
 		go w.run(ctx)
 	}
@@ -256,6 +256,7 @@
 	targetAddress string
 	period        time.Duration
 	cancel        context.CancelFunc
+	hasReported   bool // guarded by the gateway's mu
 }
 
 // run restarts the watch whenever the stream ends.
@@ -279,6 +280,7 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	w.hasReported = true
 	t, ok := w.listedTarget()
 	if !ok || l.Incarnation != t.Incarnation && l.Incarnation != 0 {
 		return
--- a/app/gateway/overload_test.go
+++ b/app/gateway/overload_test.go
@@ -26,10 +26,14 @@
 func TestResumedStreamIsNotLate(t *testing.T) {
 	g, c := newTestGateway(t)
 	request := func(timeout time.Duration, lastEvent string) *requestHandler {
-		return &requestHandler{g: g, route: &routeconfig.Route{Name: "r"}, call: &forward.Call{Timeout: timeout, LastEventID: lastEvent}}
+		return &requestHandler{g: g, route: &routeconfig.Route{Name: "r", Timeout: 7 * time.Second}, call: &forward.Call{Timeout: timeout, LastEventID: lastEvent}}
 	}
 	assert.Assert(t, !request(6*time.Second, "").hasReturned(c.t))
+	assert.Assert(t, !request(4*time.Second, "").hasReturned(c.t), "nobody was refused")
+	request(6*time.Second, "").recordRefusal(fleet.NotRun(fleet.ReasonQueueFull, time.Second))
 	assert.Assert(t, request(4*time.Second, "").hasReturned(c.t))
+	assert.Assert(t, !request(time.Hour, "").hasReturned(c.t))
+	assert.Assert(t, !request(6*time.Second, "").hasReturned(c.t), "the route limits what a caller may state")
 	assert.Assert(t, !request(4*time.Second, "7").hasReturned(c.t))
 	assert.Assert(t, !request(0, "").hasReturned(c.t), "no timeout")
 }
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -83,6 +83,7 @@
 		ctx, cancel := context.WithDeadline(ctx, h.deadline)
 		defer cancel()
 		refusal = h.admitAndRun(ctx)
+		h.recordRefusal(refusal)
 	}
 	h.logOutcome(refusal)
 	switch {
@@ -213,8 +214,21 @@
 	if h.call.Timeout == 0 || h.call.LastEventID != "" {
 		return false
 	}
-	group := admit.CallerGroup{Route: h.route.Name, Workspace: h.workspace}
-	return h.g.patience.HasReturned(group, h.call.Timeout, now)
+	return h.g.patience.HasReturned(h.callerGroup(), forward.Timeout(h.route, h.call), now)
+}
+
+func (h *requestHandler) callerGroup() admit.CallerGroup {
+	return admit.CallerGroup{Route: h.route.Name, Workspace: h.workspace, Limit: h.route.Timeout}
+}
+
+// recordRefusal remembers that the caller was told to come back.
+func (h *requestHandler) recordRefusal(r *fleet.Refusal) {
+	if r == nil || r.Outcome != fleet.OutcomeNotRun || r.RetryAfter == 0 || h.route == nil {
+		return
+	}
+	h.g.mu.Lock()
+	defer h.g.mu.Unlock()
+	h.g.patience.RecordRefusal(h.route.Name, h.g.now())
 }
 
 // crashesTargets reports whether the request or a part of its prompt is known to crash the
@@ -278,8 +292,7 @@
 			Request: string(h.call.ID), Target: h.target, Failure: failure, Step: step, Attempts: h.attempts, Events: h.state.Sent(),
 			Took: h.g.now().Sub(h.startedAt),
 		}.Log(h.g.log.requests)
-		if step.AwaitsBudget {
-			h.awaitBudget(ctx)
+		if step.AwaitsBudget && h.awaitBudget(ctx) {
 			step = dispatch.Step{Retry: true}
 		}
 		if !step.Retry {
@@ -296,17 +309,24 @@
 	}
 }
 
-// awaitBudget waits until the request may be retried or ctx ends; the next attempt then returns
-// the context's failure.
-func (h *requestHandler) awaitBudget(ctx context.Context) {
+// maxBudgetWait is how long a begun stream waits for a retry. Callers give up a stream that is
+// silent for longer, and the request keeps its place in admission meanwhile.
+const maxBudgetWait = 2 * time.Second
+
+// awaitBudget waits until the budget allows a retry, and reports whether the request goes on: with
+// the retry, or to end because its context has ended.
+func (h *requestHandler) awaitBudget(parent context.Context) bool {
+	ctx, cancel := context.WithTimeout(parent, maxBudgetWait)
+	defer cancel()
 	for daemon.Sleep(ctx, dispatch.BudgetCheckInterval) {
 		h.g.mu.Lock()
 		allowed := h.allowRetry()
 		h.g.mu.Unlock()
 		if allowed {
-			return
+			return true
 		}
 	}
+	return parent.Err() != nil
 }
 
 func (h *requestHandler) contextFailureKind(ctx context.Context) dispatch.Kind {
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -366,7 +366,7 @@
 		for _, t := range targets {
 			candidate := loadbalance.Target{ID: t.ID, Incarnation: t.Incarnation, Slots: max(1, t.Slots), SameZone: t.Zone == g.settings.Zone, NotBefore: g.notices.PausedUntil(noticeTarget(t))}
 			if svc.Engine != nil {
-				candidate.ReportsLoad = true
+				candidate.ReportsLoad = g.hasReportedLoad(t.Address)
 				candidate.Closed = !g.canServe(t, now)
 				candidate.Home = candidate.SameZone && loadbalance.IsHome(position, entries, index, sameZone)
 			}
@@ -388,6 +388,13 @@
 	}
 }
 
+// hasReportedLoad reports whether the agent of the target at an address has reported load. A
+// target that was added may have no agent. mu must be held.
+func (g *Gateway) hasReportedLoad(address string) bool {
+	w, ok := g.loadWatches[address]
+	return ok && w.hasReported
+}
+
 // versionChangeMargin is subtracted from the time within which a new version has to be in
 // use, to allow for the propagation delay of the declaration and of the request.
 const versionChangeMargin = 500 * time.Millisecond
--- a/core/admit/patience_test.go
+++ b/core/admit/patience_test.go
@@ -10,12 +10,16 @@
 func TestReturningCallersAreRecognized(t *testing.T) {
 	var p Patience
 	a, b := CallerGroup{Route: "r", Workspace: "a"}, CallerGroup{Route: "r", Workspace: "b"}
+	p.RecordRefusal(a.Route, now)
 	assert.Assert(t, !p.HasReturned(a, 3*time.Second, now), "nothing is known yet")
 	assert.Assert(t, !p.HasReturned(a, 6*time.Second, now))
 	assert.Assert(t, !p.HasReturned(a, 5*time.Second, now), "less patient, not returned")
 	assert.Assert(t, p.HasReturned(a, 4500*time.Millisecond, now))
 	assert.Assert(t, !p.HasReturned(b, 3*time.Second, now), "the callers of another workspace wait for less time")
+	assert.Assert(t, !p.HasReturned(a, 4*time.Second, now.Add(returnPeriod+time.Second)), "nobody was refused who could come back")
+	p.RecordRefusal(a.Route, now.Add(patiencePeriod))
 	assert.Assert(t, p.HasReturned(a, 4*time.Second, now.Add(patiencePeriod)))
+	p.RecordRefusal(a.Route, now.Add(4*patiencePeriod))
 	assert.Assert(t, !p.HasReturned(a, 4*time.Second, now.Add(4*patiencePeriod)), "callers have become less patient")
 }
 
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -101,7 +101,7 @@
 	SameZone bool
 	// Home reports whether the target is one of those in its zone that this entry prefers.
 	Home bool
-	// ReportsLoad reports whether an agent reports the target's load.
+	// ReportsLoad reports whether an agent at the target's address has reported load.
 	ReportsLoad bool
 	// Closed reports whether the target finishes its requests and accepts no new ones.
 	Closed bool
@@ -157,14 +157,33 @@
 // this entry.
 func (b *Balancer) RecordReport(id fleet.InstanceID, requests int, now time.Time) {
 	if s, ok := b.targets[id]; ok {
-		others := math.Max(0, float64(requests-s.ownRequests))
+		// A queue at the target ends with the requests that wait there, and not as gradually as
+		// its slots are taken again.
+		others := math.Min(math.Max(0, float64(requests-s.ownRequests)), float64(s.Slots))
 		if known := b.estimatedOthers(s, now); others < known {
-			others = known - b.settings.FreedShare*(known-others)
+			others = known - b.freedShare(now.Sub(s.lastKnown()))*(known-others)
 		}
 		s.othersRequests, s.reportedAt = others, now
 	}
 }
 
+// lastKnown returns the time of the last report, or of the assumption that stands for it.
+func (s *targetState) lastKnown() time.Time {
+	if s.reportedAt.IsZero() {
+		return s.knownSince
+	}
+	return s.reportedAt
+}
+
+// freedShareInterval is the time between two reports that FreedShare is for.
+const freedShareInterval = 560 * time.Millisecond
+
+// freedShare returns the share of the slots that others have freed since a report of the given
+// age that this entry counts.
+func (b *Balancer) freedShare(age time.Duration) float64 {
+	return 1 - math.Pow(1-b.settings.FreedShare, float64(age)/float64(freedShareInterval))
+}
+
 // RecordStart counts a request sent to a target.
 func (b *Balancer) RecordStart(id fleet.InstanceID, promptTokens int) {
 	b.inFlight++
@@ -243,9 +262,17 @@
 		others, since = min((1-b.settings.FreedShare)*float64(s.Slots), float64(s.Slots-1)), s.knownSince
 	}
 	excess := max(0, now.Sub(since)-b.settings.ReportHold)
-	return others * math.Exp2(-float64(excess)/float64(b.settings.ReportHalfLife))
+	others *= math.Exp2(-float64(excess) / float64(b.settings.ReportHalfLife))
+	if others < minOthers {
+		return 0
+	}
+	return others
 }
 
+// minOthers is the number of other entries' requests below which a target counts as free of
+// them. The estimate approaches zero and never reaches it.
+const minOthers = 0.1
+
 // FreeSlots returns the estimated number of free slots on all available targets.
 func (b *Balancer) FreeSlots(now time.Time) int {
 	free := 0
--- a/core/loadbalance/loadbalance_test.go
+++ b/core/loadbalance/loadbalance_test.go
@@ -60,20 +60,38 @@
 // When a report shows that other entries' requests have ended, all entries see it, and one that
 // took all of the free slots would overload the target together with the others.
 func TestShareOfFreedSlotsIsTaken(t *testing.T) {
-	b := newTestBalancer(1, 16)
-	b.RecordReport(id(0), 16, t0)
-	b.RecordReport(id(0), 8, t0)
-	assert.Equal(t, b.FreeSlots(t0), int(8*loadbalance.DefaultSettings.FreedShare))
+	b, now := newTestBalancer(1, 16), t0
+	report := func(requests int, after time.Duration) {
+		now = now.Add(after)
+		b.RecordReport(id(0), requests, now)
+	}
+	const interval = 560 * time.Millisecond
+	report(16, 0)
+	report(8, interval)
+	assert.Equal(t, b.FreeSlots(now), int(8*loadbalance.DefaultSettings.FreedShare))
 	for range 5 {
-		b.RecordReport(id(0), 8, t0)
+		report(8, interval)
 	}
-	assert.Equal(t, b.FreeSlots(t0), 3, "1 - 0.9^6 of 8")
-	b.RecordReport(id(0), 16, t0)
-	assert.Equal(t, b.FreeSlots(t0), 0, "more requests count at once")
+	assert.Equal(t, b.FreeSlots(now), 3, "1 - 0.9^6 of 8")
+	report(16, interval)
+	assert.Equal(t, b.FreeSlots(now), 0, "more requests count at once")
 	for range 40 {
-		b.RecordReport(id(0), 8, t0)
+		report(8, interval)
+	}
+	assert.Equal(t, b.FreeSlots(now), 7, "nearly all of what stays free")
+}
+
+// With many entries reports are seconds apart. The share follows the time, not the number of
+// reports, and a queue at the target is not remembered.
+func TestPeakOfATargetIsForgotten(t *testing.T) {
+	b := newTestBalancer(1, 12)
+	now := t0
+	b.RecordReport(id(0), 36, now)
+	for range 3 {
+		now = now.Add(3500 * time.Millisecond)
+		b.RecordReport(id(0), 4, now)
 	}
-	assert.Equal(t, b.FreeSlots(t0), 7, "nearly all of what stays free")
+	assert.Assert(t, b.FreeSlots(now) >= 6, "%d", b.FreeSlots(now))
 }
 
 // A target that fails fast among working ones seems idle and must not attract requests.
--- a/core/loadbalance/replay_test.go
+++ b/core/loadbalance/replay_test.go
@@ -373,6 +373,7 @@
 }
 
 func (r *replay) refuse(c *call) {
+	c.entry.patience.RecordRefusal("", r.now)
 	delete(c.entry.waiting, c.ID)
 	c.refusals++
 	if r.traffic.returns && c.attempts == 1 {
