--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -335,7 +335,6 @@
 		for _, t := range targets {
 			candidate := loadbalance.Target{ID: t.ID, Incarnation: t.Incarnation, Slots: max(1, t.Slots), SameZone: t.Zone == g.settings.Zone}
 			if svc.Engine != nil {
-				candidate.ReportsLoad = true
 				candidate.Closed = !g.canServe(t, now)
 				candidate.Home = candidate.SameZone && loadbalance.IsHome(position, entries, index, sameZone)
 			}
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -84,7 +84,7 @@
 // DefaultSettings suit engines that report several times a second and low-bandwidth links
 // between regions.
 var DefaultSettings = Settings{
-	ReportHold: 5 * time.Second, ReportHalfLife: 700 * time.Millisecond, FreedShare: 0.1, HomeBonus: 0.5, OtherZonePenalty: 0.35,
+	ReportHold: 5 * time.Second, ReportHalfLife: 700 * time.Millisecond, FreedShare: 0.25, HomeBonus: 0.5, OtherZonePenalty: 0.35,
 	FullBackoff: 60 * time.Millisecond, FailureBackoff: 300 * time.Millisecond, FailureBackoffMax: 5 * time.Second,
 	PrefillWeight: 2,
 }
@@ -98,8 +98,6 @@
 	SameZone bool
 	// Home reports whether the target is one of those in its zone that this entry prefers.
 	Home bool
-	// ReportsLoad reports whether an agent reports the target's load.
-	ReportsLoad bool
 	// Closed reports whether the target finishes its requests and accepts no new ones.
 	Closed bool
 }
@@ -110,7 +108,7 @@
 	ownRequests    int
 	prefillTokens  int // prompt tokens of own requests without a first event
 	othersRequests float64
-	reportedAt     time.Time // zero before the first report
+	reportedAt     time.Time
 	pausedUntil    time.Time // excluded from selection until then
 	failures       int
 	errorRate      float64 // moving average of the share of failed requests
@@ -217,10 +215,6 @@
 }
 
 func (b *Balancer) estimatedOthers(s *targetState, now time.Time) float64 {
-	if s.ReportsLoad && s.reportedAt.IsZero() {
-		// A new target is empty, and all entries see it.
-		return (1 - b.settings.FreedShare) * float64(s.Slots)
-	}
 	excess := max(0, now.Sub(s.reportedAt)-b.settings.ReportHold)
 	return s.othersRequests * math.Exp2(-float64(excess)/float64(b.settings.ReportHalfLife))
 }
