--- /dev/null
+++ b/app/entry/review_budget_test.go
@@ -0,0 +1,27 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/retry"
+	"amaranthturn/io/peer"
+)
+
+// A stream that waits for the entry's budget asks ten times a second. It must not use up the
+// retries of its workspace meanwhile.
+func TestWaitingForTheEntryLeavesTheWorkspaceBudget(t *testing.T) {
+	w := fleet.Workspace("w")
+	e := &Entry{opt: Options{Clock: fixedClock(time.Unix(1_700_000_000, 0))}, budgets: map[fleet.Workspace]*retry.Budget{w: retry.NewBudget(0.1, 10)}}
+	e.budget = retry.NewBudget(0.1, 1)
+	assert.Assert(t, e.budget.Allow()) // another workspace takes the entry's last retry
+	h := &requestHandler{e: e, gen: peer.GenerateRequest{Workspace: w}}
+	for range 20 { // two seconds of awaitBudget
+		assert.Assert(t, !h.allowRetry())
+	}
+	e.budget = retry.NewBudget(0.1, 10)
+	assert.Assert(t, h.allowRetry(), "the workspace has used none of its ten retries")
+}
--- a/core/loadbalance/replay_test.go
+++ b/core/loadbalance/replay_test.go
@@ -109,6 +109,8 @@
 	// lost is the number of engines that crash at crashAt and are back, empty, at backAt.
 	lost            int
 	crashAt, backAt time.Duration
+	// callerTimeout replaces the timeouts of callers.
+	callerTimeout func(elapsed time.Duration, u float64) time.Duration
 }
 
 // call is one caller's request with all its attempts.
@@ -341,6 +343,9 @@
 		kind: k, zone: r.random.IntN(len(r.size.entries)), asked: r.now, timeout: minTimeout + r.randomTime(timeoutSpread),
 		prompt: r.logNormal(k.promptTokens, k.promptSpread, k.maxPromptTokens), events: r.logNormal(k.events, 0.8, maxEvents),
 	}
+	if r.traffic.callerTimeout != nil {
+		c.timeout = r.traffic.callerTimeout(r.elapsed(), r.random.Float64())
+	}
 	c.Workspace = fleet.Workspace(fmt.Sprintf("w%d", int(workspaces*r.random.Float64()*r.random.Float64())))
 	c.Cost = float64(c.prompt + 50*c.events)
 	r.calls = append(r.calls, c)
