--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -32,6 +32,7 @@
 	responseStarted bool         // guarded by the gateway's mu
 	canceled        atomic.Bool  // this entry canceled the attempt because the target stalled or its weights became too old
 	stalled         atomic.Bool  // the target was silent for too long at least once
+	canMove         bool         // the limits on attempts allow another one
 	progress        atomic.Int64 // when the last event arrived, as a time.Duration since the request's start
 	stallTimer      *time.Timer  // guarded by the gateway's mu; nil if the request cannot move
 	avoid           []fleet.InstanceID
@@ -48,7 +49,8 @@
 		h.g.watchUntilStarted(a)
 		defer h.g.stopWatching(a)
 	}
-	if streaming && h.route.Repeatable() && h.state.CanRetryLoss() {
+	if streaming && h.route.Repeatable() {
+		a.canMove = h.state.CanRetryLoss()
 		a.startStallTimer()
 		defer a.stallTimer.Stop()
 	}
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -231,18 +231,24 @@
 		if t.Zone == g.settings.Zone {
 			period = max(sameZoneLoadPeriod, time.Duration(sameZone)*sameZonePeriodPerEntry)
 		}
-		old, ok := g.loadWatches[addr]
-		if ok && !needsNewPeriod(old.period, period) {
-			continue
-		}
-		if ok {
-			old.cancel()
-		}
-		ctx, cancel := context.WithCancel(ctx)
-		w := &loadWatch{g: g, targetAddress: addr, period: period, cancel: cancel, hasReported: ok && old.hasReported}
-		g.loadWatches[addr] = w
-		go w.run(ctx)
+		g.watchLoad(ctx, addr, period)
+	}
+}
+
+// watchLoad starts a load watch of the target at an address, unless one with about the same
+// period runs. mu must be held.
+func (g *Gateway) watchLoad(ctx context.Context, addr string, period time.Duration) {
+	old, ok := g.loadWatches[addr]
+	if ok && !needsNewPeriod(old.period, period) {
+		return
+	}
+	if ok {
+		old.cancel()
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	w := &loadWatch{g: g, targetAddress: addr, period: period, cancel: cancel, hasReported: ok && old.hasReported}
+	g.loadWatches[addr] = w
+	go w.run(ctx)
 }
 
 // needsNewPeriod reports whether a watch has to be restarted with another period, which is
--- a/app/gateway/stall.go
+++ b/app/gateway/stall.go
@@ -45,6 +45,9 @@
 	if !a.stalled.Swap(true) {
 		a.service.balancer.RecordFailure(a.target.ID, now)
 	}
+	if !a.canMove {
+		return
+	}
 	if !a.reserveRetry(now) {
 		a.stallTimer.Reset(stallCheckInterval)
 		return
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -366,7 +366,7 @@
 		for _, t := range targets {
 			candidate := loadbalance.Target{ID: t.ID, Incarnation: t.Incarnation, Slots: max(1, t.Slots), SameZone: t.Zone == g.settings.Zone, NotBefore: g.notices.PausedUntil(noticeTarget(t))}
 			if svc.Engine != nil {
-				candidate.ReportsLoad = g.hasReportedLoad(t.Address)
+				candidate.ReportsLoad, candidate.ReportInterval = g.loadReports(t.Address)
 				candidate.Closed = !g.canServe(t, now)
 				candidate.Home = candidate.SameZone && loadbalance.IsHome(position, entries, index, sameZone)
 			}
@@ -383,16 +383,27 @@
 	}
 	for name, candidates := range byService {
 		s := g.service(name)
+		s.balancer.SetEntries(g.entryCount(now))
 		s.balancer.SetTargets(candidates)
 		g.notifyWaiters(s.queue.Tick(now))
 	}
 }
 
-// hasReportedLoad reports whether the agent of the target at an address has reported load. A
-// target that was added may have no agent. mu must be held.
-func (g *Gateway) hasReportedLoad(address string) bool {
+// entryCount returns how many entries may use the targets: those that are live, and at least as
+// many as there are seeds, since an entry that has just started does not know the others. mu must
+// be held.
+func (g *Gateway) entryCount(now time.Time) int {
+	return max(len(g.entryList.Live(now))+1, len(g.seeds))
+}
+
+// loadReports returns whether the agent of the target at an address has reported load, and how
+// often it is asked to. A target that was added may have no agent. mu must be held.
+func (g *Gateway) loadReports(address string) (hasReported bool, interval time.Duration) {
 	w, ok := g.loadWatches[address]
-	return ok && w.hasReported
+	if !ok {
+		return false, 0
+	}
+	return w.hasReported, w.period
 }
 
 // versionChangeMargin is subtracted from the time within which a new version has to be in
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -103,6 +103,8 @@
 	Home bool
 	// ReportsLoad reports whether an agent at the target's address has reported load.
 	ReportsLoad bool
+	// ReportInterval is the time between two reports of the target's load.
+	ReportInterval time.Duration
 	// Closed reports whether the target finishes its requests and accepts no new ones.
 	Closed bool
 	// NotBefore is the end of the time in which the target wants no requests.
@@ -129,6 +131,7 @@
 	targets  map[fleet.InstanceID]*targetState
 	ordered  []*targetState
 	inFlight int
+	entries  int // that may use the targets, including this one; 0 if unknown
 }
 
 // NewBalancer returns a balancer without targets.
@@ -136,6 +139,9 @@
 	return &Balancer{settings: settings, random: random, targets: map[fleet.InstanceID]*targetState{}}
 }
 
+// SetEntries sets the number of entries that may use the targets, including this one.
+func (b *Balancer) SetEntries(n int) { b.entries = n }
+
 // SetTargets replaces the targets. The state of a target is kept while its incarnation is
 // unchanged. Requests in flight on a removed target still count in InFlight.
 func (b *Balancer) SetTargets(targets []Target) {
@@ -160,6 +166,9 @@
 		// A queue at the target ends with the requests that wait there, and not as gradually as
 		// its slots are taken again.
 		others := math.Min(math.Max(0, float64(requests-s.ownRequests)), float64(s.Slots))
+		if b.entries == 1 {
+			others = 0 // own requests that have ended since
+		}
 		if known := b.estimatedOthers(s, now); others < known {
 			others = known - b.freedShare(now.Sub(s.lastKnown()))*(known-others)
 		}
@@ -181,7 +190,11 @@
 // freedShare returns the share of the slots that others have freed since a report of the given
 // age that this entry counts.
 func (b *Balancer) freedShare(age time.Duration) float64 {
-	return 1 - math.Pow(1-b.settings.FreedShare, float64(age)/float64(freedShareInterval))
+	share := b.settings.FreedShare
+	if b.entries > 0 {
+		share = math.Max(share, 1/float64(b.entries*b.entries)) // few entries rarely take the same slot
+	}
+	return 1 - math.Pow(1-share, float64(age)/float64(freedShareInterval))
 }
 
 // RecordStart counts a request sent to a target.
@@ -261,7 +274,7 @@
 		}
 		others, since = min((1-b.settings.FreedShare)*float64(s.Slots), float64(s.Slots-1)), s.knownSince
 	}
-	excess := max(0, now.Sub(since)-b.settings.ReportHold)
+	excess := max(0, now.Sub(since)-max(b.settings.ReportHold, 2*s.ReportInterval))
 	others *= math.Exp2(-float64(excess) / float64(b.settings.ReportHalfLife))
 	if others < minOthers {
 		return 0
