Entry: a retry is taken from the workspace's budget only if the entry's has one too

Cause: a request that waits for the entry's budget asked ten times a second and took a retry of its workspace each time.

--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -252,7 +252,7 @@
 func (h *requestHandler) allowRetry() bool {
 	h.e.reqMu.Lock()
 	defer h.e.reqMu.Unlock()
-	return h.e.workspaceBudget(h.gen.Workspace).Allow() && h.e.budget.Allow()
+	return retry.AllowAll(h.e.workspaceBudget(h.gen.Workspace), h.e.budget)
 }
 
 // run tries targets until the response is complete or the request must end.
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -54,6 +54,19 @@
 	return true
 }
 
+// AllowAll takes one retry from each budget if all have one left.
+func AllowAll(budgets ...*Budget) bool {
+	for _, b := range budgets {
+		if b.tokens < 1 {
+			return false
+		}
+	}
+	for _, b := range budgets {
+		b.tokens--
+	}
+	return true
+}
+
 // Backoff returns the delay before a retry; attempts are numbered from 1. The jitter, in
 // [0, 1), spreads the retries of many callers over the second half of the delay.
 func Backoff(attempt int, jitter float64) time.Duration {
