--- a/core/loadbalance/overload_test.go
+++ b/core/loadbalance/overload_test.go
@@ -85,7 +85,6 @@
 // Entries that discount old reports together send each engine more than it has slots for, and
 // every request waits there past its objective.
 func TestOverloadDoesNotQueueAtTargets(t *testing.T) {
-	t.Parallel()
 	best := bestRate()
 	for _, load := range []float64{0.8, 1.1, 1.3, 2, 3} {
 		for seed := range uint64(2) {
@@ -100,7 +99,6 @@
 // Callers that were refused come back past their objective. If they get the slots of new requests,
 // these are refused, come back as well, and half of all responses are late.
 func TestReturningCallersDoNotDisplaceNewOnes(t *testing.T) {
-	t.Parallel()
 	best := bestRate()
 	for _, load := range []float64{0.8, 1.1, 1.3, 2, 3} {
 		o := replaySteady(present, returning(load), 1)
@@ -113,7 +111,6 @@
 // Engines that restart under full load are empty, and all entries see it. If each of them fills all
 // slots, the requests of many entries wait there past their objective.
 func TestRestartedTargetsAreNotFlooded(t *testing.T) {
-	t.Parallel()
 	best := bestRate()
 	for _, load := range []float64{1.1, 1.3, 2} {
 		crashing := returning(load)
@@ -135,7 +132,6 @@
 // With many entries the reports of other zones are seconds old, and an entry has less than one
 // request on an engine.
 func TestOverloadWithManyEntries(t *testing.T) {
-	t.Parallel()
 	best := bestRate() / small.capacity() * grown.capacity()
 	const load, end = 1.3, warmUp + 8*time.Second
 	r := newReplay(grown, present, returning(load), 1)
--- a/core/loadbalance/patience_test.go
+++ b/core/loadbalance/patience_test.go
@@ -24,7 +24,6 @@
 // Callers of one workspace and route whose deadlines differ: the ones with the shorter deadlines have
 // not been refused before and must not be starved.
 func TestShortDeadlinesAreNotStarved(t *testing.T) {
-	t.Parallel()
 	for _, load := range []float64{0.95, 1.3, 2} {
 		for _, p := range []policy{present, policies()[1]} {
 			x := returning(load)
@@ -48,7 +47,6 @@
 
 // One caller in a hundred sends a long deadline. The others have not been refused before.
 func TestLongDeadlineDoesNotMakeOthersLate(t *testing.T) {
-	t.Parallel()
 	for _, load := range []float64{0.95, 1.3} {
 		x := returning(load)
 		x.callerTimeout = func(_ time.Duration, u float64) time.Duration {
@@ -72,7 +70,6 @@
 
 // From 8 s on all callers wait for less time, as after a change of their configuration.
 func TestCallersThatBecomeLessPatient(t *testing.T) {
-	t.Parallel()
 	for _, load := range []float64{0.95, 1.3} {
 		x := returning(load)
 		x.callerTimeout = func(e time.Duration, u float64) time.Duration {
--- a/core/loadbalance/sizes_test.go
+++ b/core/loadbalance/sizes_test.go
@@ -181,7 +181,6 @@
 
 // Systems of other sizes under steady loads below and above their capacity.
 func TestSteadyLoadsBySize(t *testing.T) {
-	t.Parallel()
 	for name, s := range map[string]size{"single": single, "oneZone": oneZone, "deltaloom": deltaloom, "grown52": grown52} {
 		for _, load := range []float64{0.4, 0.7, 1.1, 2} {
 			end := warmUp + 8*time.Second
@@ -204,7 +203,6 @@
 
 // Load that rises again after an overload and a pause finds all slots.
 func TestLoadAfterOverloadBySize(t *testing.T) {
-	t.Parallel()
 	for name, s := range map[string]size{"single": single, "oneZone": oneZone, "deltaloom": deltaloom, "small": small, "grown52": grown52} {
 		steps := returning(0)
 		steps.load = func(e time.Duration) float64 {
@@ -231,7 +229,6 @@
 
 // All engines restart at a load below capacity.
 func TestAllTargetsRestart(t *testing.T) {
-	t.Parallel()
 	for name, s := range map[string]size{"single": single, "oneZone": oneZone, "deltaloom": deltaloom, "small": small, "grown52": grown52} {
 		x := returning(0.7)
 		x.lost, x.crashAt, x.backAt = sum(s.engines), 6*time.Second, 6500*time.Millisecond
@@ -253,7 +250,6 @@
 
 // The criterion of TestOverloadWithManyEntries with as many entries and fewer engines.
 func TestOverloadWithNearlyAsManyEntriesAsTargets(t *testing.T) {
-	t.Parallel()
 	const end = warmUp + 8*time.Second
 	for name, s := range map[string]size{"44 entries, 52 engines": grown52, "44 entries, 34 engines": grown34} {
 		best := bestRate() / small.capacity() * s.capacity()
@@ -270,7 +266,6 @@
 // Beyond 62 entries the reports of other zones come less often than every 5 s, and count for less
 // between two of them.
 func TestOverloadWithMoreEntriesThanReportHoldCovers(t *testing.T) {
-	t.Parallel()
 	wide := size{engines: []int{36, 34, 34}, entries: []int{30, 30, 30}}
 	const load, end = 1.3, warmUp + 8*time.Second
 	best := bestRate() / small.capacity() * wide.capacity()
@@ -284,7 +279,6 @@
 // Many entries, and fewer slots than entries: what an overload leaves of the estimates must not keep
 // the targets half empty while requests are refused.
 func TestOverloadLeavesNoSlotsUnused(t *testing.T) {
-	t.Parallel()
 	for name, s := range map[string]size{"44 entries, 52 engines": grown52, "60 entries, 104 engines": {engines: []int{36, 34, 34}, entries: []int{20, 20, 20}}} {
 		x := returning(1.3)
 		x.lost, x.crashAt, x.backAt = sum(s.engines)/5, 5*time.Second, 8*time.Second
