--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -118,8 +118,8 @@
 	until time.Time // zero: until it is written again
 }
 
-// New returns an empty copy. The keys of the map are prefixes of keys whose items are retained
-// for a time. Items with other keys have versions of their own.
+// New returns an empty copy. The keys of the map are prefixes of the items' keys. States of items
+// with other keys cannot be compared.
 func New(retentions map[string]Retention) *Mirror {
 	return &Mirror{retentions: retentions, items: map[string]Event{}, retained: map[string]retained{}}
 }
