The message that hands on retained states is built only if there are any

Each exchange built a second message, with all records and crash reports, before it looked whether anything is retained, which is so only after a restoration of the store. The comment of stallTimer follows its condition.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -34,7 +34,7 @@
 	stalled         atomic.Bool  // the target was silent for too long at least once
 	canMove         bool         // the limits on attempts allow another one
 	progress        atomic.Int64 // when the last event arrived, as a time.Duration since the request's start
-	stallTimer      *time.Timer  // guarded by the gateway's mu; nil if the request cannot move
+	stallTimer      *time.Timer  // guarded by the gateway's mu; nil if the request is no stream that may be resumed
 	avoid           []fleet.InstanceID
 	ended           bool // guarded by the gateway's mu
 }
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -103,12 +103,14 @@
 // older configuration because it started since then.
 func (g *Gateway) handOn(ctx context.Context, addr string, received peer.ExchangeMessage) {
 	g.mu.Lock()
-	update := g.entryUpdate(g.now())
-	update.Retained = g.retainedFor(received)
-	g.mu.Unlock()
-	if len(update.Retained) == 0 {
+	retained := g.retainedFor(received)
+	if len(retained) == 0 {
+		g.mu.Unlock()
 		return
 	}
+	update := g.entryUpdate(g.now())
+	update.Retained = retained
+	g.mu.Unlock()
 	if _, err := g.pool.Exchange(ctx, addr, update); err != nil {
 		g.metrics.Count("exchange_failures", 1)
 	}
