Targets that nobody reports the load of get no more requests than they can answer in time

Callers saw: before an order desk that is slow and overloaded (3 targets of 6 slots and a queue of 24, work of 4.5 s, 3.3 times the capacity) most orders waited until their deadline and failed, and most arrivals at the desk were turned away as full.

Cause: plain targets have no agents, so each of the entries counted all slots as free for itself. Together they filled the targets' queues with 18 s of work and went on sending to the next full target.

Change: a window limits an entry's requests on such targets. It begins at the entry's share of the slots (1.15 requests a slot over all entries), grows by one for each eight responses while it is used up and responses are not slower than they were, and shrinks to the share when responses become slower or a target rejects. A request waits at the entry at most for what the objective leaves beside the expected duration. Services of engines and targets that state no slots are unchanged.

--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -22,10 +22,6 @@
 
 // Constants of the request path.
 const (
-	// queueWaitShare is the fraction of a route's objective that a request may wait for a
-	// slot. The remainder is needed for its prefill, which shares the engine with the running
-	// requests.
-	queueWaitShare = 0.35
 	// baseRetryAfter and retryAfterJitter determine when a refused caller should retry. The
 	// retries are spread over time and come after more than a second, in which added targets
 	// can start to serve.
@@ -154,7 +150,10 @@
 func (h *requestHandler) admitAndRun(ctx context.Context) *fleet.Refusal {
 	g := h.g
 	now := g.now()
-	queueDeadline := now.Add(time.Duration(queueWaitShare * float64(h.route.LatencyObjective)))
+	g.mu.Lock()
+	expected := g.service(h.serviceName).balancer.ExpectedDuration()
+	g.mu.Unlock()
+	queueDeadline := now.Add(loadbalance.MaxWait(h.route.LatencyObjective, expected))
 	if h.deadline.Before(queueDeadline) {
 		queueDeadline = h.deadline
 	}
@@ -366,9 +365,13 @@
 	h.target = target.ID
 	h.state.StartAttempt(target.ID)
 	a := &targetAttempt{handler: h, service: svc, prefillTokens: h.call.PromptTokens}
+	sentAt := g.now()
 	failure, done := a.run(ctx, target)
 	g.mu.Lock()
 	a.ended = true
+	if done && a.result == loadbalance.ResultDone {
+		svc.balancer.RecordDuration(g.now().Sub(sentAt), g.now())
+	}
 	svc.balancer.RecordEnd(target.ID, a.prefillTokens, a.result, g.now())
 	if a.crashed {
 		g.ledger.RecordCrash([]fleet.Fingerprint{h.fingerprint}, g.now())
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -354,14 +354,19 @@
 		return
 	}
 	byService := map[fleet.Service][]loadbalance.Target{}
+	unreported := map[fleet.Service]bool{} // services without agents whose targets state their slots
 	position, entries := g.entryList.Position(now)
 	for _, svc := range doc.Services() {
 		targets := slices.DeleteFunc(g.roster.Usable(svc.Name), func(t roster.Target) bool { return g.notices.IsLeaving(noticeTarget(t)) })
 		sameZone, index := 0, 0
+		unreported[svc.Name] = svc.Engine == nil
 		for _, t := range targets {
 			if t.Zone == g.settings.Zone {
 				sameZone++
 			}
+			if t.Slots <= 0 {
+				unreported[svc.Name] = false
+			}
 		}
 		for _, t := range targets {
 			candidate := loadbalance.Target{ID: t.ID, Incarnation: t.Incarnation, Slots: max(1, t.Slots), SameZone: t.Zone == g.settings.Zone, NotBefore: g.notices.PausedUntil(noticeTarget(t))}
@@ -384,6 +389,7 @@
 	for name, candidates := range byService {
 		s := g.service(name)
 		s.balancer.SetEntries(g.entryCount(now))
+		s.balancer.SetUnreported(unreported[name])
 		s.balancer.SetTargets(candidates)
 		g.notifyWaiters(s.queue.Tick(now))
 	}
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -31,6 +31,11 @@
 // least loaded target. Each entry therefore prefers its home targets, whose load it knows
 // best.
 //
+// Targets that nobody reports the load of, before more requests than they can run: every entry
+// would fill all slots by itself, and the targets would queue the requests past their
+// objectives, or turn most of them away. Each entry begins with its share of the slots and
+// keeps more in flight only while responses stay as fast as before.
+//
 // A target that sheds load names the time in which it wants no requests. It gets none until
 // then, and its slots do not count as free.
 //
@@ -132,6 +137,10 @@
 	ordered  []*targetState
 	inFlight int
 	entries  int // that may use the targets, including this one; 0 if unknown
+	// unreported reports that no agents report the load of the targets, which the window then
+	// limits.
+	unreported bool
+	window     window
 }
 
 // NewBalancer returns a balancer without targets.
@@ -142,6 +151,9 @@
 // SetEntries sets the number of entries that may use the targets, including this one.
 func (b *Balancer) SetEntries(n int) { b.entries = n }
 
+// SetUnreported sets whether the targets have no agents that report their load.
+func (b *Balancer) SetUnreported(unreported bool) { b.unreported = unreported }
+
 // SetTargets replaces the targets. The state of a target is kept while its incarnation is
 // unchanged. Requests in flight on a removed target still count in InFlight.
 func (b *Balancer) SetTargets(targets []Target) {
@@ -229,12 +241,47 @@
 		s.failures = 0
 		s.errorRate -= s.errorRate / errorWindow
 	case ResultFull:
+		b.window.shrink(now)
 		s.pausedUntil = now.Add(b.settings.FullBackoff)
 	case ResultFailed:
 		b.recordFailure(s, now)
 	}
 }
 
+// RecordDuration records the duration of a complete response, before its RecordEnd.
+func (b *Balancer) RecordDuration(took time.Duration, now time.Time) {
+	b.window.recordResponse(took, b.inFlight, b.share(), float64(b.slots()), now)
+}
+
+func (b *Balancer) slots() int {
+	n := 0
+	for _, s := range b.ordered {
+		if !s.Closed {
+			n += s.Slots
+		}
+	}
+	return n
+}
+
+// share returns this entry's part of the slots.
+func (b *Balancer) share() float64 {
+	return slotSurplus * float64(b.slots()) / float64(max(1, b.entries))
+}
+
+// slotSurplus is how many requests the entries keep in flight for each slot of targets that
+// nobody reports the load of. Entries that don't know of each other's requests fill some targets
+// more than others.
+const slotSurplus = 1.15
+
+// ExpectedDuration returns how long responses of targets whose load nobody reports take now, or 0
+// if that is unknown.
+func (b *Balancer) ExpectedDuration() time.Duration {
+	if !b.unreported {
+		return 0
+	}
+	return b.window.mean
+}
+
 // RecordFailure records a failure of a target whose request has not ended.
 func (b *Balancer) RecordFailure(id fleet.InstanceID, now time.Time) {
 	if s, ok := b.targets[id]; ok {
@@ -370,7 +417,8 @@
 }
 
 // AdmissionLimit limits admission by the load of one service's targets: the limit is the
-// number of requests in flight plus the free slots.
+// number of requests in flight plus the free slots, or what the window allows if nobody reports
+// the load.
 type AdmissionLimit struct {
 	Balancer *Balancer
 	// Now returns the current time.
@@ -378,7 +426,13 @@
 }
 
 // Value implements admit.Limiter.
-func (l AdmissionLimit) Value() int { return l.Balancer.InFlight() + l.Balancer.FreeSlots(l.Now()) }
+func (l AdmissionLimit) Value() int {
+	limit := l.Balancer.InFlight() + l.Balancer.FreeSlots(l.Now())
+	if l.Balancer.unreported {
+		limit = min(limit, l.Balancer.window.limit(l.Balancer.share(), l.Balancer.random, l.Now()))
+	}
+	return limit
+}
 
 // Observe implements admit.Limiter. It does nothing because the limit follows from the
 // balancer.
