Requests that wait for a service are refused when the configuration drops it

What callers saw: a request in the queue of a service that a new configuration lacks was refused only when its time in the queue ended, 0.35 of its route's objective after it came. A begun stream whose target broke off looked for another one until its deadline, although its caller could go on at the service that its route has moved to.

Cause: a wait outlives what it waits for. A removed service keeps its queue, whose limit falls to the requests in flight, and its balancer without targets; neither told the waiting requests.

Change: a new configuration refuses at once, as not run, all that wait for a service it lacks. A request that resolved its route before the change and arrives at the queue after it is refused there, and an attempt without a target ends the request if the service is gone. A service that is configured and has no targets keeps its waiting requests, since targets come back.

Ruled out: a lost verdict. The queue of a removed service is still ticked and released, so each of the requests was answered before, too, but late.

--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -239,6 +239,16 @@
 	return s
 }
 
+// isConfigured reports whether the configuration in force has a service.
+func (g *Gateway) isConfigured(name fleet.Service) bool {
+	doc := g.doc.Load()
+	if doc == nil {
+		return false
+	}
+	_, ok := doc.Service(name)
+	return ok
+}
+
 // maxQueuedPerWorkspace limits the queued requests of one workspace at one entry. The limit
 // on the waiting time normally takes effect first.
 const maxQueuedPerWorkspace = 64
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -164,6 +164,10 @@
 		g.mu.Unlock()
 		return fleet.NotRun(fleet.ReasonCrashesTargets, 0)
 	}
+	if !g.isConfigured(h.serviceName) { // it was removed since the route was resolved
+		g.mu.Unlock()
+		return fleet.NotRun(fleet.ReasonUnknownService, baseRetryAfter)
+	}
 	if refusal := h.refuseWhileShedding(g.service(h.serviceName), queueDeadline, now); refusal != nil {
 		g.mu.Unlock()
 		return refusal
@@ -256,8 +260,11 @@
 func (h *requestHandler) awaitVerdict(ctx context.Context, svc *service, req admit.Request, verdict chan admit.Verdict) *fleet.Refusal {
 	select {
 	case v := <-verdict:
-		if v == admit.Admitted {
+		switch {
+		case v == admit.Admitted:
 			return nil
+		case !h.g.isConfigured(h.serviceName):
+			return fleet.NotRun(fleet.ReasonUnknownService, baseRetryAfter)
 		}
 		return fleet.NotRun(fleet.ReasonDeadlineCannotBeMet, h.retryAfter())
 	case <-ctx.Done():
@@ -355,6 +362,9 @@
 		refusal := h.refuseWhileShedding(svc, now, now)
 		g.mu.Unlock()
 		h.state.StartAttempt("")
+		if !g.isConfigured(h.serviceName) {
+			refusal = fleet.NotRun(fleet.ReasonUnknownService, baseRetryAfter)
+		}
 		if refusal != nil {
 			return dispatch.Failure{Kind: dispatch.KindRefused, Refusal: refusal}, false
 		}
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -380,6 +380,9 @@
 		if _, ok := byService[name]; !ok {
 			s.balancer.SetTargets(nil)
 		}
+		if _, ok := doc.Service(name); !ok {
+			g.notifyWaiters(nil, s.queue.CancelAll())
+		}
 	}
 	for name, candidates := range byService {
 		s := g.service(name)
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -212,6 +212,17 @@
 	return false
 }
 
+// CancelAll removes and returns all waiting requests.
+func (q *Queue) CancelAll() []Request {
+	var out []Request
+	for len(q.active) > 0 {
+		ws := q.active[0]
+		out = append(out, ws.dequeue().Request)
+		q.removeQueued(ws)
+	}
+	return out
+}
+
 // InFlight returns the number of admitted requests that were not released.
 func (q *Queue) InFlight() int { return q.inFlight }
 
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -129,6 +129,12 @@
 					}
 				}
 			},
+			"cancel all": func(*rapid.T) {
+				settle(nil, q.CancelAll())
+				if len(waiting) != 0 {
+					t.Fatalf("%d still wait", len(waiting))
+				}
+			},
 			"tick": func(t *rapid.T) {
 				at = at.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
 				settle(q.Tick(at))
