The end of an unframed answer is not passed on as proof that it is complete

Cause: forwardFull counted the bytes up to the end of the connection and wrote their number as the length. A stream of such a target went out in chunks, and the end of the connection after a complete event became the final chunk, also of a stream that another target had begun with chunks. The end of a connection proves nothing; length and final chunk claim that it does. Class: a claim that is stronger than its evidence.

Change: a reply knows that it is unframed, and the response to it is unframed too: neither length nor chunks, Connection: close. While it is written the caller's connection is set to be reset when it is closed (SO_LINGER 0), by the server, a stop or the end of the process; only a clean end sets that back. So a truncated response can be told from a complete one. A stream that was begun with chunks isn't completed by an unframed continuation: it is resumed within the limits or breaks off. Such an end isn't recorded as a crash.

Ruled out: reading on until the body is proved. Truncating all unframed answers would fail complete ones, which TestUnframedResponseIsComplete guards.

--- a/app/daemon/drain.go
+++ b/app/daemon/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -151,6 +152,14 @@
 	return nil
 }
 
+// SetLinger sets what Close does with data that has not been sent, as net.TCPConn does.
+func (c *serverConn) SetLinger(sec int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return l.SetLinger(sec)
+	}
+	return errors.ErrUnsupported
+}
+
 func (c *serverConn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -124,7 +124,7 @@
 	}
 	a.recordResponseStart()
 	a.handler.responseStarted = true
-	a.handler.out.WriteResponse(sent.Status, sent.Header, body)
+	a.handler.out.WriteResponse(sent.Reply, body)
 	return dispatch.Failure{}, true
 }
 
@@ -135,7 +135,7 @@
 	for {
 		ev, err := reader.Next()
 		if errors.Is(err, io.EOF) {
-			return a.endOfEvents(parent, sent.Framed())
+			return a.endOfEvents(parent, sent.Reply)
 		}
 		if err != nil {
 			return a.transportFailure(parent, err), false
@@ -149,7 +149,7 @@
 		if !h.responseStarted {
 			h.responseStarted = true
 			h.stream.Begin(sent.Reply)
-			h.out.WriteHeader(sent.Status, sent.Header)
+			h.out.WriteHeader(sent.Reply)
 		}
 		a.recordResponseStart()
 		// The index is only a count, because the IDs were checked above.
@@ -163,11 +163,15 @@
 
 // endOfEvents handles the end of a response after a complete event, or without any. Only an
 // event of this attempt shows that the target continued the stream and did not break off.
-func (a *targetAttempt) endOfEvents(parent context.Context, framed bool) (dispatch.Failure, bool) {
+func (a *targetAttempt) endOfEvents(parent context.Context, r forward.Reply) (dispatch.Failure, bool) {
 	switch {
-	case a.responseStarted:
+	case a.responseStarted && a.handler.stream.IsEndedBy(r):
 		return dispatch.Failure{}, true
-	case framed && parent.Err() == nil:
+	case a.responseStarted && parent.Err() == nil:
+		// Nothing shows whether the stream is complete or its target crashed.
+		a.result = loadbalance.ResultUnknown
+		return dispatch.Failure{Kind: dispatch.KindLost}, false
+	case !r.Unframed && parent.Err() == nil:
 		// A complete response without an event is no sign of a crash.
 		a.result = loadbalance.ResultFailed
 		return dispatch.Failure{Kind: dispatch.KindInvalidResponse}, false
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -297,7 +297,7 @@
 		}
 		if !step.Retry {
 			if h.targetFailure != nil && !h.responseStarted {
-				h.out.WriteResponse(h.targetFailure.Status, h.targetFailure.Header, h.targetFailure.body)
+				h.out.WriteResponse(h.targetFailure.Reply, h.targetFailure.body)
 				return nil
 			}
 			return step.Refusal
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -75,6 +75,9 @@
 	WrongTarget bool
 	// Signed reports that the target's signature is present.
 	Signed bool
+	// Unframed reports that the body has neither a length nor chunks. It ends with its
+	// connection, which does not show that it is complete.
+	Unframed bool
 	// Version is the version of weights, 0 if the target did not state it.
 	Version uint64
 	Notices
@@ -90,12 +93,13 @@
 	Malformed string
 }
 
-// Responder sends the response to the caller.
+// Responder sends the response to the caller. The response to an unframed reply is unframed too,
+// so that it does not claim to be complete.
 type Responder interface {
-	// WriteResponse sends a complete response.
-	WriteResponse(status int, h http.Header, body []byte)
-	// WriteHeader sends the status and header of a streamed response.
-	WriteHeader(status int, h http.Header)
+	// WriteResponse sends a reply with its body.
+	WriteResponse(r Reply, body []byte)
+	// WriteHeader sends the status and header of a reply whose body is streamed.
+	WriteHeader(r Reply)
 	// WritePart sends and flushes a part of a streamed response. An error means that the
 	// caller disconnected.
 	WritePart(p []byte) error
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -90,3 +90,13 @@
 	assert.Assert(t, s.IsContinuedBy(reply(200, true)))
 	assert.Assert(t, !s.IsContinuedBy(reply(200, true, events)))
 }
+
+// TestEndOfUnframedReplyEndsOnlyAnUnframedStream checks that the end of a stream never shows more
+// than the end of the reply that it comes from.
+func TestEndOfUnframedReplyEndsOnlyAnUnframedStream(t *testing.T) {
+	for _, c := range []struct{ first, last, want bool }{{false, false, true}, {false, true, false}, {true, false, true}, {true, true, true}} {
+		s := forward.NewStream("")
+		s.Begin(forward.Reply{Status: 200, Unframed: c.first})
+		assert.Equal(t, s.IsEndedBy(forward.Reply{Status: 200, Unframed: c.last}), c.want, "%+v", c)
+	}
+}
--- a/core/forward/stream.go
+++ b/core/forward/stream.go
@@ -15,6 +15,7 @@
 	begun      bool   // the caller has the header
 	status     int    // of the header that the caller has
 	mediaType  string // of the header that the caller has
+	unframed   bool   // the caller's response is unframed
 }
 
 // NewStream returns a stream that continues after the event with ID after, or a new one
@@ -39,7 +40,9 @@
 }
 
 // Begin records the reply whose header is sent to the caller.
-func (s *Stream) Begin(r Reply) { s.begun, s.status, s.mediaType = true, r.Status, mediaType(r.Header) }
+func (s *Stream) Begin(r Reply) {
+	s.begun, s.status, s.mediaType, s.unframed = true, r.Status, mediaType(r.Header), r.Unframed
+}
 
 // IsContinuedBy reports whether events of a reply may be sent to the caller. Once the stream has
 // begun, a reply must be a success like the one that began it. Anything else, such as an error,
@@ -48,6 +51,11 @@
 	return !s.begun || r.Signed && r.Status == s.status && mediaType(r.Header) == s.mediaType
 }
 
+// IsEndedBy reports whether the end of a reply's body, after a complete event, ends the stream. The
+// end of an unframed body does not show that the stream is complete, and the caller's response must
+// not show it either.
+func (s *Stream) IsEndedBy(r Reply) bool { return s.unframed || !r.Unframed }
+
 // mediaType returns the media type of a body, empty if it is missing or malformed.
 func mediaType(h http.Header) string {
 	t, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
