A service's unframed answer is not passed on as complete (own interface)

Callers of the project's own interface: an order or call whose service stopped within an answer of neither length nor chunks and closed came back as "done" with a short body and a fitting Content-Length.

Change: the agent marks such an answer (service.Response, ticket.Result, peer.Reply, unframed in CallReply), a repeated ticket gets it with the mark, and the entry writes it with neither length nor chunks.

Ruled out: to end it as unknown. A service that never states a length would have no order done at all.

Limit: an entry that is killed while it writes such an answer ends it like a complete one; the listener of this interface sets no reset.

--- a/app/agent/orders.go
+++ b/app/agent/orders.go
@@ -105,7 +105,7 @@
 	case err != nil:
 		j.orders.table.FinishUnknown(j.ticket.ID)
 	default:
-		j.orders.table.Finish(j.ticket.ID, ticket.Result{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body})
+		j.orders.table.Finish(j.ticket.ID, ticket.Result{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body, Unframed: reply.Unframed})
 	}
 	delete(j.orders.finished, j.ticket.ID)
 	close(j.done)
@@ -115,7 +115,7 @@
 func replyFromDecision(d ticket.Decision) (fleet.Outcome, peer.Reply) {
 	switch d.Verdict {
 	case ticket.VerdictReplay:
-		return fleet.OutcomeDone, peer.Reply{Status: d.Result.Status, ContentType: d.Result.ContentType, Body: d.Result.Body}
+		return fleet.OutcomeDone, peer.Reply{Status: d.Result.Status, ContentType: d.Result.ContentType, Body: d.Result.Body, Unframed: d.Result.Unframed}
 	case ticket.VerdictJoin:
 		return fleet.OutcomeRunning, peer.Reply{Refusal: fleet.Unknown(fleet.ReasonStillRunning)}
 	}
@@ -173,5 +173,5 @@
 	case err != nil:
 		return peer.Reply{Refusal: fleet.Unknown(fleet.ReasonServiceUnreachable)}
 	}
-	return peer.Reply{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
+	return peer.Reply{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body, Unframed: reply.Unframed}
 }
--- a/app/entry/orders.go
+++ b/app/entry/orders.go
@@ -164,7 +164,7 @@
 	if reply.Refusal != nil {
 		return caller.Response{}, reply.Refusal
 	}
-	return caller.Response{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}, nil
+	return responseOf(reply), nil
 }
 
 // stopOrder requests that the agent never starts the order, and returns the order's
@@ -183,7 +183,11 @@
 		}
 		return caller.Response{}, refusal
 	}
-	return caller.Response{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}, nil
+	return responseOf(reply), nil
+}
+
+func responseOf(r peer.Reply) caller.Response {
+	return caller.Response{Status: r.Status, ContentType: r.ContentType, Body: r.Body, Unframed: r.Unframed}
 }
 
 func (e *Entry) countOrder(refusal *fleet.Refusal) {
@@ -250,7 +254,7 @@
 	for {
 		reply, failure := e.callOnce(ctx, c, state)
 		if failure == nil {
-			return caller.Response{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}, nil
+			return responseOf(reply), nil
 		}
 		step := state.Failed(*failure, h.allowRetry, e.jitter(), e.now())
 		if !step.Retry {
--- a/core/ticket/table.go
+++ b/core/ticket/table.go
@@ -41,6 +41,7 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	Unframed    bool // nothing shows that the body is complete
 }
 
 // Decision is the result of Begin or Stop for one attempt.
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -95,6 +95,7 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	Unframed    bool // nothing shows that the body is complete
 }
 
 // EntryInfo is an entry that a caller may use.
@@ -406,7 +407,14 @@
 		return
 	}
 	c.Header(HeaderOutcome, fleet.OutcomeDone.String())
-	c.Data(resp.Status, resp.ContentType, resp.Body)
+	if !resp.Unframed {
+		c.Data(resp.Status, resp.ContentType, resp.Body)
+		return
+	}
+	c.Header("Content-Type", resp.ContentType)
+	c.Header("Transfer-Encoding", "identity") // net/http then adds neither a length nor chunks
+	c.Status(resp.Status)
+	_, _ = c.Writer.Write(resp.Body) // a disconnected caller cancels the request's context
 }
 
 // errorResponse is the JSON form of a refusal.
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -63,6 +64,35 @@
 	return w
 }
 
+// unframedService answers orders and calls without a length.
+type unframedService struct{ fakeService }
+
+func (*unframedService) Order(context.Context, string, Call) (Response, *fleet.Refusal) {
+	return Response{Status: 201, Body: []byte("bale"), Unframed: true}, nil
+}
+
+func (*unframedService) Call(context.Context, Call) (Response, *fleet.Refusal) {
+	return Response{Status: 200, Body: []byte("bale"), Unframed: true}, nil
+}
+
+// A length would state that the response of a service is complete, which nothing shows.
+func TestUnframedAnswerOfAServiceIsNotFramedAsComplete(t *testing.T) {
+	srv := httptest.NewServer(NewHandler(&unframedService{}, time.Now))
+	defer srv.Close()
+	for _, path := range []string{"/v1/orders/orders/x", "/v1/services/orders/x"} {
+		req, err := http.NewRequest(http.MethodPost, srv.URL+path, strings.NewReader("{}"))
+		assert.NilError(t, err)
+		req.Header.Set(HeaderTicket, "T")
+		resp, err := srv.Client().Do(req)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "bale")
+		assert.Assert(t, resp.ContentLength == -1 && len(resp.TransferEncoding) == 0 && resp.Close, "%s: %v", path, resp.Header)
+	}
+}
+
 // TestResponses compares responses with golden files.
 func TestResponses(t *testing.T) {
 	queueFull := fleet.NotRun(fleet.ReasonQueueFull, 1500*time.Millisecond)
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -268,13 +268,13 @@
 
 func replyToWire(r Reply) *peerpb.CallReply {
 	return &peerpb.CallReply{
-		Status: int32(r.Status), ContentType: r.ContentType, Body: r.Body, Refusal: refusalToWire(r.Refusal),
+		Status: int32(r.Status), ContentType: r.ContentType, Body: r.Body, Unframed: r.Unframed, Refusal: refusalToWire(r.Refusal),
 	}
 }
 
 func replyFromWire(p *peerpb.CallReply) Reply {
 	return Reply{
-		Status: int(p.GetStatus()), ContentType: p.GetContentType(), Body: p.GetBody(), Refusal: refusalFromWire(p.GetRefusal()),
+		Status: int(p.GetStatus()), ContentType: p.GetContentType(), Body: p.GetBody(), Unframed: p.GetUnframed(), Refusal: refusalFromWire(p.GetRefusal()),
 	}
 }
 
--- a/io/peer/odd_messages_test.go
+++ b/io/peer/odd_messages_test.go
@@ -134,3 +134,13 @@
 	}
 	crashblame.NewPartLedger().Merge(m.Crashes, m.ProvenParts, time.Unix(1_000_000, 0))
 }
+
+// TestReplyRoundTrip checks that no field of a reply is lost on its way to the entry.
+func TestReplyRoundTrip(t *testing.T) {
+	for _, r := range []Reply{
+		{Status: 201, ContentType: "text/plain", Body: []byte("b"), Unframed: true},
+		{Refusal: fleet.NotRun(fleet.ReasonStoppedBeforeStart, time.Second)},
+	} {
+		assert.DeepEqual(t, replyFromWire(replyToWire(r)), r)
+	}
+}
--- a/io/peer/types.go
+++ b/io/peer/types.go
@@ -108,6 +108,7 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	Unframed    bool // nothing shows that the body is complete
 	Refusal     *fleet.Refusal
 }
 
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -60,6 +60,9 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// Unframed reports that the body has neither a length nor chunks. It ends with its
+	// connection, which does not show that it is complete.
+	Unframed bool
 }
 
 // Client is a client of one service.
@@ -122,5 +125,8 @@
 	if err != nil {
 		return Response{}, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
-	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: respBody}, nil
+	return Response{
+		Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: respBody,
+		Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+	}, nil
 }
--- a/io/service/service_test.go
+++ b/io/service/service_test.go
@@ -39,6 +39,28 @@
 	}
 }
 
+// A response without length or chunks ends with its connection, which does not show that it is
+// complete.
+func TestUnframedResponseIsMarked(t *testing.T) {
+	for head, want := range map[string]bool{"": true, "Content-Length: 2\r\n": false} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // what is unread would reset the connection
+			conn, rw, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = rw.WriteString("HTTP/1.1 200 OK\r\n" + head + "\r\nok")
+			_ = rw.Flush()
+			_ = conn.Close()
+		}))
+		resp, err := NewClient(srv.URL).Call(t.Context(), Request{Method: http.MethodPost, Path: "/orders", Body: []byte("x")})
+		srv.Close()
+		assert.NilError(t, err)
+		assert.Equal(t, string(resp.Body), "ok")
+		assert.Equal(t, resp.Unframed, want, head)
+	}
+}
+
 // TestStandardTransportRepeatsOnReusedConnection shows the behavior that Client avoids: the
 // standard transport repeats a POST with an Idempotency-Key if a kept-alive connection breaks.
 func TestStandardTransportRepeatsOnReusedConnection(t *testing.T) {
