Chunks in a response of HTTP/1.0 are an error

A target that states HTTP/1.0 and Transfer-Encoding: chunked had the sizes of its chunks forwarded as a part of the body, since http.ReadResponse drops the header for that version and reads to the end of the connection.

Change: such a response is an error, and its outcome unknown. The header is examined before it is read, as far as it fits into the connection's buffer (4 KiB).

--- a/io/target/target.go
+++ b/io/target/target.go
@@ -30,6 +30,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -135,6 +136,8 @@
 var (
 	errStaleResponses = errors.New("too many responses to other requests")
 	errInvalidStatus  = errors.New("response has an invalid status")
+
+	errEncodingInHTTP10 = errors.New("response of HTTP/1.0 has a transfer encoding")
 )
 
 // minStatus is the lowest status of HTTP. http.ReadResponse accepts lower ones, which a server
@@ -183,6 +186,9 @@
 func (c *conn) readResponse(hr *http.Request) (*http.Response, error) {
 	c.head = &bounded.Reader{R: c.Conn, Part: bounded.PartHeader, Limit: maxHeadBytes}
 	defer c.endHeader()
+	if c.hasEncodingInHTTP10() {
+		return nil, errEncodingInHTTP10
+	}
 	resp, err := http.ReadResponse(c.rd, hr)
 	if err == nil && resp.StatusCode < minStatus {
 		return nil, errInvalidStatus
@@ -192,6 +198,31 @@
 
 func (c *conn) endHeader() { c.head = nil }
 
+// hasEncodingInHTTP10 reports whether a response of HTTP/1.0 states a transfer encoding.
+// http.ReadResponse drops that header, and the sizes of chunks would become a part of the body.
+// Only the part of the header that fits into the buffer is examined.
+func (c *conn) hasEncodingInHTTP10() bool {
+	const version = "HTTP/1.0 "
+	for n := range len(version) { // a line that is shorter must not be waited on
+		if v, err := c.rd.Peek(n + 1); err != nil || !strings.HasPrefix(version, string(v)) {
+			return false
+		}
+	}
+	for {
+		head, _ := c.rd.Peek(c.rd.Buffered())
+		end := bytes.Index(head, []byte("\n\r\n"))
+		if end < 0 {
+			end = bytes.Index(head, []byte("\n\n"))
+		}
+		if end >= 0 {
+			return bytes.Contains(bytes.ToLower(head[:end]), []byte("\ntransfer-encoding:"))
+		}
+		if _, err := c.rd.Peek(len(head) + 1); err != nil {
+			return bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:"))
+		}
+	}
+}
+
 // Response is a response whose body is being read.
 type Response struct {
 	Status int
