BUDGET: a shorter pause ends no longer one

What was seen: callers see nothing; a target that asked for a pause of 1.5 s got 43 requests within it.

Cause: the ledger kept the pause of the newest answer. Answers to requests that were in flight together arrive in any order, so the pause of the last one replaced a longer one.

Change: the latest end counts.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -15,7 +15,7 @@
 // A target leaves while the store is unavailable, or its record still says that it is ready:
 // its own answers are the only sign. A notice of leaving holds until the target starts again
 // under the same ID, and daemons exchange it. A target that sheds load names the time in which it wants
-// no requests; the newest answer counts, and it concerns the entry that received it only.
+// no requests; the latest end counts, and it concerns the daemon that received the answer only.
 package notice
 
 import (
@@ -63,10 +63,13 @@
 }
 
 // RecordPause records for how long a target wants no requests, and returns the end of the
-// pause. The newest notice replaces an earlier one.
+// pause. Each answer binds by itself: answers to requests sent together arrive in any order, and
+// a shorter pause ends no longer one.
 func (l *Ledger) RecordPause(t Target, d time.Duration, now time.Time) time.Time {
 	s := l.record(t, now)
-	s.pausedUntil = now.Add(min(d, MaxPause))
+	if until := now.Add(min(d, MaxPause)); until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
 	return s.pausedUntil
 }
 
