BUDGET: a pause in an answer that answers no request

What was seen: callers see nothing; a target that asked for a pause of 1.5 s got some 2,000 requests within 1.3 s of it.

Cause: what a target states about itself was read from the response that a request was given. On a reused connection an answer without an ID is taken for no request's (the outcome is unknown then), and one with another request's ID is skipped: Retry-After and Server-Leaving in them were dropped. A rejection may lack an ID.

Change: TargetClient.Send collects the notices of all answers that it reads and returns them beside the response or the error.

Ruled out: whether such an answer repeats an earlier one, whose pause would then begin anew, can't be told; that costs capacity for one pause and breaks nothing.

Test: TestPauseInAnUnusableAnswer, before: "assertion failed: 1996 (int) != 2 (int)" (no ID) and "assertion failed: 2588 (int) != 2 (int)" (ID of another request).

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -54,17 +54,17 @@
 		a.startStallTimer()
 		defer a.stallTimer.Stop()
 	}
-	sent, err := h.g.targets.Send(ctx, forward.Attempt{
+	sent, notices, err := h.g.targets.Send(ctx, forward.Attempt{
 		Call: h.call, Target: t.ID, Address: t.Address, Workspace: h.workspace, Remaining: h.deadline.Sub(h.g.now()),
 		LastEventID: h.stream.LastEventID(), Version: h.stream.Version(),
 		// On a connection that a target has answered the request on, a repetition of that
 		// answer could not be told from the answer to this attempt.
 		NewConnection: h.route.Kind == routeconfig.KindNonIdempotent || h.state.IsRepeated(),
 	})
+	h.g.recordNotices(t, h.call.ID, notices)
 	if err != nil {
 		return a.transportFailure(parent, err), false
 	}
-	h.g.recordNotices(t, h.call.ID, sent.Notices)
 	switch forward.Classify(sent.Reply) {
 	case forward.VerdictNoCapacity, forward.VerdictWrongTarget:
 		defer sent.Close()
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -14,6 +14,7 @@
 package forward
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -77,10 +78,9 @@
 	Signed bool
 	// Version is the version of weights, 0 if the target did not state it.
 	Version uint64
-	Notices
 }
 
-// Notices are what a target states about itself in an answer.
+// Notices are what a target states about itself in its answers.
 type Notices struct {
 	// Leaving reports that the target leaves.
 	Leaving bool
@@ -90,6 +90,13 @@
 	Malformed string
 }
 
+// Add adds what a target states in another answer.
+func (n *Notices) Add(other Notices) {
+	n.Leaving = n.Leaving || other.Leaving
+	n.Pause = max(n.Pause, other.Pause)
+	n.Malformed = cmp.Or(n.Malformed, other.Malformed)
+}
+
 // Responder sends the response to the caller.
 type Responder interface {
 	// WriteResponse sends a complete response.
