DRAIN: a target that leaves is not forgotten while it may come back

An entry by itself offered requests to a target that had told it that it leaves, once the target had been missing from the list for ten minutes and was listed as ready again. The rule has no such end.

Cause: one age stood for two things: how long a notice holds, and how long other daemons are told of it. With two daemons neither worked: each exchange renewed the age, so that daemons told each other of targets that were gone without end (one element of some 30 bytes for each target in each message), and agents never dropped any. Of too many targets the oldest were dropped, leaving or not, so many short pauses could displace a notice of leaving.

Change: a notice of leaving holds until the target starts again. Its age counts from when it became known and is not renewed; after ten minutes without being listed the target is left out of messages until it is listed again. Agents do the same. At the limit of 16,384 targets those that only paused are dropped first.

Tests, before the change: TestLeavingTargetIsListedAgain "expression is false: l.IsLeaving(gone) && l.IsLeaving(listed)"; TestMessagesOmitTargetsThatAreGone "2 (len(a.Leaving()) + len(b.Leaving()) int) != 0 (int)"; TestPausesMakeNoRoomAtTheCostOfLeavingTargets "expression is false: l.IsLeaving(leaving)"; TestAgentDropsTargetsThatAreGone "1 (int) != 0 (int)". TestForgetTargetsThatAreNotListed asserted that a target that is not listed counts as staying after an hour, against the rule; TestLeavingTargetIsListedAgain replaces it and keeps its other checks.

--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -185,6 +185,7 @@
 		s.handleChanges(s.mirror.Recall(m.Retained, now), false)
 	}
 	s.notices.Merge(m.Leaving, now)
+	s.notices.Forget(s.isListed, now)
 	s.entryList.Merge(m.Records, now)
 	for model, ages := range m.Declared {
 		s.declarationsOf(model).Merge(ages, now)
@@ -192,6 +193,12 @@
 	s.parts.Merge(m.Crashes, m.ProvenParts, now)
 }
 
+// isListed reports whether an incarnation of a target is listed. mu must be held.
+func (s *Sidecar) isListed(t notice.Target) bool {
+	listed, ok := s.roster.Get(t.ID)
+	return ok && listed.Incarnation == t.Incarnation
+}
+
 // initialStoreReader reads the store once at the start, when the entries may be starting
 // too. Later changes are received from the entries.
 type initialStoreReader struct{ s *Sidecar }
--- a/app/sidecar/sidecar_test.go
+++ b/app/sidecar/sidecar_test.go
@@ -23,6 +23,10 @@
 	"amaranthturn/platform"
 )
 
+type fakeClock struct{ t time.Time }
+
+func (c *fakeClock) Now() time.Time { return c.t }
+
 // The origin accepts 48 connections from all agents together. When agents kept idle
 // connections open, these used up the limit, and a fleet without weights never received any.
 func TestOriginConnectionsAreLimitedAndShortLived(t *testing.T) {
@@ -102,7 +106,7 @@
 func TestCrashReportsOutliveRestartOfAllEntries(t *testing.T) {
 	s := &Sidecar{
 		clock: clock.System{}, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), parts: crashblame.NewPartLedger(),
-		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil), notices: notice.NewLedger(),
+		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil), notices: notice.NewLedger(), roster: roster.New(roster.DefaultSettings),
 	}
 	now := time.Now()
 	before, restarted := crashblame.NewPartLedger(), crashblame.NewPartLedger()
@@ -126,7 +130,7 @@
 	c := clock.System{}
 	s := &Sidecar{
 		clock: c, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), parts: crashblame.NewPartLedger(),
-		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil), notices: notice.NewLedger(),
+		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil), notices: notice.NewLedger(), roster: roster.New(roster.DefaultSettings),
 	}
 	s.mergeExchange(peer.ExchangeMessage{Declared: map[fleet.Model][]upgrade.Age{"m": {{Version: 2, Known: 3 * time.Second}}}})
 	var restarted upgrade.Declarations
@@ -134,3 +138,17 @@
 	restarted.Merge(s.exchangeMessage().Declared["m"], now)
 	assert.Equal(t, restarted.MinVersion(3*time.Second, now), uint64(2))
 }
+
+// An agent must not tell entries for ever of targets that are gone.
+func TestAgentDropsTargetsThatAreGone(t *testing.T) {
+	c := &fakeClock{time.Unix(1_000_000, 0)}
+	s := &Sidecar{
+		clock: c, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), parts: crashblame.NewPartLedger(),
+		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil), notices: notice.NewLedger(), roster: roster.New(roster.DefaultSettings),
+	}
+	s.mergeExchange(peer.ExchangeMessage{Leaving: []notice.Target{{ID: "a", Incarnation: 1}}})
+	assert.Equal(t, len(s.exchangeMessage().Leaving), 1)
+	c.t = c.t.Add(time.Hour)
+	s.mergeExchange(peer.ExchangeMessage{})
+	assert.Equal(t, len(s.exchangeMessage().Leaving), 0)
+}
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -14,7 +14,7 @@
 //
 // A target leaves while the store is unavailable, or its record still says that it is ready:
 // its own answers are the only sign. A notice of leaving holds until the target starts again
-// under the same ID, and daemons exchange it. A target that sheds load names the time in which it wants
+// under the same ID, and daemons exchange it while the target may be listed. A target that sheds load names the time in which it wants
 // no requests; the latest end counts, and it concerns the daemon that received the answer only.
 package notice
 
@@ -31,7 +31,8 @@
 // error, counts as this long.
 const MaxPause = 5 * time.Minute
 
-// maxTargets limits the targets whose notices are kept. Those that are oldest are dropped.
+// maxTargets limits the targets whose notices are kept. Those that do not leave are dropped first,
+// then those that are oldest.
 const maxTargets = 16384
 
 // Target is one incarnation of a target.
@@ -43,7 +44,8 @@
 type state struct {
 	leaving     bool
 	pausedUntil time.Time
-	recordedAt  time.Time
+	recordedAt  time.Time // of the pause, or else when it was first known that the target leaves
+	isGone      bool      // not listed for keepFor; not sent to other daemons
 }
 
 // Ledger keeps the notices. It is not safe for concurrent use.
@@ -56,10 +58,11 @@
 
 // RecordLeaving records that a target leaves, and reports whether that was unknown.
 func (l *Ledger) RecordLeaving(t Target, now time.Time) bool {
-	s := l.record(t, now)
-	isNew := !s.leaving
-	s.leaving = true
-	return isNew
+	if l.IsLeaving(t) {
+		return false
+	}
+	l.record(t, now).leaving = true
+	return true
 }
 
 // RecordPause records for how long a target wants no requests, and returns the end of the
@@ -87,10 +90,17 @@
 }
 
 func (l *Ledger) dropOldest() {
-	oldest := slices.MinFunc(slices.Collect(maps.Keys(l.targets)), func(a, b Target) int {
-		return l.targets[a].recordedAt.Compare(l.targets[b].recordedAt)
+	least := slices.MinFunc(slices.Collect(maps.Keys(l.targets)), func(a, b Target) int {
+		s, u := l.targets[a], l.targets[b]
+		if s.leaving != u.leaving {
+			if s.leaving {
+				return 1
+			}
+			return -1
+		}
+		return s.recordedAt.Compare(u.recordedAt)
 	})
-	delete(l.targets, oldest)
+	delete(l.targets, least)
 }
 
 // IsLeaving reports whether a target leaves.
@@ -111,7 +121,7 @@
 func (l *Ledger) Leaving() []Target {
 	var out []Target
 	for t, s := range l.targets {
-		if s.leaving {
+		if s.leaving && !s.isGone {
 			out = append(out, t)
 		}
 	}
@@ -133,15 +143,17 @@
 	return out
 }
 
-// Forget drops the notices of targets that are not listed, after keepFor.
+// Forget drops the pauses of targets that have not been listed for keepFor. Such a target that
+// leaves is no longer sent to other daemons until it is listed again.
 func (l *Ledger) Forget(isListed func(Target) bool, now time.Time) {
 	for t, s := range l.targets {
-		if now.Sub(s.recordedAt) > keepFor && !isListed(t) {
+		s.isGone = now.Sub(s.recordedAt) > keepFor && !isListed(t)
+		if s.isGone && !s.leaving {
 			delete(l.targets, t)
 		}
 	}
 }
 
-// keepFor is how long the notice of a target that is not listed is kept. Its record may come
-// back from a copy of the store, or from a daemon that was cut off.
+// keepFor is how long the target of a notice that is not listed counts as there. Its record may
+// come back from a copy of the store, or from a daemon that was cut off.
 const keepFor = 10 * time.Minute
--- a/core/notice/notice_test.go
+++ b/core/notice/notice_test.go
@@ -68,18 +68,50 @@
 	assert.Assert(t, restarted.IsLeaving(a) && restarted.IsLeaving(b))
 }
 
-// A notice outlives the target's record for a while, and no longer.
-func TestForgetTargetsThatAreNotListed(t *testing.T) {
+// A target leaves until it starts again, however long its record is missing: the store may list it
+// again as ready. Pauses that have ended are dropped.
+func TestLeavingTargetIsListedAgain(t *testing.T) {
 	l := notice.NewLedger()
-	gone, listed := notice.Target{ID: "a", Incarnation: 1}, notice.Target{ID: "b", Incarnation: 1}
+	gone, listed, paused := notice.Target{ID: "a", Incarnation: 1}, notice.Target{ID: "b", Incarnation: 1}, notice.Target{ID: "c", Incarnation: 1}
 	l.RecordLeaving(gone, t0)
 	l.RecordLeaving(listed, t0)
+	l.RecordPause(paused, time.Second, t0)
 	isListed := func(t notice.Target) bool { return t == listed }
 	l.Forget(isListed, t0.Add(time.Minute))
-	assert.Assert(t, l.IsLeaving(gone))
+	assert.DeepEqual(t, l.Leaving(), []notice.Target{gone, listed})
 	l.Forget(isListed, t0.Add(time.Hour))
-	assert.Assert(t, !l.IsLeaving(gone))
-	assert.Assert(t, l.IsLeaving(listed))
+	assert.Assert(t, l.IsLeaving(gone) && l.IsLeaving(listed))
+	assert.DeepEqual(t, l.Leaving(), []notice.Target{listed})
+	assert.Assert(t, l.PausedUntil(paused).IsZero())
+	l.Forget(func(notice.Target) bool { return true }, t0.Add(2*time.Hour))
+	assert.DeepEqual(t, l.Leaving(), []notice.Target{gone, listed})
+}
+
+// Daemons that tell each other of a target must not keep it in their messages for ever.
+func TestMessagesOmitTargetsThatAreGone(t *testing.T) {
+	a, b := notice.NewLedger(), notice.NewLedger()
+	target := notice.Target{ID: "a", Incarnation: 1}
+	a.RecordLeaving(target, t0)
+	isListed := func(notice.Target) bool { return false }
+	for now := t0; now.Before(t0.Add(time.Hour)); now = now.Add(2 * time.Second) {
+		b.Merge(a.Leaving(), now)
+		a.Merge(b.Leaving(), now)
+		a.Forget(isListed, now)
+		b.Forget(isListed, now)
+	}
+	assert.Equal(t, len(a.Leaving())+len(b.Leaving()), 0)
+	assert.Assert(t, a.IsLeaving(target) && b.IsLeaving(target))
+}
+
+// Of too many targets, those that only paused are dropped before those that leave.
+func TestPausesMakeNoRoomAtTheCostOfLeavingTargets(t *testing.T) {
+	l := notice.NewLedger()
+	leaving := notice.Target{ID: "leaving", Incarnation: 1}
+	l.RecordLeaving(leaving, t0)
+	for i := range 16400 {
+		l.RecordPause(notice.Target{ID: "paused", Incarnation: fleet.Incarnation(i)}, time.Second, t0.Add(time.Duration(i)*time.Second))
+	}
+	assert.Assert(t, l.IsLeaving(leaving))
 }
 
 // In any order of answers and exchanges, a target that has told any daemon that it leaves stays
