--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -14,6 +14,7 @@
 package forward
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -80,10 +81,9 @@
 	Unframed bool
 	// Version is the version of weights, 0 if the target did not state it.
 	Version uint64
-	Notices
 }
 
-// Notices are what a target states about itself in an answer.
+// Notices are what a target states about itself in its answers.
 type Notices struct {
 	// Leaving reports that the target leaves.
 	Leaving bool
@@ -93,6 +93,13 @@
 	Malformed string
 }
 
+// Add adds what a target states in another answer.
+func (n *Notices) Add(other Notices) {
+	n.Leaving = n.Leaving || other.Leaving
+	n.Pause = max(n.Pause, other.Pause)
+	n.Malformed = cmp.Or(n.Malformed, other.Malformed)
+}
+
 // Responder sends the response to the caller. The response to an unframed reply is unframed too,
 // so that it does not claim to be complete.
 type Responder interface {
