dispatch: a request that a stop ends has its true outcome

KindStopping ends a request with the reason instance_leaving: not run if no target can have begun it, unknown otherwise. The property of streams covers the new kind, and a test the outcome after each earlier failure.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -43,6 +43,7 @@
 	KindDeadline                       // deadline
 	KindCallerDisconnected             // caller_gone
 	KindNoTarget                       // no_target
+	KindStopping                       // stopping
 )
 
 // Settings configure the retries of a request.
@@ -143,11 +144,10 @@
 // jitter is in [0, 1).
 func (r *Request) Failed(f Failure, allow func() bool, jitter float64, now time.Time) Step {
 	r.recordFailure(f)
+	if step, ended := r.contextStep(f, now); ended {
+		return step
+	}
 	switch {
-	case f.Kind == KindCallerDisconnected:
-		return r.endStep(fleet.ReasonCallerDisconnected, 0)
-	case f.Kind == KindDeadline || !now.Before(r.deadline):
-		return r.endStep(fleet.ReasonDeadlinePassed, 0)
 	case r.sent > 0 && !r.canResume:
 		return r.endStep(fleet.ReasonTargetLost, 0)
 	case f.Kind == KindRefused && !canRetryElsewhere(f.Refusal):
@@ -164,6 +164,19 @@
 	return r.retryStep(f, jitter, now)
 }
 
+// contextStep ends a request for which no time is left, whatever its targets do.
+func (r *Request) contextStep(f Failure, now time.Time) (Step, bool) {
+	switch {
+	case f.Kind == KindCallerDisconnected:
+		return r.endStep(fleet.ReasonCallerDisconnected, 0), true
+	case f.Kind == KindStopping:
+		return r.endStep(fleet.ReasonLeaving, retry.BaseDelay), true
+	case f.Kind == KindDeadline || !now.Before(r.deadline):
+		return r.endStep(fleet.ReasonDeadlinePassed, 0), true
+	}
+	return Step{}, false
+}
+
 // CanRetryLoss reports whether the limits on attempts permit a retry if the current attempt
 // is lost.
 func (r *Request) CanRetryLoss() bool {
@@ -214,7 +227,7 @@
 		return false
 	case KindRefused:
 		return f.Refusal.Outcome != fleet.OutcomeNotRun
-	case KindCallerDisconnected, KindDeadline:
+	case KindCallerDisconnected, KindDeadline, KindStopping:
 		return r.target != ""
 	}
 	return true
--- a/core/dispatch/dispatch_string.go
+++ b/core/dispatch/dispatch_string.go
@@ -16,11 +16,12 @@
 	_ = x[KindDeadline-5]
 	_ = x[KindCallerDisconnected-6]
 	_ = x[KindNoTarget-7]
+	_ = x[KindStopping-8]
 }
 
-const _Kind_name = "not_sentrefusedlostengine_diedbroken_answerdeadlinecaller_goneno_target"
+const _Kind_name = "not_sentrefusedlostengine_diedbroken_answerdeadlinecaller_goneno_targetstopping"
 
-var _Kind_index = [...]uint8{0, 8, 15, 19, 30, 43, 51, 62, 71}
+var _Kind_index = [...]uint8{0, 8, 15, 19, 30, 43, 51, 62, 71, 79}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -93,3 +93,28 @@
 		_ = r.Failed(dispatch.Failure{Kind: c.kind}, func() bool { return true }, 0, now)
 	}
 }
+
+// A request that a stop ends is not run only if no target can have begun it.
+func TestStoppedRequestHasItsTrueOutcome(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	always := func() bool { return true }
+	for _, c := range []struct {
+		earlier dispatch.Failure
+		target  fleet.InstanceID // of the attempt that the stop ends
+		outcome fleet.Outcome
+	}{
+		{dispatch.Failure{Kind: dispatch.KindNotSent}, "", fleet.OutcomeNotRun},
+		{dispatch.Failure{Kind: dispatch.KindRefused, Refusal: fleet.NotRun(fleet.ReasonTargetBusy, 0)}, "", fleet.OutcomeNotRun},
+		{dispatch.Failure{Kind: dispatch.KindRefused, Refusal: fleet.NotRun(fleet.ReasonTargetBusy, 0)}, "b", fleet.OutcomeUnknown},
+		{dispatch.Failure{Kind: dispatch.KindLost}, "", fleet.OutcomeUnknown},
+	} {
+		r := dispatch.NewRequest(dispatch.DefaultSettings, now.Add(time.Minute))
+		r.StartAttempt("a")
+		assert.Assert(t, r.Failed(c.earlier, always, 0, now).Retry)
+		r.StartAttempt(c.target)
+		step := r.Failed(dispatch.Failure{Kind: dispatch.KindStopping}, always, 0, now)
+		assert.Assert(t, !step.Retry)
+		assert.Equal(t, step.Refusal.Outcome, c.outcome)
+		assert.Equal(t, step.Refusal.Reason, fleet.ReasonLeaving)
+	}
+}
--- a/core/dispatch/property_test.go
+++ b/core/dispatch/property_test.go
@@ -311,7 +311,7 @@
 }
 
 func (s *streamRun) failure() dispatch.Failure {
-	kind := dispatch.Kind(rapid.IntRange(0, 7).Draw(s.t, "kind"))
+	kind := dispatch.Kind(rapid.IntRange(0, int(dispatch.KindStopping)).Draw(s.t, "kind"))
 	switch kind {
 	case dispatch.KindRefused:
 		return dispatch.Failure{Kind: kind, Refusal: fleet.NotRun(fleet.ReasonTargetBusy, 0)}
