Requests in progress at the end of a planned stop are answered (platform's path)

What callers saw: at a planned stop in calm, a request that had been read ended with its connection and no answer (LOST), also requests that may not be repeated.

Cause: no request had a bound within the grace period. It was begun, sent again after a refusal, or left in the queue, in backoff, waiting for the retry budget, with a silent target or with its body half read whatever time was left, and the exit of the process cut it. Nothing logged it.

Then each request in progress ends with what is true: 503 if it was never sent, the target's stored error, else 502; a begun stream is broken off. A new request, a queued one and a retry that cannot end before that are refused at once (core/shutdown). A lame duck period is at most half of the grace period. The line "gateway stopped" counts the requests that ended during the stop by outcome, those that the stop ended and those left unanswered; each ended request has its line with the reason instance_leaving.

Ruled out: an answer that is made and not written (the requests had no outcome line), and a drain that closes a connection under a request (connections of lost requests closed after "gateway stopped").

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthturn/app/daemon"
 	"amaranthturn/core/dispatch"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/forward"
@@ -110,7 +111,7 @@
 		h.targetFailure = &failedResponse{sent.Reply, body}
 	}
 	if parent.Err() != nil {
-		return dispatch.Failure{Kind: h.contextFailureKind(parent)}
+		return dispatch.Failure{Kind: daemon.FailureKind(parent)}
 	}
 	return dispatch.Failure{Kind: dispatch.KindLost}
 }
@@ -260,9 +261,12 @@
 func (a *targetAttempt) transportFailure(parent context.Context, err error) dispatch.Failure {
 	var notSent *target.NotSentError
 	switch {
+	case parent.Err() != nil && errors.As(err, &notSent) && daemon.FailureKind(parent) == dispatch.KindStopping:
+		a.result = loadbalance.ResultUnknown
+		return dispatch.Failure{Kind: dispatch.KindNotSent} // the next attempt returns the context's failure
 	case parent.Err() != nil:
 		a.result = loadbalance.ResultUnknown
-		return dispatch.Failure{Kind: a.handler.contextFailureKind(parent)}
+		return dispatch.Failure{Kind: daemon.FailureKind(parent)}
 	case errors.As(err, &notSent):
 		a.result = loadbalance.ResultFailed
 		return dispatch.Failure{Kind: dispatch.KindNotSent}
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -69,6 +69,7 @@
 
 	doc     atomic.Pointer[routeconfig.Document]
 	leaving atomic.Bool
+	stop    *daemon.RequestStop
 
 	mu                 sync.Mutex // guards all fields below
 	seeds              []string
@@ -122,7 +123,7 @@
 func New(settings *platform.Settings, c clock.Clock, l *telemetry.Logs, m *telemetry.Metrics, pool *peer.Pool, store *platform.Store, t *platform.TargetClient, seed uint64) *Gateway {
 	now := c.Now()
 	g := &Gateway{
-		settings: settings, clock: c, metrics: m, pool: pool, store: store, targets: t,
+		settings: settings, clock: c, metrics: m, pool: pool, store: store, targets: t, stop: daemon.NewRequestStop(c),
 		log: logs{
 			config: l.Of(telemetry.SubsystemConfig), members: l.Of(telemetry.SubsystemMembers),
 			requests: l.Of(telemetry.SubsystemRequests), process: l.Of(telemetry.SubsystemProcess),
@@ -171,6 +172,9 @@
 // IsLeaving implements platform.Gateway.
 func (g *Gateway) IsLeaving() bool { return g.leaving.Load() }
 
+// Ended implements platform.Gateway.
+func (g *Gateway) Ended() context.Context { return g.stop.Ended() }
+
 // Reload applies the settings that may change while the daemon runs, which are the seeds.
 // Other settings require a restart.
 func (g *Gateway) Reload(settings *platform.Settings) {
--- a/app/gateway/module.go
+++ b/app/gateway/module.go
@@ -28,14 +28,13 @@
 
 func newHTTPClient() *http.Client { return daemon.Overrides{}.WithDefaults().HTTPClient() }
 
-// Timing of a stop, within the platform's grace period of eight seconds.
+// Timing of a stop, within the platform's grace period.
 const (
 	// lameDuckPeriod is how long callers that still use the address are served and asked to
 	// close their connections. It is three times directoryTTL, because some callers cache a
-	// directory response that long.
+	// directory response that long. It is at most half of the grace period.
 	lameDuckPeriod = 3 * time.Second
-	// stopMargin is subtracted from the platform's grace period and is left for the exit of
-	// the process.
+	// stopMargin is the end of the grace period that is left for the exit of the process.
 	stopMargin = 700 * time.Millisecond
 )
 
@@ -94,24 +93,26 @@
 }
 
 // stop serves callers for lameDuckPeriod, in which those that know the address can switch to
-// another entry, and then waits for the requests in progress within the grace period.
+// another entry, and then waits for the requests in progress. Those that do not end by themselves
+// are ended in time to answer them within the grace period.
 func (s *server) stop(ctx context.Context) error {
+	grace := s.g.settings.Bounds.StopGrace
+	ctx, cancel := context.WithTimeout(ctx, grace-min(stopMargin, grace/2))
+	defer cancel()
 	s.g.log.process.Info().Msg("stopping")
+	s.g.stop.Begin(grace, stopMargin)
 	s.g.leaving.Store(true)
 	s.g.mu.Lock()
 	s.g.entryList.Leave()
 	s.g.mu.Unlock()
-	deadline := time.Now().Add(s.g.settings.Bounds.StopGrace - stopMargin)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	daemon.Sleep(ctx, lameDuckPeriod)
-	err := s.callers.Drain(ctx)
+	daemon.Sleep(ctx, min(lameDuckPeriod, grace/2))
+	err := s.g.stop.Drain(ctx, s.callers)
 	s.loops.Stop(ctx)
 	s.peers.GRPC.Stop()
 	for _, d := range s.directory {
 		_ = d.HTTP.Close() // the process exits
 	}
 	s.g.pool.Close()
-	s.g.log.process.Info().AnErr("unfinished", err).Msg("gateway stopped")
+	s.g.stop.Log(s.g.log.process.Info()).AnErr("unfinished", err).Msg("gateway stopped")
 	return nil
 }
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -16,8 +16,10 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/forward"
 	"amaranthturn/core/loadbalance"
+	"amaranthturn/core/retry"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routeconfig"
+	"amaranthturn/core/shutdown"
 )
 
 // Constants of the request path.
@@ -77,6 +79,8 @@
 
 // Serve implements platform.Gateway.
 func (g *Gateway) Serve(ctx context.Context, c *forward.Call, out forward.Responder) error {
+	ctx, end := g.stop.RequestContext(ctx)
+	defer end()
 	h := &requestHandler{g: g, call: c, out: out, startedAt: g.now()}
 	refusal := h.prepare()
 	if refusal == nil {
@@ -153,6 +157,9 @@
 // admitAndRun waits for a slot and runs the request in it.
 func (h *requestHandler) admitAndRun(ctx context.Context) *fleet.Refusal {
 	g := h.g
+	if !h.canStart() {
+		return fleet.NotRun(fleet.ReasonLeaving, retry.BaseDelay)
+	}
 	now := g.now()
 	queueDeadline := now.Add(time.Duration(queueWaitShare * float64(h.route.LatencyObjective)))
 	if h.deadline.Before(queueDeadline) {
@@ -188,15 +195,26 @@
 			return refusal
 		}
 	}
-	h.queueWait = g.now().Sub(now)
+	admittedAt := g.now()
+	h.queueWait = admittedAt.Sub(now)
 	defer func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.notifyWaiters(svc.queue.Release(req, req.Cost, g.now()))
 	}()
-	return h.run(ctx, svc)
+	refusal := h.run(ctx, svc)
+	if refusal == nil {
+		g.stop.Record(h.stopGroup(), g.now().Sub(admittedAt))
+	}
+	return refusal
 }
 
+// stopGroup returns the requests that take a similar time.
+func (h *requestHandler) stopGroup() shutdown.Group { return shutdown.Group(h.route.Name) }
+
+// canStart reports whether the request may be sent to a target if this process stops.
+func (h *requestHandler) canStart() bool { return h.g.stop.CanStart(h.stopGroup(), h.deadline) }
+
 // reasonOf returns the reason of a refusal on arrival.
 func reasonOf(c admit.Cause) fleet.Reason {
 	switch c {
@@ -254,6 +272,8 @@
 }
 
 func (h *requestHandler) awaitVerdict(ctx context.Context, svc *service, req admit.Request, verdict chan admit.Verdict) *fleet.Refusal {
+	ctx, cancel := h.g.stop.StartContext(ctx, h.stopGroup(), h.deadline)
+	defer cancel()
 	select {
 	case v := <-verdict:
 		if v == admit.Admitted {
@@ -275,13 +295,18 @@
 		default:
 		}
 	}
+	if daemon.FailureKind(ctx) == dispatch.KindStopping {
+		return fleet.NotRun(fleet.ReasonLeaving, retry.BaseDelay)
+	}
 	return fleet.NotRun(fleet.ReasonDeadlinePassed, 0)
 }
 
 // run tries targets until the response is complete or the request has to end.
 func (h *requestHandler) run(ctx context.Context, svc *service) *fleet.Refusal {
+	startCtx, cancel := h.g.stop.StartContext(ctx, h.stopGroup(), h.deadline)
+	defer cancel()
 	for {
-		failure, done := h.attempt(ctx, svc)
+		failure, done := h.attempt(ctx, startCtx, svc)
 		if done {
 			return nil
 		}
@@ -292,7 +317,7 @@
 			Request: string(h.call.ID), Target: h.target, Failure: failure, Step: step, Attempts: h.attempts, Events: h.state.Sent(),
 			Took: h.g.now().Sub(h.startedAt),
 		}.Log(h.g.log.requests)
-		if step.AwaitsBudget && h.awaitBudget(ctx) {
+		if step.AwaitsBudget && h.awaitBudget(startCtx) {
 			step = dispatch.Step{Retry: true}
 		}
 		if !step.Retry {
@@ -303,9 +328,7 @@
 			return step.Refusal
 		}
 		h.g.metrics.Count("retries", 1)
-		if !daemon.Sleep(ctx, step.Wait) {
-			continue // the next attempt returns the context's failure
-		}
+		daemon.Sleep(startCtx, step.Wait) // the next attempt returns the failure of a context that has ended
 	}
 }
 
@@ -329,19 +352,17 @@
 	return parent.Err() != nil
 }
 
-func (h *requestHandler) contextFailureKind(ctx context.Context) dispatch.Kind {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return dispatch.KindDeadline
-	}
-	return dispatch.KindCallerDisconnected
-}
-
-// attempt runs the request on one target and reports whether the response is complete.
-func (h *requestHandler) attempt(ctx context.Context, svc *service) (dispatch.Failure, bool) {
+// attempt runs the request on one target and reports whether the response is complete. Nothing is
+// sent if startCtx has ended.
+func (h *requestHandler) attempt(ctx, startCtx context.Context, svc *service) (dispatch.Failure, bool) {
 	g := h.g
-	if ctx.Err() != nil {
+	if startCtx.Err() != nil {
 		h.state.StartAttempt("") // nothing is sent to a target
-		return dispatch.Failure{Kind: h.contextFailureKind(ctx)}, false
+		return dispatch.Failure{Kind: daemon.FailureKind(startCtx)}, false
+	}
+	if !h.canStart() {
+		h.state.StartAttempt("")
+		return dispatch.Failure{Kind: dispatch.KindStopping}, false
 	}
 	g.mu.Lock()
 	if h.crashesTargets(g.now()) { // became known while the request waited
@@ -443,6 +464,7 @@
 func (h *requestHandler) logOutcome(refusal *fleet.Refusal) {
 	m := h.g.metrics.Requests(h.workspace, h.class)
 	m.Outcome(fleet.OutcomeOf(refusal))
+	h.g.stop.RecordOutcome(refusal)
 	if refusal == nil {
 		m.Latency("first_answer", h.timeToFirstEvent)
 	}
--- a/app/gateway/stall.go
+++ b/app/gateway/stall.go
@@ -45,7 +45,7 @@
 	if !a.stalled.Swap(true) {
 		a.service.balancer.RecordFailure(a.target.ID, now)
 	}
-	if !a.canMove {
+	if !a.canMove || !h.canStart() {
 		return
 	}
 	if !a.reserveRetry(now) {
