Requests in progress at the end of a planned stop are answered (the project's own interface)

A generation, a call or a request whose body was being read when the grace period ended got no answer; one that waited for a slot or for its retry was kept until then.

The stop waited for all requests until the grace period ended and then closed their connections.

What cannot end before that is refused as not run: on arrival, in the queue and before a retry. An order that does not fit is stopped at its agent first, so that its ticket never runs, and stopping takes at most 0.5 s when the process is about to exit. A request that ends during its backoff after refusals is reported as not run instead of unknown. The two waits before the listener closes take at most half of the grace period.

Agents hold no callers' connections: when one exits, the entry gets the broken call and answers. They are unchanged.

--- a/app/daemon/stop.go
+++ b/app/daemon/stop.go
@@ -66,7 +66,6 @@
 	answer, cancel := s.UntilAnswer(ctx)
 	defer cancel()
 	if srv.Drain(answer) == nil {
-		s.End()
 		return nil
 	}
 	s.End()
--- a/app/entry/candidates.go
+++ b/app/entry/candidates.go
@@ -145,6 +145,8 @@
 func (e *Entry) Relay(ctx context.Context, r peer.GenerateRequest, send func(peer.GenerateEvent) error) error {
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
+	ctx, end := e.stop.RequestContext(ctx)
+	defer end()
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	g := caller.GenerateRequest{
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -23,6 +23,7 @@
 
 	"github.com/rs/zerolog"
 
+	"amaranthturn/app/daemon"
 	"amaranthturn/app/settings"
 	"amaranthturn/app/telemetry"
 	"amaranthturn/core/admit"
@@ -112,6 +113,7 @@
 	inFlight            sync.WaitGroup
 
 	leaving       atomic.Bool
+	stop          *daemon.RequestStop
 	pauseDetector *clock.PauseDetector
 	lastCleanup   time.Time // used by the ticker only
 	log           logs
@@ -129,7 +131,7 @@
 	random := rand.New(rand.NewPCG(o.Seed, 1))
 	now := o.Clock.Now()
 	e := &Entry{
-		opt: o, self: self, issuer: ticket.NewIssuer(o.Ring),
+		opt: o, self: self, issuer: ticket.NewIssuer(o.Ring), stop: daemon.NewRequestStop(o.Clock),
 		node:                configsync.NewNode(configsync.DefaultSettings(self.ID, self.Zone), o.Ring, rand.New(rand.NewPCG(o.Seed, 2)), now),
 		accepted:            make(chan struct{}, 1),
 		table:               membership.NewTable(membership.DefaultSettings),
@@ -191,6 +193,9 @@
 // IsLeaving implements caller.Service.
 func (e *Entry) IsLeaving() bool { return e.leaving.Load() }
 
+// Ended implements caller.Service.
+func (e *Entry) Ended() context.Context { return e.stop.Ended() }
+
 // Position returns the position at which the configuration in force was written.
 func (e *Entry) Position() fleet.Position {
 	_, at := e.document()
@@ -213,12 +218,21 @@
 }
 
 // Leave marks the entry as leaving, so that it refuses new work, and waits until the work
-// in progress has finished or ctx ends.
+// in progress has finished or ctx ends. Work that does not finish by itself is ended in time to
+// answer it. The stop must have begun.
 func (e *Entry) Leave(ctx context.Context) {
 	e.leaving.Store(true)
 	e.log.process.Info().Msg("leaving")
 	w := &drainWait{entry: e, done: make(chan struct{})}
 	go w.run()
+	answer, cancel := e.stop.UntilAnswer(ctx)
+	defer cancel()
+	select {
+	case <-w.done:
+		return
+	case <-answer.Done():
+	}
+	e.stop.End()
 	select {
 	case <-w.done:
 	case <-ctx.Done():
--- a/app/entry/module.go
+++ b/app/entry/module.go
@@ -43,6 +43,9 @@
 // listener was closed.
 const keepAliveGrace = 2 * time.Second
 
+// exitReserve is the end of the grace period in which orders are stopped and the process exits.
+const exitReserve = time.Second
+
 // server holds the daemon's listeners and loops.
 type server struct {
 	e         *Entry
@@ -91,17 +94,24 @@
 
 // stop shuts the entry down without interrupting requests in progress: it first asks
 // callers to close their connections, then closes the listener, then waits for the
-// requests.
+// requests. Those that do not end by themselves are ended in time to answer them within the grace
+// period.
 func (s *server) stop(ctx context.Context) error {
+	grace := s.e.opt.Settings.StopGrace()
+	if d, ok := ctx.Deadline(); ok {
+		grace = min(grace, time.Until(d))
+	}
+	s.e.stop.Begin(grace, exitReserve)
 	s.e.leaving.Store(true)
-	daemon.Sleep(ctx, lameDuckPeriod)
+	s.e.log.process.Info().Msg("stopping")
+	daemon.Sleep(ctx, min(lameDuckPeriod, grace/4))
 	// After the listener is closed, callers connect to other entries, while each
 	// kept-alive connection is still served one more request. The connections are closed
 	// only when they are no longer used, because closing one from this side could drop a
 	// request that is already being sent.
 	_ = s.callers.Listener.Close()
-	daemon.Sleep(ctx, keepAliveGrace)
-	err := s.callers.Drain(ctx)
+	daemon.Sleep(ctx, min(keepAliveGrace, grace/4))
+	err := s.e.stop.Drain(ctx, s.callers)
 	s.e.Leave(ctx)
 	s.loops.Stop(ctx)
 	s.e.closeSessions()
@@ -109,6 +119,6 @@
 	_ = s.operators.HTTP.Close()
 	s.e.opt.Pool.Close()
 	_ = s.e.opt.Metrics.Close()
-	s.e.log.process.Info().Msg("entry stopped")
+	s.e.stop.Log(s.e.log.process.Info()).AnErr("unfinished", err).Msg("entry stopped")
 	return err
 }
--- a/app/entry/orders.go
+++ b/app/entry/orders.go
@@ -12,6 +12,7 @@
 	"amaranthturn/core/membership"
 	"amaranthturn/core/picker"
 	"amaranthturn/core/retry"
+	"amaranthturn/core/shutdown"
 	"amaranthturn/core/ticket"
 	"amaranthturn/io/caller"
 	"amaranthturn/io/peer"
@@ -24,6 +25,9 @@
 // may extend past the caller's deadline.
 const stopTimeout = 2 * time.Second
 
+// exitStopTimeout applies instead when the process is about to exit. It is less than exitReserve.
+const exitStopTimeout = 500 * time.Millisecond
+
 // Entries implements caller.Service.
 func (e *Entry) Entries(w fleet.Workspace, key string) (caller.EntryList, *fleet.Refusal) {
 	e.memMu.Lock()
@@ -141,21 +145,38 @@
 	if !ok {
 		return caller.Response{}, fleet.Unknown(fleet.ReasonTargetLost)
 	}
+	ctx, end := e.stop.RequestContext(ctx)
+	defer end()
 	startedAt := e.now()
 	var response caller.Response
 	var refusal *fleet.Refusal
-	if e.beginOrder() {
+	switch {
+	case !e.stop.CanStart(stopGroupOf(c), c.Deadline):
+		response, refusal = e.stopOrder(addr, encoded, fleet.ReasonLeaving)
+	case e.beginOrder():
 		response, refusal = e.runOrder(ctx, addr, encoded, c)
 		e.endOrder()
 		e.countOrder(refusal)
-	} else {
+	default:
 		response, refusal = e.stopOrder(addr, encoded, fleet.ReasonQueueFull)
 	}
+	e.recordCall(c, startedAt, refusal)
 	telemetry.LogOutcome(e.log.orders.Info().Str("request", c.RequestID).Str("workspace", string(c.Workspace)).Str("target", string(t.Target)).
 		Dur("took", e.now().Sub(startedAt)), refusal)
 	return response, refusal
 }
 
+// stopGroupOf returns the calls that take a similar time.
+func stopGroupOf(c caller.Call) shutdown.Group { return shutdown.Group("service/" + c.Service) }
+
+// recordCall records how a call or order ended.
+func (e *Entry) recordCall(c caller.Call, startedAt time.Time, refusal *fleet.Refusal) {
+	e.stop.RecordOutcome(refusal)
+	if refusal == nil {
+		e.stop.Record(stopGroupOf(c), e.now().Sub(startedAt))
+	}
+}
+
 func (e *Entry) runOrder(ctx context.Context, addr, encoded string, c caller.Call) (caller.Response, *fleet.Refusal) {
 	_, reply, err := e.opt.Pool.RunOrder(ctx, addr, encoded, peerCall(c))
 	if dispatch.AfterRun(err != nil) == dispatch.OrderStop {
@@ -172,6 +193,8 @@
 func (e *Entry) stopOrder(addr, encoded string, reason fleet.Reason) (caller.Response, *fleet.Refusal) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
+	limit := &exitLimit{ctx: ctx, cancel: cancel}
+	defer context.AfterFunc(e.stop.Ended(), limit.run)()
 	outcome, reply, err := e.opt.Pool.StopOrder(ctx, addr, encoded)
 	if reply.Refusal != nil && outcome != fleet.OutcomeNotRun {
 		reason = reply.Refusal.Reason
@@ -186,6 +209,18 @@
 	return caller.Response{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}, nil
 }
 
+// exitLimit limits how long an order is being stopped when the process is about to exit.
+type exitLimit struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func (l *exitLimit) run() {
+	if daemon.Sleep(l.ctx, exitStopTimeout) {
+		l.cancel()
+	}
+}
+
 func (e *Entry) countOrder(refusal *fleet.Refusal) {
 	e.opt.Metrics.Count("orders_"+fleet.OutcomeOf(refusal).String(), 1)
 }
@@ -234,7 +269,12 @@
 	if !service.Repeatable && !isReadOnly(c.Method) {
 		return caller.Response{}, fleet.NotRun(fleet.ReasonNotRepeatable, 0)
 	}
-	return e.callService(ctx, c)
+	ctx, end := e.stop.RequestContext(ctx)
+	defer end()
+	startedAt := e.now()
+	response, refusal := e.callService(ctx, c)
+	e.recordCall(c, startedAt, refusal)
+	return response, refusal
 }
 
 // isReadOnly reports whether an HTTP method may be repeated by definition.
@@ -247,7 +287,13 @@
 	e.reqMu.Unlock()
 	h := &requestHandler{e: e, gen: peer.GenerateRequest{Workspace: c.Workspace}}
 	state := dispatch.NewRequest(dispatch.DefaultSettings, c.Deadline)
+	startCtx, cancel := e.stop.StartContext(ctx, stopGroupOf(c), c.Deadline)
+	defer cancel()
 	for {
+		if !e.stop.CanStart(stopGroupOf(c), c.Deadline) {
+			state.StartAttempt("") // nothing is sent to a target
+			return caller.Response{}, state.Failed(dispatch.Failure{Kind: dispatch.KindStopping}, h.allowRetry, 0, e.now()).Refusal
+		}
 		reply, failure := e.callOnce(ctx, c, state)
 		if failure == nil {
 			return caller.Response{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}, nil
@@ -256,8 +302,9 @@
 		if !step.Retry {
 			return caller.Response{}, step.Refusal
 		}
-		if !daemon.Sleep(ctx, step.Wait) {
-			return caller.Response{}, state.Failed(dispatch.Failure{Kind: h.contextFailureKind(ctx)}, h.allowRetry, 0, e.now()).Refusal
+		if !daemon.Sleep(startCtx, step.Wait) {
+			state.StartAttempt("") // nothing is sent to a target
+			return caller.Response{}, state.Failed(dispatch.Failure{Kind: daemon.FailureKind(startCtx)}, h.allowRetry, 0, e.now()).Refusal
 		}
 	}
 }
@@ -280,7 +327,7 @@
 	case errors.As(err, &lost) && lost.NotSent:
 		return reply, &dispatch.Failure{Kind: dispatch.KindNotSent}
 	case err != nil && ctx.Err() != nil:
-		return reply, &dispatch.Failure{Kind: dispatch.KindDeadline}
+		return reply, &dispatch.Failure{Kind: daemon.FailureKind(ctx)}
 	case err != nil:
 		return reply, &dispatch.Failure{Kind: dispatch.KindLost}
 	case reply.Refusal != nil:
--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -17,6 +17,7 @@
 	"amaranthturn/core/membership"
 	"amaranthturn/core/picker"
 	"amaranthturn/core/retry"
+	"amaranthturn/core/shutdown"
 	"amaranthturn/io/caller"
 	"amaranthturn/io/peer"
 )
@@ -64,12 +65,15 @@
 func (e *Entry) Generate(ctx context.Context, g caller.GenerateRequest, send func(caller.Token) error) *fleet.Refusal {
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
+	ctx, end := e.stop.RequestContext(ctx)
+	defer end()
 	h, refusal := e.newRequestHandler(g, send)
 	if refusal == nil {
 		refusal = h.admitAndRun(ctx)
 	}
 	h.logOutcome(e, g, refusal)
 	e.opt.Metrics.Requests(g.Workspace, g.Class).Outcome(fleet.OutcomeOf(refusal))
+	e.stop.RecordOutcome(refusal)
 	return refusal
 }
 
@@ -140,14 +144,28 @@
 	if h.restriction() == crashblame.Refuse {
 		return fleet.NotRun(fleet.ReasonCrashesTargets, 0)
 	}
+	if !h.canStart() {
+		return fleet.NotRun(fleet.ReasonLeaving, retry.BaseDelay)
+	}
 	if refusal := h.acquireSlot(ctx); refusal != nil {
 		return refusal
 	}
 	defer h.releaseSlot()
-	h.metrics.Latency("queue_time", h.e.now().Sub(h.startedAt))
-	return h.run(ctx)
+	admittedAt := h.e.now()
+	h.metrics.Latency("queue_time", admittedAt.Sub(h.startedAt))
+	refusal := h.run(ctx)
+	if refusal == nil {
+		h.e.stop.Record(h.stopGroup(), h.e.now().Sub(admittedAt))
+	}
+	return refusal
 }
 
+// stopGroup returns the requests that take a similar time.
+func (h *requestHandler) stopGroup() shutdown.Group { return shutdown.Group("model/" + h.gen.Model) }
+
+// canStart reports whether the request may be sent to a target if this process stops.
+func (h *requestHandler) canStart() bool { return h.e.stop.CanStart(h.stopGroup(), h.gen.Deadline) }
+
 func (h *requestHandler) restriction() crashblame.Restriction {
 	h.e.reqMu.Lock()
 	defer h.e.reqMu.Unlock()
@@ -186,6 +204,8 @@
 }
 
 func (h *requestHandler) awaitVerdict(ctx context.Context, verdicts chan admit.Verdict) *fleet.Refusal {
+	ctx, cancel := h.e.stop.StartContext(ctx, h.stopGroup(), h.gen.Deadline)
+	defer cancel()
 	select {
 	case v := <-verdicts:
 		if v == admit.Admitted {
@@ -202,6 +222,9 @@
 	if !waiting && <-verdicts == admit.Admitted {
 		h.releaseSlot()
 	}
+	if daemon.FailureKind(ctx) == dispatch.KindStopping {
+		return fleet.NotRun(fleet.ReasonLeaving, retry.BaseDelay)
+	}
 	return fleet.NotRun(fleet.ReasonDeadlinePassed, 0)
 }
 
@@ -257,6 +280,8 @@
 
 // run tries targets until the response is complete or the request must end.
 func (h *requestHandler) run(ctx context.Context) *fleet.Refusal {
+	startCtx, cancel := h.e.stop.StartContext(ctx, h.stopGroup(), h.gen.Deadline)
+	defer cancel()
 	for {
 		failure, done := h.attempt(ctx)
 		if done {
@@ -268,15 +293,16 @@
 			Took: h.e.now().Sub(h.startedAt),
 		}.Log(h.e.log.requests)
 		if step.AwaitsBudget {
-			h.awaitBudget(ctx)
+			h.awaitBudget(startCtx)
 			step = dispatch.Step{Retry: true}
 		}
 		if !step.Retry {
 			return step.Refusal
 		}
 		h.e.opt.Metrics.Count("retries", 1)
-		if !daemon.Sleep(ctx, step.Wait) {
-			return h.state.Failed(dispatch.Failure{Kind: h.contextFailureKind(ctx)}, h.allowRetry, 0, h.e.now()).Refusal
+		if !daemon.Sleep(startCtx, step.Wait) || startCtx.Err() != nil {
+			h.state.StartAttempt("") // nothing is sent to a target
+			return h.state.Failed(dispatch.Failure{Kind: daemon.FailureKind(startCtx)}, h.allowRetry, 0, h.e.now()).Refusal
 		}
 		if h.restriction() == crashblame.Refuse {
 			return h.state.Failed(dispatch.Failure{
@@ -295,13 +321,6 @@
 	}
 }
 
-func (h *requestHandler) contextFailureKind(ctx context.Context) dispatch.Kind {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return dispatch.KindDeadline
-	}
-	return dispatch.KindCallerDisconnected
-}
-
 // attempt runs the request on one target and reports whether the response is complete.
 func (h *requestHandler) attempt(ctx context.Context) (dispatch.Failure, bool) {
 	target, exclusive, ok := h.chooseTarget()
@@ -414,10 +433,13 @@
 // connection to the target was lost, the requests that this entry ran there are blamed.
 func (h *requestHandler) callFailure(parent, ctx context.Context, target fleet.InstanceID, err error) dispatch.Failure {
 	var lost *peer.ConnectionError
+	notSent := errors.As(err, &lost) && lost.NotSent
 	switch {
+	case notSent && daemon.FailureKind(parent) == dispatch.KindStopping:
+		return dispatch.Failure{Kind: dispatch.KindNotSent} // not run; the next attempt is not made
 	case parent.Err() != nil:
-		return dispatch.Failure{Kind: h.contextFailureKind(parent)}
-	case errors.As(err, &lost) && lost.NotSent:
+		return dispatch.Failure{Kind: daemon.FailureKind(parent)}
+	case notSent:
 		return dispatch.Failure{Kind: dispatch.KindNotSent}
 	}
 	if ctx.Err() == nil {
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -36,6 +36,7 @@
 	"github.com/google/uuid"
 
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/retry"
 )
 
 // HTTP headers of the protocol.
@@ -129,6 +130,9 @@
 	// IsLeaving reports whether the entry is shutting down, so that callers should close
 	// their connections after the response.
 	IsLeaving() bool
+	// Ended returns a context that ends when the process is about to exit and the requests that
+	// are still in progress have to be answered.
+	Ended() context.Context
 }
 
 type handler struct {
@@ -178,7 +182,7 @@
 }
 
 func (h *handler) generate(c *gin.Context) {
-	body, ok := readBody(c)
+	body, ok := h.readBody(c)
 	if !ok {
 		return
 	}
@@ -297,7 +301,7 @@
 }
 
 func (h *handler) ticket(c *gin.Context) {
-	body, ok := readBody(c)
+	body, ok := h.readBody(c)
 	if !ok {
 		return
 	}
@@ -343,7 +347,7 @@
 }
 
 func (h *handler) readCall(c *gin.Context) (Call, bool) {
-	body, ok := readBody(c)
+	body, ok := h.readBody(c)
 	if !ok {
 		return Call{}, false
 	}
@@ -379,13 +383,19 @@
 	return class, h.now().Add(timeout), true
 }
 
-func readBody(c *gin.Context) ([]byte, bool) {
+func (h *handler) readBody(c *gin.Context) ([]byte, bool) {
+	ctl := http.NewResponseController(c.Writer)
+	stop := context.AfterFunc(h.svc.Ended(), func() { _ = ctl.SetReadDeadline(time.Unix(1, 0)) }) // ends the read
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes))
+	stop()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		refuse(c, fleet.NotRun(fleet.ReasonBodyTooLarge, 0))
 		return nil, false
+	case err != nil && h.svc.Ended().Err() != nil:
+		refuse(c, fleet.NotRun(fleet.ReasonLeaving, retry.BaseDelay))
+		return nil, false
 	case err != nil:
 		refuse(c, fleet.NotRun(fleet.ReasonBadRequest, 0))
 		return nil, false
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -25,6 +25,8 @@
 
 func (f *fakeService) IsLeaving() bool { return f.leaving }
 
+func (f *fakeService) Ended() context.Context { return context.Background() }
+
 func (f *fakeService) Entries(fleet.Workspace, string) (EntryList, *fleet.Refusal) {
 	return EntryList{Entries: []EntryInfo{{"e1", "127.0.0.1:1", "z"}}, KeepMS: 20000}, f.refusal
 }
