--- a/app/gateway/module.go
+++ b/app/gateway/module.go
@@ -97,7 +97,7 @@
 // are ended in time to answer them within the grace period.
 func (s *server) stop(ctx context.Context) error {
 	grace := s.g.settings.Bounds.StopGrace
-	ctx, cancel := context.WithTimeout(ctx, grace-min(stopMargin, grace/2))
+	ctx, cancel := context.WithTimeout(ctx, grace-min(stopMargin, grace/4))
 	defer cancel()
 	s.g.log.process.Info().Msg("stopping")
 	s.g.stop.Begin(grace, stopMargin)
