--- a/io/service/service_test.go
+++ b/io/service/service_test.go
@@ -61,6 +61,29 @@
 	}
 }
 
+// A response that is cut after any byte leaves unknown whether the call has run.
+func TestCutResponseIsNoResponse(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for n := range text {
+		var seen atomic.Int64
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			seen.Add(1)
+			_, _ = io.Copy(io.Discard, r.Body) // what is unread would reset the connection
+			conn, rw, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = rw.WriteString(text[:n])
+			_ = rw.Flush()
+			_ = conn.Close()
+		}))
+		_, err := NewClient(srv.URL).Call(t.Context(), Request{Method: http.MethodPost, Path: "/orders", Body: []byte("x")})
+		srv.Close()
+		assert.Assert(t, errors.Is(err, ErrNoResponse) && !errors.Is(err, ErrNotSent), "%q: %v", text[:n], err)
+		assert.Equal(t, seen.Load(), int64(1))
+	}
+}
+
 // TestStandardTransportRepeatsOnReusedConnection shows the behavior that Client avoids: the
 // standard transport repeats a POST with an Idempotency-Key if a kept-alive connection breaks.
 func TestStandardTransportRepeatsOnReusedConnection(t *testing.T) {
