Requests without a target are refused when the configuration drops their model

What callers saw, on the project's own interface: a request that looks for a target of a model that a new configuration lacks is refused at its deadline, and until then keeps its place in admission.

The lack of a target is taken for one that passes, as it is while a model loads; the model is looked up only when the request comes.

Change: an attempt that finds no target ends the request as not run, unknown_model, if the configuration in force lacks the model. Targets that still serve the model are still used.

Open: a request that waits in admission, whose queue is not divided by model, is refused when its turn comes or its time in the queue ends.

--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -306,6 +306,10 @@
 func (h *requestHandler) attempt(ctx context.Context) (dispatch.Failure, bool) {
 	target, exclusive, ok := h.chooseTarget()
 	if !ok {
+		if !h.isModelConfigured() {
+			h.state.StartAttempt("") // nothing is sent to a target
+			return dispatch.Failure{Kind: dispatch.KindRefused, Refusal: fleet.NotRun(fleet.ReasonUnknownModel, 0)}, false
+		}
 		if h.relayed || h.state.Sent() > 0 {
 			return dispatch.Failure{Kind: dispatch.KindNoTarget}, false
 		}
@@ -327,6 +331,14 @@
 	})
 }
 
+// isModelConfigured reports whether the configuration in force has the request's model. It may have
+// been dropped while the request waited.
+func (h *requestHandler) isModelConfigured() bool {
+	doc, _ := h.e.document()
+	_, ok := doc.VersionFor(h.gen.Workspace, h.gen.Model, h.gen.Fingerprint)
+	return ok
+}
+
 var (
 	errResponseComplete   = errors.New("response is complete")
 	errRefused            = errors.New("target refused the request")
