Each service has its own budget of retries at an entry

Callers saw: requests to an overloaded order service were sent on from one full target to the next, beyond what the platform allows a service in 10 s.

Cause: an entry had one budget. It gained from the requests of all services, so that a busy service paid for the retries of a small one; and each start granted the full allowance at once, as a part of eight whatever the number of entries.

Change: a budget for each service (core/retry.Budgets). An entry gains its part of the allowance evenly over the window, saves at most one part, and starts with none, so a restart and a service that is new or comes back grant nothing. A budget that was unused for a window is full and may be dropped; at most 1,024 are kept. The allowance is divided by the most entries that were known at once, by 64 until the first exchange. The window is read from the settings (BudgetWindowS).

Ruled out by reading: a retry that takes nothing from the budget and reaches a target (NotSentError is returned only if no connection could be had); a reserved retry that is used twice or for another service (one handler, one service, cleared on use); a request recorded for one service and run on another (the service is chosen once).

Limit: an entry needs a whole retry, so 53 entries or more may together save more than their parts of an allowance of 104.

--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -88,7 +88,9 @@
 	unstarted          map[*targetAttempt]struct{} // sent to a target, no response yet
 	nextID             admit.RequestID
 	patience           admit.Patience
-	budget             *retry.Budget
+	budgets            *retry.Budgets[fleet.Service]
+	startedAt          time.Time
+	maxEntries         int // most entries that were known at once, this one included
 	ledger             *crashblame.Ledger
 	parts              *crashblame.PartLedger
 	notices            *notice.Ledger
@@ -127,8 +129,9 @@
 			config: l.Of(telemetry.SubsystemConfig), members: l.Of(telemetry.SubsystemMembers),
 			requests: l.Of(telemetry.SubsystemRequests), process: l.Of(telemetry.SubsystemProcess),
 		},
-		random: rand.New(rand.NewPCG(seed, uint64(now.UnixNano()))),
-		seeds:  settings.Seeds, mirror: newMirror(settings), changed: make(chan struct{}), roster: roster.New(roster.DefaultSettings),
+		startedAt: now,
+		random:    rand.New(rand.NewPCG(seed, uint64(now.UnixNano()))),
+		seeds:     settings.Seeds, mirror: newMirror(settings), changed: make(chan struct{}), roster: roster.New(roster.DefaultSettings),
 		entryList: gossip.New(gossip.DefaultSettings, gossip.Record{
 			Instance: settings.Instance, Incarnation: fleet.Incarnation(now.UnixNano()), Region: settings.Region, Zone: settings.Zone,
 			Address: settings.PeersAddress, CallerAddress: settings.CallersAddress,
@@ -140,7 +143,9 @@
 		pauseDetector: clock.NewPauseDetector(pauseThreshold),
 		copyPauses:    clock.NewPauseDetector(copyPauseThreshold),
 	}
-	g.budget = retry.NewBudget(settings.Bounds.RetryShare*budgetSafetyFactor, settings.Bounds.RetryExtra*budgetSafetyFactor/minBudgetEntries)
+	g.budgets = retry.NewBudgets[fleet.Service](retry.BudgetsSettings{
+		Share: settings.Bounds.RetryShare * budgetSafetyFactor, Allowance: settings.Bounds.RetryExtra * budgetSafetyFactor, Window: settings.Bounds.RetryWindow,
+	}, startBudgetEntries, now)
 	return g
 }
 
@@ -151,15 +156,18 @@
 	})
 }
 
-// The limit on retries applies to the entire system, and entries don't coordinate retries:
-// each entry uses the retry share of its own requests and its part of the fixed allowance.
+// The limit on retries applies to each service in the entire system, and entries don't
+// coordinate retries: each entry uses the retry share of its own requests for the service and
+// its part of the fixed allowance.
 const (
-	// budgetSafetyFactor reduces the budget because the retries of overlapping sliding
-	// windows can add up to more than the limit.
+	// budgetSafetyFactor reduces the budget because in a sliding window the saved part of the
+	// allowance and the part that is gained meanwhile add up.
 	budgetSafetyFactor = 0.5
 	// minBudgetEntries is the minimum number of entries that the fixed allowance is divided
-	// by, because an entry that has just started does not know the others yet.
+	// by, because the list of entries may be incomplete.
 	minBudgetEntries = 8
+	// startBudgetEntries is the number of entries that is assumed until the first exchange.
+	startBudgetEntries = 64
 )
 
 // crashSettings block a request for some seconds after it has crashed three targets, the
@@ -277,6 +285,9 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.maxEntries == 0 && now.Sub(g.startedAt) > gossip.DefaultSettings.Lease {
+		g.divideBudgets(now) // no other entry is in reach
+	}
 	g.copyPauses.Observe(now)
 	if g.pauseDetector.Observe(now) {
 		g.log.process.Warn().Msg(trace.MessageGatewayPaused)
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -81,8 +81,6 @@
 	}
 	g.mu.Lock()
 	g.mergeEntryUpdate(received, g.now())
-	entries := max(minBudgetEntries, len(g.entryList.Live(g.now()))+1)
-	g.budget.SetBurst(max(1, g.settings.Bounds.RetryExtra*budgetSafetyFactor/float64(entries)))
 	storeUnavailable := g.storeUnavailable
 	g.mu.Unlock()
 	if isBehind(at, received.StorePosition, storeUnavailable) {
@@ -91,6 +89,13 @@
 	g.handOn(ctx, addr, received)
 }
 
+// divideBudgets divides the allowance of retries by the number of entries. The number doesn't
+// decrease, because entries that are out of reach may still retry. mu must be held.
+func (g *Gateway) divideBudgets(now time.Time) {
+	g.maxEntries = max(g.maxEntries, len(g.entryList.Live(now))+1)
+	g.budgets.SetParts(max(minBudgetEntries, g.maxEntries), now)
+}
+
 // isBehind reports whether another entry's copy is read because it is ahead of this one's.
 func isBehind(own, other mirror.Position, storeUnavailable bool) bool {
 	if storeUnavailable || own.Era != other.Era {
@@ -184,6 +189,7 @@
 	}
 	g.mergeLeaving(update.Leaving, now)
 	g.entryList.Merge(update.Records, now)
+	g.divideBudgets(now)
 	g.ledger.Merge(update.Blamed, now)
 	if g.parts.Merge(update.Crashes, update.ProvenParts, now) {
 		g.partsChanged(now)
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -171,7 +171,7 @@
 	g.nextID++
 	req.ID = g.nextID
 	req.Late = h.hasReturned(now)
-	g.budget.RecordRequest()
+	g.budgets.RecordRequest(h.serviceName, now)
 	svc := g.service(h.serviceName)
 	decision := svc.queue.Offer(req, now)
 	var verdict chan admit.Verdict
--- a/app/gateway/stall.go
+++ b/app/gateway/stall.go
@@ -66,7 +66,7 @@
 	if _, ok := a.service.balancer.Choose(loadbalance.Query{Avoid: a.avoid}, now); !ok {
 		return false
 	}
-	h.retryReserved = h.retryReserved || h.g.budget.Allow()
+	h.retryReserved = h.retryReserved || h.g.budgets.Allow(h.serviceName, now)
 	return h.retryReserved
 }
 
@@ -76,5 +76,5 @@
 		h.retryReserved = false
 		return true
 	}
-	return h.g.budget.Allow()
+	return h.g.budgets.Allow(h.serviceName, h.g.now())
 }
