Project's own interface: a model's or service's retries are paid for by its own requests

Callers saw: nothing reported; found beside the same fault of the users' platform. On an entry, a workspace's requests to a busy model paid for the retries of its calls to any plain service or other model: the budgets were those of the entry and of the workspace alone.

Change: a third budget for each model or service, with the entry's share and half of its burst. A retry needs one of each. The budgets move to a file of their own.

TestRequestsToOneServiceDoNotPayForAnother without the third budget: 2107 retries for 1000 requests of the service

Not changed: here the promise is for each entry, not for all together, so the number of entries and a restart don't matter to it; a retry after a refusal without work costs no budget, and up to 40 are made; a retry that is relayed to another entry counts as a first attempt there.

--- a/app/entry/config.go
+++ b/app/entry/config.go
@@ -217,10 +217,7 @@
 	e.log.config.Info().Uint64("revision", uint64(at.Revision)).Uint64("era", uint64(at.Era)).Str("from", from).Msg(trace.MessageConfiguration)
 	e.reqMu.Lock()
 	e.ledger.SetMaxCrashedTargets(doc.Defaults.Limits.CrashTargets)
-	e.budget.SetShare(doc.Defaults.Limits.RetryShare)
-	for _, b := range e.budgets {
-		b.SetShare(doc.Defaults.Limits.RetryShare)
-	}
+	e.setRetryShare(doc.Defaults.Limits.RetryShare)
 	e.reqMu.Unlock()
 	e.notifySessions()
 	e.requestAnnouncement()
--- a/app/entry/entry.go
+++ b/app/entry/entry.go
@@ -53,9 +53,6 @@
 	askPeersTimeout  = time.Second
 )
 
-// retryBurst is the maximum number of retries that a budget accumulates.
-const retryBurst = 20
-
 // Options holds the settings and dependencies of an Entry.
 type Options struct {
 	Settings *settings.Entry
@@ -100,6 +97,7 @@
 	picker              *picker.Picker
 	ledger              *crashblame.Ledger
 	budgets             map[fleet.Workspace]*retry.Budget
+	groupBudgets        map[retryGroup]*retry.Budget
 	budget              *retry.Budget
 	random              *rand.Rand
 	nextID              admit.RequestID
@@ -136,7 +134,6 @@
 		sessions:            map[*session]struct{}{},
 		picker:              picker.NewPicker(picker.DefaultSettings, rand.New(rand.NewPCG(o.Seed, 3))),
 		ledger:              crashblame.NewLedger(crashblame.DefaultSettings),
-		budgets:             map[fleet.Workspace]*retry.Budget{},
 		budget:              retry.NewBudget(config.DefaultRetryShare, retryBurst),
 		random:              random,
 		waiters:             map[admit.RequestID]chan admit.Verdict{},
--- a/app/entry/orders.go
+++ b/app/entry/orders.go
@@ -241,11 +241,10 @@
 func isReadOnly(method string) bool { return method == "GET" || method == "HEAD" }
 
 func (e *Entry) callService(ctx context.Context, c caller.Call) (caller.Response, *fleet.Refusal) {
+	h := &requestHandler{e: e, gen: peer.GenerateRequest{Workspace: c.Workspace}, service: c.Service}
 	e.reqMu.Lock()
-	e.budget.RecordRequest()
-	e.workspaceBudget(c.Workspace).RecordRequest()
+	h.recordRequest()
 	e.reqMu.Unlock()
-	h := &requestHandler{e: e, gen: peer.GenerateRequest{Workspace: c.Workspace}}
 	state := dispatch.NewRequest(dispatch.DefaultSettings, c.Deadline)
 	for {
 		reply, failure := e.callOnce(ctx, c, state)
--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -10,7 +10,6 @@
 	"amaranthturn/app/daemon"
 	"amaranthturn/app/telemetry"
 	"amaranthturn/core/admit"
-	"amaranthturn/core/config"
 	"amaranthturn/core/crashblame"
 	"amaranthturn/core/dispatch"
 	"amaranthturn/core/fleet"
@@ -40,6 +39,7 @@
 type requestHandler struct {
 	e           *Entry
 	gen         peer.GenerateRequest
+	service     fleet.Service // of a call, which has no model
 	admit       admit.Request
 	constraint  picker.VersionConstraint
 	prefixHash  uint64
@@ -160,8 +160,7 @@
 	e.reqMu.Lock()
 	e.nextID++
 	h.admit.ID = e.nextID
-	e.budget.RecordRequest()
-	e.workspaceBudget(h.gen.Workspace).RecordRequest()
+	h.recordRequest()
 	d := e.queue.Offer(h.admit, e.now())
 	var verdicts chan admit.Verdict
 	if d.Verdict == admit.Queued {
@@ -229,32 +228,6 @@
 	}
 }
 
-// workspaceBudget returns the retry budget of a workspace. reqMu must be held.
-func (e *Entry) workspaceBudget(w fleet.Workspace) *retry.Budget {
-	b, ok := e.budgets[w]
-	if !ok {
-		if len(e.budgets) >= maxBudgets {
-			return e.budget
-		}
-		b = retry.NewBudget(config.DefaultRetryShare, retryBurst/2)
-		if doc, _ := e.document(); doc != nil {
-			b.SetShare(doc.Defaults.Limits.RetryShare)
-		}
-		e.budgets[w] = b
-	}
-	return b
-}
-
-// maxBudgets is the maximum number of workspaces with their own retry budget. It is limited
-// because callers choose the name of the workspace.
-const maxBudgets = 1024
-
-func (h *requestHandler) allowRetry() bool {
-	h.e.reqMu.Lock()
-	defer h.e.reqMu.Unlock()
-	return retry.AllowAll(h.e.workspaceBudget(h.gen.Workspace), h.e.budget)
-}
-
 // run tries targets until the response is complete or the request must end.
 func (h *requestHandler) run(ctx context.Context) *fleet.Refusal {
 	for {
