--- a/app/entry/orders.go
+++ b/app/entry/orders.go
@@ -285,11 +285,10 @@
 func isReadOnly(method string) bool { return method == "GET" || method == "HEAD" }
 
 func (e *Entry) callService(ctx context.Context, c caller.Call) (caller.Response, *fleet.Refusal) {
+	h := &requestHandler{e: e, gen: peer.GenerateRequest{Workspace: c.Workspace}, service: c.Service}
 	e.reqMu.Lock()
-	e.budget.RecordRequest()
-	e.workspaceBudget(c.Workspace).RecordRequest()
+	h.recordRequest()
 	e.reqMu.Unlock()
-	h := &requestHandler{e: e, gen: peer.GenerateRequest{Workspace: c.Workspace}}
 	state := dispatch.NewRequest(dispatch.DefaultSettings, c.Deadline)
 	startCtx, cancel := e.stop.StartContext(ctx, stopGroupOf(c), c.Deadline)
 	defer cancel()
