BUDGET: an agent calls no engine that asked it for a pause

An engine that answered its agent 503 with Retry-After 1.5 got 14 further calls before the end.

Cause: Retry-After was read from the answers to requests only. An agent polls its engine ten times a second, stages chunks and sends load commands, whatever the answers state.

Change: platform.Engine asks a gate before each call and passes on what each answer states; the agent's gate keeps pauses in core/notice as the entries do. A refused report counts as an engine that is down, as before, so that entries send it nothing until it has answered again. The pause is that of the incarnation that is listed: one that has started again is polled at once.

Tests, before: TestAgentCallsNoEngineThatAskedForAPause "14 (int) != 0 (int)"; TestPauseHoldsForAllCallsOfAnAgent "5 (int) != 1 (int)" for each kind of call; TestRestartedEngineBeginsWithoutPause "error is nil, not "engine has asked for a pause"".

--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -44,6 +44,9 @@
 		if c.pauseDetector.Observe(c.s.now()) {
 			c.s.log.process.Warn().Msg(trace.MessageAgentPaused)
 		}
+		if c.s.MayCall() != nil {
+			continue
+		}
 		c.pollEngine(ctx)
 		c.loadIfDue(ctx)
 	}
--- /dev/null
+++ b/app/sidecar/notices.go
@@ -0,0 +1,53 @@
+package sidecar
+
+import (
+	"errors"
+
+	"amaranthturn/core/fleet"
+	"amaranthturn/core/forward"
+	"amaranthturn/core/notice"
+	"amaranthturn/core/trace"
+	"amaranthturn/platform"
+)
+
+// errEnginePaused reports that the engine wants no calls now.
+var errEnginePaused = errors.New("engine has asked for a pause")
+
+// MayCall implements platform.CallGate.
+func (s *Sidecar) MayCall() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.now().Before(s.notices.PausedUntil(s.engineTarget())) {
+		return errEnginePaused
+	}
+	return nil
+}
+
+// RecordNotices implements platform.CallGate.
+func (s *Sidecar) RecordNotices(n forward.Notices) {
+	if n.Malformed != "" {
+		s.metrics.Count("malformed_notices", 1)
+		s.log.engine.Warn().Str("header", n.Malformed).Msg("malformed statement of a target")
+	}
+	if n.Pause <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, t := s.now(), s.engineTarget()
+	until := s.notices.RecordPause(t, n.Pause, now)
+	s.metrics.Count("targets_shedding", 1)
+	s.log.engine.Info().Str("target", string(t.ID)).Dur("pause", until.Sub(now)).Msg(trace.MessageTargetSheds)
+}
+
+// engineTarget returns the incarnation of the engine that is listed. If none is, it is named by
+// its address. mu must be held.
+func (s *Sidecar) engineTarget() notice.Target {
+	t, ok := s.roster.At(s.settings.TargetAddress)
+	if !ok {
+		return notice.Target{ID: fleet.InstanceID(s.settings.TargetAddress)}
+	}
+	return notice.Target{ID: t.ID, Incarnation: t.Incarnation}
+}
+
+var _ platform.CallGate = (*Sidecar)(nil)
--- /dev/null
+++ b/app/sidecar/notices_test.go
@@ -0,0 +1,116 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/app/settings"
+	"amaranthturn/app/telemetry"
+	"amaranthturn/core/clock"
+	"amaranthturn/core/roster"
+	"amaranthturn/io/peer"
+	"amaranthturn/platform"
+)
+
+// fakeEngine answers each call with answer and keeps the times of the calls.
+type fakeEngine struct {
+	mu     sync.Mutex // guards the fields below
+	calls  []time.Time
+	answer http.HandlerFunc
+}
+
+// ServeHTTP implements http.Handler.
+func (e *fakeEngine) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.calls = append(e.calls, time.Now())
+	e.answer(rw, r)
+}
+
+// callsBetween returns how many calls arrived between two times after the first one.
+func (e *fakeEngine) callsBetween(from, to time.Duration) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, at := range e.calls {
+		if d := at.Sub(e.calls[0]); d > from && d < to {
+			n++
+		}
+	}
+	return n
+}
+
+func newSidecarOf(t *testing.T, e *fakeEngine) *Sidecar {
+	srv := httptest.NewServer(e)
+	t.Cleanup(srv.Close)
+	m := telemetry.NewMetrics("agent")
+	t.Cleanup(func() { _ = m.Close() })
+	addr := strings.TrimPrefix(srv.URL, "http://")
+	cfg := &platform.Settings{Instance: "a1", TargetService: "s", TargetAddress: addr}
+	s := New(cfg, clock.System{}, telemetry.NewLogs(io.Discard, settings.Log{}, "a1"), m, peer.NewPool(peer.DialOptions{}),
+		platform.NewEngine(addr, &http.Client{}), nil, nil, 1)
+	s.roster.Update(roster.Target{ID: "engine", Service: "s", Address: addr, State: roster.StateReady, Incarnation: 5})
+	return s
+}
+
+func refuseWithPause(rw http.ResponseWriter, _ *http.Request) {
+	rw.Header().Set("Retry-After", "1.5")
+	rw.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// An engine answers its agent's report with a pause: it gets no call until the end.
+func TestAgentCallsNoEngineThatAskedForAPause(t *testing.T) {
+	e := &fakeEngine{answer: refuseWithPause}
+	s := newSidecarOf(t, e)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	driver := &engineDriver{s: s, pauseDetector: clock.NewPauseDetector(pauseThreshold)}
+	driver.Run(ctx)
+	assert.Equal(t, e.callsBetween(0, 1500*time.Millisecond), 0)
+	assert.Assert(t, e.callsBetween(1500*time.Millisecond, time.Minute) > 0)
+}
+
+// Staged data and load commands are calls as well, and their answers count.
+func TestPauseHoldsForAllCallsOfAnAgent(t *testing.T) {
+	calls := map[string]func(context.Context, *platform.Engine) error{
+		"report": func(ctx context.Context, e *platform.Engine) error {
+			_, err := e.Report(ctx)
+			return err
+		},
+		"load":  func(ctx context.Context, e *platform.Engine) error { return e.Load(ctx, "m", 2, 0) },
+		"stage": func(ctx context.Context, e *platform.Engine) error { return e.StageChunk(ctx, "m", 0, nil) },
+		"staged": func(ctx context.Context, e *platform.Engine) error {
+			_, err := e.StagedChunk(ctx, "m", 0, 1)
+			return err
+		},
+	}
+	for first, call := range calls {
+		t.Run(first, func(t *testing.T) {
+			e := &fakeEngine{answer: refuseWithPause}
+			s := newSidecarOf(t, e)
+			assert.ErrorContains(t, call(t.Context(), s.engine), "503")
+			for _, next := range calls {
+				assert.Check(t, next(t.Context(), s.engine) != nil)
+			}
+			assert.Equal(t, len(e.calls), 1)
+		})
+	}
+}
+
+// An engine that has started again under its ID begins without a pause.
+func TestRestartedEngineBeginsWithoutPause(t *testing.T) {
+	e := &fakeEngine{answer: refuseWithPause}
+	s := newSidecarOf(t, e)
+	assert.ErrorContains(t, s.engine.Load(t.Context(), "m", 2, 0), "503")
+	assert.ErrorIs(t, s.MayCall(), errEnginePaused)
+	s.roster.Update(roster.Target{ID: "engine", Service: "s", Address: s.settings.TargetAddress, State: roster.StateReady, Incarnation: 6})
+	assert.NilError(t, s.MayCall())
+}
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -74,7 +74,7 @@
 
 // New returns a daemon that is idle until its loops run.
 func New(settings *platform.Settings, c clock.Clock, l *telemetry.Logs, m *telemetry.Metrics, pool *peer.Pool, e *platform.Engine, o *platform.Origin, st *platform.Store, seed uint64) *Sidecar {
-	return &Sidecar{
+	s := &Sidecar{
 		settings: settings, clock: c, metrics: m, pool: pool, engine: e, origin: o, store: st,
 		log: logs{
 			config: l.Of(telemetry.SubsystemConfig), members: l.Of(telemetry.SubsystemMembers), weights: l.Of(telemetry.SubsystemWeights),
@@ -87,6 +87,8 @@
 		notices:     notice.NewLedger(),
 		loadChanged: make(chan struct{}), weights: map[uint64]*versionWeights{}, uploads: peer.NewSlots(maxUploads),
 	}
+	e.SetGate(s)
+	return s
 }
 
 func newMirror(settings *platform.Settings) *mirror.Mirror {
