DRAIN: an agent learns from any answer of its engine that it leaves

An engine that stated that it leaves in a refused or failed answer, or in the answer to a load command or a chunk, was not known as leaving by its agent; entries that reach neither the store nor the engine's answers used it on.

Cause: Server-Leaving was read from successful reports only, and the agent told it the entries only while the engine's last report said so. Its own ledger, which entries that restart learn from, did not have it.

Change: the gate of all calls to the engine records it in the agent's ledger, which the exchange with entries and the load messages carry. It counts for the incarnation that is listed, unless the engine's report is of another one: then it is unknown which one answered.

Tests: TestAgentLearnsFromAnyAnswerThatItsEngineLeaves, before: "--- s.exchangeMessage().Leaving +++ -> []notice.Target( - nil, + {{ID: "engine", Incarnation: 5}} )" for each of four statuses; TestLeavingOfUnknownIncarnationIsNotRecorded guards the change itself.

--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -277,7 +277,7 @@
 	if m, e, ok := s.model(); ok {
 		l.Model, l.Version = m.Name, s.servingVersion(m.Name, e)
 	}
-	l.Leaving = s.isEngineUp && r.Leaving
+	l.Leaving = s.isEngineUp && (r.Leaving || s.notices.IsLeaving(s.engineTarget()))
 	l.Accepting = s.isEngineUp && !r.Busy && l.Version != 0
 	return l
 }
--- a/app/sidecar/notices.go
+++ b/app/sidecar/notices.go
@@ -29,15 +29,25 @@
 		s.metrics.Count("malformed_notices", 1)
 		s.log.engine.Warn().Str("header", n.Malformed).Msg("malformed statement of a target")
 	}
-	if n.Pause <= 0 {
+	if !n.Leaving && n.Pause <= 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, t := s.now(), s.engineTarget()
-	until := s.notices.RecordPause(t, n.Pause, now)
-	s.metrics.Count("targets_shedding", 1)
-	s.log.engine.Info().Str("target", string(t.ID)).Dur("pause", until.Sub(now)).Msg(trace.MessageTargetSheds)
+	if n.Pause > 0 {
+		until := s.notices.RecordPause(t, n.Pause, now)
+		s.metrics.Count("targets_shedding", 1)
+		s.log.engine.Info().Str("target", string(t.ID)).Dur("pause", until.Sub(now)).Msg(trace.MessageTargetSheds)
+	}
+	// If the report is of another incarnation than the record, it is unknown which one answered.
+	isCurrent := s.report.Incarnation == 0 || s.report.Incarnation == t.Incarnation
+	if n.Leaving && isCurrent && t.Incarnation != 0 && s.notices.RecordLeaving(t, now) {
+		s.metrics.Count("targets_leaving", 1)
+		s.log.engine.Info().Str("target", string(t.ID)).Msg(trace.MessageTargetLeaves)
+		close(s.loadChanged)
+		s.loadChanged = make(chan struct{})
+	}
 }
 
 // engineTarget returns the incarnation of the engine that is listed. If none is, it is named by
--- a/app/sidecar/notices_test.go
+++ b/app/sidecar/notices_test.go
@@ -15,6 +15,8 @@
 	"amaranthturn/app/settings"
 	"amaranthturn/app/telemetry"
 	"amaranthturn/core/clock"
+	"amaranthturn/core/forward"
+	"amaranthturn/core/notice"
 	"amaranthturn/core/roster"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
@@ -105,12 +107,42 @@
 	}
 }
 
-// An engine that has started again under its ID begins without a pause.
+// Every answer of an engine may state that it leaves, also a failed one. The agent tells the
+// entries.
+func TestAgentLearnsFromAnyAnswerThatItsEngineLeaves(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusConflict, http.StatusInternalServerError, http.StatusServiceUnavailable} {
+		e := &fakeEngine{answer: func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set("Server-Leaving", "1")
+			rw.WriteHeader(status)
+		}}
+		s := newSidecarOf(t, e)
+		_ = s.engine.Load(t.Context(), "m", 2, 0)
+		assert.DeepEqual(t, s.exchangeMessage().Leaving, []notice.Target{{ID: "engine", Incarnation: 5}})
+	}
+}
+
+// An engine that has started again under its ID begins without notices.
 func TestRestartedEngineBeginsWithoutPause(t *testing.T) {
 	e := &fakeEngine{answer: refuseWithPause}
 	s := newSidecarOf(t, e)
 	assert.ErrorContains(t, s.engine.Load(t.Context(), "m", 2, 0), "503")
 	assert.ErrorIs(t, s.MayCall(), errEnginePaused)
-	s.roster.Update(roster.Target{ID: "engine", Service: "s", Address: s.settings.TargetAddress, State: roster.StateReady, Incarnation: 6})
+	s.restartEngine()
 	assert.NilError(t, s.MayCall())
 }
+
+func (s *Sidecar) restartEngine() {
+	s.roster.Update(roster.Target{ID: "engine", Service: "s", Address: s.settings.TargetAddress, State: roster.StateReady, Incarnation: 6})
+}
+
+// An engine has started again, and its agent knows that from a report or from the list only.
+// It is unknown which incarnation states that it leaves.
+func TestLeavingOfUnknownIncarnationIsNotRecorded(t *testing.T) {
+	s := newSidecarOf(t, &fakeEngine{})
+	s.RecordNotices(forward.Notices{Leaving: true})
+	assert.Assert(t, s.notices.IsLeaving(s.engineTarget()))
+	s.report.Incarnation = 5
+	s.restartEngine()
+	s.RecordNotices(forward.Notices{Leaving: true})
+	assert.Assert(t, !s.notices.IsLeaving(s.engineTarget()))
+}
