BUDGET: an attempt that was dialling when the pause began is not sent

A request whose target was chosen before the target asked for a pause was sent as soon as its connection was there. A dial may take 700 ms, of which the rule leaves half a second free, and a burst can have many of them.

Cause: a pause was looked at when a target was chosen and not again.

Change: io/target asks once more when it has a connection, before the first byte. A withdrawn attempt was not sent: it goes on at another target without a retry of the budget, and the target doesn't count as failed. Counter `attempts_withdrawn`.

Ruled out: the same for a target that leaves. A request that waits for a connection was sent by its caller before the answer, which the rule allows for DrainMs, longer than a dial.

Test: TestAttemptThatWasDiallingWhenThePauseBegan, before: "assertion failed: false (l.bytes.Load() == 0 bool) != true (paused bool)".

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -60,6 +60,7 @@
 		// On a connection that a target has answered the request on, a repetition of that
 		// answer could not be told from the answer to this attempt.
 		NewConnection: h.route.Kind == routeconfig.KindNonIdempotent || h.state.IsRepeated(),
+		BeforeSend:    a.checkPause,
 	})
 	h.g.recordNotices(t, h.call.ID, notices)
 	if err != nil {
@@ -263,6 +264,9 @@
 	case parent.Err() != nil:
 		a.result = loadbalance.ResultUnknown
 		return dispatch.Failure{Kind: a.handler.contextFailureKind(parent)}
+	case errors.Is(err, errTargetPaused):
+		a.result = loadbalance.ResultUnknown
+		return dispatch.Failure{Kind: dispatch.KindNotSent}
 	case errors.As(err, &notSent):
 		a.result = loadbalance.ResultFailed
 		return dispatch.Failure{Kind: dispatch.KindNotSent}
--- a/app/gateway/notices.go
+++ b/app/gateway/notices.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
 	"amaranthturn/core/fleet"
@@ -39,6 +40,21 @@
 	g.refreshBalancers(now)
 }
 
+// errTargetPaused reports that a target asked for a pause after it was chosen.
+var errTargetPaused = errors.New("target has asked for a pause")
+
+// checkPause returns an error if the target of an attempt asked for a pause after it was chosen.
+func (a *targetAttempt) checkPause() error {
+	g := a.handler.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.now().Before(g.notices.PausedUntil(noticeTarget(a.target))) {
+		g.metrics.Count("attempts_withdrawn", 1)
+		return errTargetPaused
+	}
+	return nil
+}
+
 // mergeLeaving applies which targets leave as another daemon knows it. mu must be held.
 func (g *Gateway) mergeLeaving(leaving []notice.Target, now time.Time) {
 	added := g.notices.Merge(leaving, now)
--- /dev/null
+++ b/app/gateway/notices_test.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/core/dispatch"
+	"amaranthturn/core/forward"
+	"amaranthturn/core/loadbalance"
+	"amaranthturn/core/roster"
+	"amaranthturn/core/routeconfig"
+	"amaranthturn/io/target"
+	"amaranthturn/platform"
+)
+
+// countingListener counts the bytes that its connections send.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (l *countingListener) run() {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		var b [1 << 10]byte
+		n, _ := c.Read(b[:])
+		l.bytes.Add(int64(n))
+		_ = c.Close()
+	}
+}
+
+// A target asks for a pause while a connection to it is being made, which can take longer than the
+// half second after the answer in which requests may still arrive.
+func TestAttemptThatWasDiallingWhenThePauseBegan(t *testing.T) {
+	for _, paused := range []bool{true, false} {
+		g, c := newTestGateway(t)
+		g.targets = platform.NewTargetClient(target.NewPool())
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		l := &countingListener{Listener: tcp}
+		t.Cleanup(func() { _ = l.Close() })
+		go l.run()
+		chosen := roster.Target{ID: "a", Service: "s", Address: l.Addr().String(), State: roster.StateReady, Incarnation: 5}
+		h := &requestHandler{
+			g: g, call: &forward.Call{ID: "a1", Method: "GET", Host: "h", URI: "/", Header: http.Header{}}, route: &routeconfig.Route{Kind: routeconfig.KindIdempotent},
+			state: dispatch.NewRequest(dispatch.Settings{}, c.t.Add(time.Second)), stream: forward.NewStream(""), deadline: c.t.Add(time.Second),
+		}
+		a := &targetAttempt{handler: h}
+		if paused {
+			g.recordNotices(chosen, "a0", forward.Notices{Pause: 2 * time.Second})
+		}
+		failure, done := a.run(t.Context(), chosen)
+		assert.Assert(t, !done)
+		assert.Equal(t, l.bytes.Load() == 0, paused)
+		if paused {
+			assert.Equal(t, failure.Kind, dispatch.KindNotSent)
+			assert.Equal(t, a.result, loadbalance.ResultUnknown, "the target has not failed")
+		}
+	}
+}
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -63,6 +63,9 @@
 	Version uint64
 	// NewConnection requests a new connection.
 	NewConnection bool
+	// BeforeSend, if set, is called once there is a connection. If it returns an error, nothing is
+	// sent.
+	BeforeSend func() error
 }
 
 // Reply is the status and header of a target's response.
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -87,6 +87,9 @@
 	Body   []byte
 	// NewConnection requires a new connection, for requests that must not be repeated.
 	NewConnection bool
+	// BeforeSend, if set, is called once there is a connection. If it returns an error, nothing is
+	// sent.
+	BeforeSend func() error
 	// Match tells to which request a response with this status and header belongs.
 	Match func(status int, h http.Header) Match
 }
@@ -217,6 +220,12 @@
 	if err != nil {
 		return nil, &NotSentError{Address: addr, Cause: err}
 	}
+	if r.BeforeSend != nil {
+		if err := r.BeforeSend(); err != nil {
+			_ = c.Close() // nothing was sent
+			return nil, &NotSentError{Address: addr, Cause: err}
+		}
+	}
 	resp := &Response{pool: p, conn: c, written: make(chan error, 1)}
 	resp.stop = context.AfterFunc(ctx, func() { _ = c.Close() }) // unblocks reads and writes
 	hr := newHTTPRequest(r)
