--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -44,6 +44,9 @@
 		if c.pauseDetector.Observe(c.s.now()) {
 			c.s.log.process.Warn().Msg(trace.MessageAgentPaused)
 		}
+		if c.s.MayCall() != nil {
+			continue
+		}
 		c.pollEngine(ctx)
 		c.loadIfDue(ctx)
 	}
@@ -274,7 +277,7 @@
 	if m, e, ok := s.model(); ok {
 		l.Model, l.Version = m.Name, s.servingVersion(m.Name, e)
 	}
-	l.Leaving = s.isEngineUp && r.Leaving
+	l.Leaving = s.isEngineUp && (r.Leaving || s.notices.IsLeaving(s.engineTarget()))
 	l.Accepting = s.isEngineUp && !r.Busy && l.Version != 0
 	return l
 }
