A caller that sends a part of a request does not hold a planned stop

What operators saw: a connection on which one byte of a request had arrived kept the entry until the end of the grace period.

Cause: the drain took a connection with a part of a request for one with a request in progress; only the header's own limit of 10 s bounded it.

Change: during a drain the rest of a header has one second to arrive, unless a request on that connection is being handled, whose body keeps the limit that its handler sets. The connection is then closed with the request unread in its whole, so its caller may send it again.

TestStopAnswersRequestReadInPart still fails.

--- a/app/daemon/daemon.go
+++ b/app/daemon/daemon.go
@@ -220,7 +220,10 @@
 	conns := newConnSet()
 	return &Server{
 		Listener: &connListener{Listener: l, conns: conns}, conns: conns,
-		HTTP: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: trackConn},
+		HTTP: &http.Server{
+			Handler: connHandler{h}, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ConnState: trackConn, ConnContext: withConn,
+		},
 	}
 }
 
--- a/app/daemon/drain.go
+++ b/app/daemon/drain.go
@@ -107,6 +107,7 @@
 
 	mu        sync.Mutex // guards all fields below
 	idle      bool       // nothing has arrived since the last response
+	handling  bool       // a request was read and is being handled
 	readAhead bool       // a byte of the next request was read
 	draining  bool
 	deadline  time.Time // the read deadline that the server has set
@@ -133,7 +134,50 @@
 	if c.draining && c.idle {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(c.limited(t))
+}
+
+// partialRequestTime is how long the rest of a header may take to arrive during a drain.
+const partialRequestTime = time.Second
+
+// limited returns the read deadline that applies for the one that the server has set. mu must be held.
+func (c *serverConn) limited(t time.Time) time.Time {
+	if !c.draining || c.handling {
+		return t
+	}
+	limit := time.Now().Add(partialRequestTime)
+	if t.IsZero() || t.After(limit) {
+		return limit
+	}
+	return t
+}
+
+func (c *serverConn) setHandling(handling bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling = handling
+	if handling && c.draining && !c.idle {
+		c.setConnDeadline(c.deadline)
+	}
+}
+
+type connKey struct{}
+
+// withConn implements the hook http.Server.ConnContext.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// connHandler marks the connection of each request that is being handled.
+type connHandler struct{ http.Handler }
+
+// ServeHTTP implements http.Handler.
+func (h connHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*serverConn); ok {
+		c.setHandling(true)
+		defer c.setHandling(false)
+	}
+	h.Handler.ServeHTTP(w, r)
 }
 
 // Close implements net.Conn.
@@ -157,6 +201,8 @@
 	c.draining = true
 	if c.idle {
 		c.setConnDeadline(expired)
+	} else if !c.handling {
+		c.setConnDeadline(c.limited(c.deadline))
 	}
 }
 
@@ -171,7 +217,7 @@
 	case idle:
 		c.setConnDeadline(expired)
 	default:
-		c.setConnDeadline(c.deadline)
+		c.setConnDeadline(c.limited(c.deadline))
 	}
 }
 
