BUDGET: an agent sends its engine nothing in a pause that the engine asked for

What was seen: callers see nothing, their requests complete elsewhere.

Cause: io/engine dropped Retry-After, and an agent offered its engine each request of the entries.

A restart of the engine ends it.

Not in this commit: entries learn of the pause by refusals only; services and orders don't read the header; leaving.

Tests: TestPromisesUnderFaults/shed-engine, with the gate's check switched off: "assertion failed: 1 (int) != 0 (int): [pause_not_respected]"; TestEngineThatAskedForAPauseGetsNoRequests, TestPauseOfEngine.

--- a/app/agent/gate.go
+++ b/app/agent/gate.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/notice"
 	"amaranthturn/core/retry"
+	"amaranthturn/core/trace"
 	"amaranthturn/io/engine"
 	"amaranthturn/io/peer"
 )
@@ -22,6 +24,7 @@
 	crashedRequests []fleet.Fingerprint
 	crashedBoot     uint64 // boot of the engine whose crash was recorded last
 	crashedAt       time.Time
+	pauses          *notice.Ledger // of the engine since it started, under the zero target
 }
 
 // admission is an admitted request.
@@ -34,13 +37,23 @@
 }
 
 func newGate() *gate {
-	return &gate{running: map[uint64]admission{}, closed: map[fleet.Model]bool{}}
+	return &gate{running: map[uint64]admission{}, closed: map[fleet.Model]bool{}, pauses: notice.NewLedger()}
+}
+
+// pause refuses new requests for as long as the engine asked for, and returns the end.
+func (g *gate) pause(d time.Duration, now time.Time) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pauses.RecordPause(notice.Target{}, d, now)
 }
 
 // admit admits a request or returns the refusal.
-func (g *gate) admit(x admission) (admission, *fleet.Refusal) {
+func (g *gate) admit(x admission, now time.Time) (admission, *fleet.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if until := g.pauses.PausedUntil(notice.Target{}); now.Before(until) {
+		return x, fleet.NotRun(fleet.ReasonTargetBusy, until.Sub(now))
+	}
 	if g.closed[x.model] {
 		return x, fleet.NotRun(fleet.ReasonVersionSwitching, retry.BaseDelay)
 	}
@@ -99,6 +112,7 @@
 		return false
 	}
 	g.crashedBoot, g.crashedAt = boot, now
+	g.pauses = notice.NewLedger()
 	g.crashedRequests = nil
 	for _, x := range g.running {
 		g.crashedRequests = append(g.crashedRequests, x.fingerprint)
@@ -166,7 +180,7 @@
 	if !ok {
 		return admission{}, fleet.NotRun(fleet.ReasonVersionUnavailable, retry.BaseDelay)
 	}
-	return a.gate.admit(admission{model: r.Model, version: v, fingerprint: r.Fingerprint, exclusive: r.Exclusive})
+	return a.gate.admit(admission{model: r.Model, version: v, fingerprint: r.Fingerprint, exclusive: r.Exclusive}, now)
 }
 
 // generation forwards the tokens of one request.
@@ -199,6 +213,12 @@
 		return fleet.NotRun(fleet.ReasonVersionUnavailable, retry.BaseDelay)
 	case ctx.Err() != nil:
 		return fleet.Unknown(fleet.ReasonDeadlinePassed)
+	case errors.As(err, &failed) && failed.Pause > 0:
+		now := a.now()
+		until := a.gate.pause(failed.Pause, now)
+		a.opt.Metrics.Count("targets_shedding", 1)
+		a.log.engine.Info().Dur("pause", until.Sub(now)).Msg(trace.MessageTargetSheds)
+		return fleet.NotRun(fleet.ReasonTargetBusy, until.Sub(now))
 	case errors.As(err, &failed) && (failed.Status == 429 || failed.Status == 503):
 		return fleet.NotRun(fleet.ReasonTargetBusy, retry.BaseDelay)
 	case errors.As(err, &failed) && failed.Status == 400:
--- a/app/agent/orders.go
+++ b/app/agent/orders.go
@@ -157,7 +157,7 @@
 	case !now.Before(c.Deadline):
 		return peer.Reply{Refusal: fleet.NotRun(fleet.ReasonDeadlinePassed, 0)}
 	}
-	x, refusal := a.gate.admit(admission{})
+	x, refusal := a.gate.admit(admission{}, now)
 	if refusal != nil {
 		return peer.Reply{Refusal: refusal}
 	}
--- a/app/local/faults.go
+++ b/app/local/faults.go
@@ -54,6 +54,7 @@
 	{name: "partition", help: "a region is temporarily cut off", during: partition},
 	{name: "crash-request", help: "a request crashes every engine that runs it and is sent repeatedly", during: crashRequest},
 	{name: "engine-crash", help: "an engine crashes and restarts without weights", during: engineCrash},
+	{name: "shed-engine", help: "an engine refuses requests and asks for a pause", during: shedEngine},
 	{name: "slow-orders", help: "orders take longer than the callers' timeout", before: slowOrders},
 }
 
@@ -359,4 +360,18 @@
 	daemon.Sleep(ctx, faultDelay)
 }
 
+// maxLateRequests is how many requests may reach an engine in a pause that it has asked for.
+const maxLateRequests = 2
+
+func shedEngine(r *run, ctx context.Context) {
+	d := r.pick(1, isRunner)
+	d.engine.Shed(faultDuration / 2)
+	daemon.Sleep(ctx, faultDuration/2)
+	refused, late := d.engine.ShedRequests()
+	r.printf("%s refused requests: %v, %d of them in its pause", d.instance.ID, refused, late)
+	if late > maxLateRequests {
+		r.violate("pause_not_respected")
+	}
+}
+
 func slowOrders(r *run, _ context.Context) { r.cluster.orders.SetExtraDelay(12 * time.Second) }
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -116,6 +116,8 @@
 	Status int // 0 if there was no usable response
 	Text   string
 	Cause  error
+	// Pause is how long the engine wants no requests, 0 if it does not state it.
+	Pause time.Duration
 }
 
 // Error implements error.
@@ -360,5 +362,21 @@
 	if resp.StatusCode == http.StatusGone {
 		return nil, ErrNotLoaded
 	}
-	return nil, &FailedError{Op: op, Status: resp.StatusCode, Text: strings.TrimSpace(string(text))}
+	return nil, &FailedError{Op: op, Status: resp.StatusCode, Text: strings.TrimSpace(string(text)), Pause: pauseOf(resp)}
+}
+
+// maxPauseSeconds bounds the conversion to a time.Duration.
+const maxPauseSeconds = 1e6
+
+// pauseOf returns how long the engine wants no requests. A value that is not a number of seconds
+// counts as missing.
+func pauseOf(resp *http.Response) time.Duration {
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if err != nil || !(seconds > 0) { // NaN is not above 0
+		return 0
+	}
+	return time.Duration(min(seconds, maxPauseSeconds) * float64(time.Second))
 }
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -58,3 +59,20 @@
 		})
 	}
 }
+
+// An engine that sheds load states for how long. A malformed value must not cost the engine.
+func TestPauseOfEngine(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"1.5": 1500 * time.Millisecond, "0": 0, "-1": 0, "soon": 0, "NaN": 0, "1e999": 0, "1e300": 1e6 * time.Second, "": 0,
+	} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", value)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		t.Cleanup(srv.Close)
+		err := engine.NewClient(srv.URL, srv.Client(), "").Generate(t.Context(), engine.GenerateRequest{}, nil)
+		var failed *engine.FailedError
+		assert.Assert(t, errors.As(err, &failed), "%v", err)
+		assert.Equal(t, failed.Pause, want, value)
+	}
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -72,6 +72,7 @@
 	cancelRun       context.CancelFunc
 	runCtx          context.Context // done when the engine crashes
 	kvCache         map[string][]byte
+	shedding        shedding
 }
 
 type model struct {
@@ -313,6 +314,9 @@
 	if n <= 0 {
 		n = defaultMaxTokens
 	}
+	if e.refuseToShed(w) {
+		return
+	}
 	contentHash, runCtx, ok := e.acquireSlot(w, r, req.Model)
 	if !ok {
 		return
