A drain knows the requests in progress on the callers' server of the gateway

A drain limits the rest of a header to a second unless a request is being handled on the connection, which it learns through http.Server.ConnContext; the gateway replaced that hook by one of its own for resets of unframed responses. The expired read deadline then ended the request's context.

Change: Server.AddConnContext adds a hook instead of replacing it.

Before: TestDrainDoesNotEndARequestInProgress: 502 != 200: {"Error":"caller_gone"}

--- a/app/daemon/daemon.go
+++ b/app/daemon/daemon.go
@@ -227,6 +227,13 @@
 	}
 }
 
+// AddConnContext adds f to the hooks that derive the context of a connection's requests. Replacing
+// http.Server.ConnContext would hide from a drain which requests are being handled.
+func (s *Server) AddConnContext(f func(context.Context, net.Conn) context.Context) {
+	inner := s.HTTP.ConnContext
+	s.HTTP.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return f(inner(ctx, c), c) }
+}
+
 // MetricsServer returns the server for a daemon's metrics on the users' platform.
 func (o Overrides) MetricsServer(ip string, page http.Handler) (*Server, error) {
 	l, err := o.ListenOn("metrics", net.JoinHostPort(ip, MetricsPort))
--- a/app/gateway/module.go
+++ b/app/gateway/module.go
@@ -82,7 +82,7 @@
 	peer.RegisterMesh(rpc, s.g)
 	s.peers = &daemon.Server{Listener: peers, GRPC: rpc}
 	s.callers = daemon.NewHTTPServer(callers, platform.NewCallerHandler(s.g))
-	s.callers.HTTP.ConnContext = platform.WithConn
+	s.callers.AddConnContext(platform.WithConn)
 	for _, srv := range append(s.directory, s.peers, s.callers) {
 		srv.Start()
 	}
