Lines of failed attempts name the service and whether its retry budget was empty

Without them the retries of a service had to be found through the targets' list, and a refusal for want of budget looked like one at the limit of attempts. No logic changes.

--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -289,7 +289,7 @@
 		step := h.state.Failed(failure, h.allowRetry, h.g.random.Float64(), h.g.now())
 		h.g.mu.Unlock()
 		telemetry.FailedAttempt{
-			Request: string(h.call.ID), Target: h.target, Failure: failure, Step: step, Attempts: h.attempts, Events: h.state.Sent(),
+			Request: string(h.call.ID), Service: h.serviceName, Target: h.target, Failure: failure, Step: step, Attempts: h.attempts, Events: h.state.Sent(),
 			Took: h.g.now().Sub(h.startedAt),
 		}.Log(h.g.log.requests)
 		if step.AwaitsBudget && h.awaitBudget(ctx) {
--- a/app/telemetry/requests.go
+++ b/app/telemetry/requests.go
@@ -22,6 +22,7 @@
 // FailedAttempt is an attempt that ended without a complete response.
 type FailedAttempt struct {
 	Request  string
+	Service  fleet.Service // empty for a model
 	Target   fleet.InstanceID
 	Failure  dispatch.Failure
 	Step     dispatch.Step
@@ -37,7 +38,14 @@
 	if a.Failure.Kind == dispatch.KindNoTarget {
 		target = ""
 	}
-	l.Info().Str("request", a.Request).Str("target", string(target)).Str("failure", a.Failure.Kind.String()).
+	ev := l.Info()
+	if a.Service != "" {
+		ev.Str("service", string(a.Service))
+	}
+	if a.Step.BudgetExhausted {
+		ev.Bool("budget_exhausted", true)
+	}
+	ev.Str("request", a.Request).Str("target", string(target)).Str("failure", a.Failure.Kind.String()).
 		Int("attempts", a.Attempts).Int("events", a.Events).Bool("again", a.Step.Retry).Dur("wait", a.Step.Wait).
 		Dur("took", a.Took).Msg(trace.MessageAttemptFailed)
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -75,6 +75,8 @@
 	Retry   bool
 	Wait    time.Duration
 	Refusal *fleet.Refusal // set when Retry is false
+	// BudgetExhausted reports that the budget had no retry left.
+	BudgetExhausted bool
 	// AwaitsBudget reports that the request has sent tokens and lacks nothing but a retry of
 	// the budget. It may be retried as soon as there is one.
 	AwaitsBudget bool
@@ -158,7 +160,7 @@
 		return r.endStep(r.refusalReason(f), 0)
 	case r.consumesBudget(f) && !allow():
 		step := r.endStep(r.refusalReason(f), retry.MaxDelay)
-		step.AwaitsBudget = r.sent > 0
+		step.BudgetExhausted, step.AwaitsBudget = true, r.sent > 0
 		return step
 	}
 	return r.retryStep(f, jitter, now)
