Responses that differ by chance are no sign of an overload of plain targets

Callers would see: where one entry gets most of the requests for a service without agents, most of the slots stay free and requests are refused; before a service with one slot, rare requests are refused although nothing runs. Found by review.

Cause: the mean of the last 8 responses was compared with 1.6 times a running minimum. When durations vary much, it is above that by chance, and the window shrinks faster than it grows. A share below one request was drawn by time from the start on.

Change: an overload needs a mean that four mean deviations of such an average do not explain; the window is at least one request until it has shrunk once.

Before: plain_skew_test.go:101: 0.35 of the slots used, want 0.85 (exponential); 0.18 (a quarter of long requests); plain_idle_test.go:31: 15 of 20 requests served, want 19. Now 0.99, 1.00 and 20.

--- a/core/loadbalance/window.go
+++ b/core/loadbalance/window.go
@@ -15,6 +15,7 @@
 	mean      time.Duration // of the last responses
 	steady    time.Duration // of more responses
 	lowest    time.Duration // lowest steady mean, which approaches the current one with time
+	deviation time.Duration // mean absolute deviation of responses
 	responses int
 	updatedAt time.Time
 	shrunkAt  time.Time
@@ -30,6 +31,8 @@
 	// windowTolerance is the factor above the lowest mean duration up to which responses show
 	// no overload.
 	windowTolerance = 1.6
+	// windowDeviations is the number of mean deviations of an average that its chance explains.
+	windowDeviations = 4
 	// windowDecrease multiplies the window when there is an overload, at most once per
 	// windowInterval.
 	windowDecrease = 0.7
@@ -46,7 +49,7 @@
 // would otherwise keep one request each in flight.
 func (w *window) limit(share float64, random *rand.Rand, now time.Time) int {
 	size := math.Max(share, w.size)
-	if w.responses == 0 {
+	if w.shrunkAt.IsZero() {
 		size = math.Max(1, size)
 	}
 	whole, fraction := math.Modf(size)
@@ -65,13 +68,19 @@
 	w.updateMean(took, now)
 	size := math.Max(share, w.size)
 	switch {
-	case w.responses >= windowResponses && float64(w.mean) > windowTolerance*float64(w.lowest):
+	case w.responses >= windowResponses && w.mean > w.threshold():
 		w.shrink(now)
 	case float64(inFlight) >= size-1:
 		w.size = math.Min(slots, size+1.0/windowResponses)
 	}
 }
 
+// threshold returns the mean duration above which responses show an overload.
+func (w *window) threshold() time.Duration {
+	chance := windowDeviations * float64(w.deviation) / math.Sqrt(windowResponses)
+	return w.lowest + max(time.Duration((windowTolerance-1)*float64(w.lowest)), time.Duration(chance))
+}
+
 // shrink reduces the window after a sign of overload.
 func (w *window) shrink(now time.Time) {
 	if now.Sub(w.shrunkAt) < max(windowInterval, w.mean) {
@@ -87,6 +96,7 @@
 		w.mean, w.steady, w.lowest, w.updatedAt = took, took, took, now
 		return
 	}
+	w.deviation += (max(took-w.steady, w.steady-took) - w.deviation) / time.Duration(min(w.responses, steadyResponses))
 	w.mean += (took - w.mean) / time.Duration(min(w.responses, windowResponses))
 	w.steady += (took - w.steady) / time.Duration(min(w.responses, steadyResponses))
 	if w.responses <= windowResponses || w.steady < w.lowest {
