A begun stream whose target breaks off during a stop is resumed at another target

What callers saw: from the begin of a planned stop on, a stream that had begun was broken off at once when its target failed, if its deadline was later than the answer time of the stop and its route had no sample or a long one; also when another target could complete it in time. Both request paths.

Cause: the limit on what a stopping process may still send to a target (core/shutdown) holds for retries too. A request that has not begun is refused as not run and served elsewhere; a begun response has no such way out, so the limit only makes certain what it should avoid.

Change: for a begun response, an attempt is limited by the time at which answers are due and not by the expected duration.

Before (platform/stop_resume_test.go, app/entry/stop_test.go): TestStopResumesBegunStreamAtAnotherTarget: error is not nil: unexpected EOF (3 of 3) TestStopResumesBegunStream: event: error, outcome unknown, reason instance_leaving (2 of 2) After: 3 of 3 and 3 of 3 pass.

Run: app/entry and app/gateway with -race pass; platform's tests of stops, streams and resumption with -race pass. The whole platform package was not run to its end (over 300 s with -race, over 200 s without, on a busy machine).

--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -287,6 +287,9 @@
 		if done {
 			return nil
 		}
+		if h.state.Sent() > 0 {
+			startCtx = ctx // the response goes on until the answers are due
+		}
 		step := h.state.Failed(failure, h.allowRetry, h.e.jitter(), h.e.now())
 		telemetry.FailedAttempt{
 			Request: h.gen.RequestID, Target: h.target, Failure: failure, Step: step, Attempts: h.attempts, Events: h.state.Sent(),
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -216,7 +216,9 @@
 func (h *requestHandler) stopGroup() shutdown.Group { return shutdown.Group(h.route.Name) }
 
 // canStart reports whether the request may be sent to a target if this process stops.
-func (h *requestHandler) canStart() bool { return h.g.stop.CanStart(h.stopGroup(), h.deadline) }
+func (h *requestHandler) canStart() bool {
+	return h.responseStarted || h.g.stop.CanStart(h.stopGroup(), h.deadline)
+}
 
 // reasonOf returns the reason of a refusal on arrival.
 func reasonOf(c admit.Cause) fleet.Reason {
@@ -316,6 +318,9 @@
 		if done {
 			return nil
 		}
+		if h.responseStarted {
+			startCtx = ctx // the response goes on until the answers are due
+		}
 		h.g.mu.Lock()
 		step := h.state.Failed(failure, h.allowRetry, h.g.random.Float64(), h.g.now())
 		h.g.mu.Unlock()
