BUDGET: a pause of an engine outlasts its record

An agent named the engine's pause by the record that was listed when it was asked for. If that record expired or was removed in the pause (a store that refuses heartbeats), or appeared in it, the name changed, the pause was forgotten, and the agent polled its engine ten times a second.

Change: while a pause holds, a record that appears or expires leaves it in force. A record of another incarnation ends it as before. What concerns leaving is unchanged, so that a new incarnation is not taken for the one that left.

Ruled out: the entries (their notices are kept by ID and incarnation for ten minutes after the record is gone), the project's own agents (one engine each, whose pauses end with its crash).

TestPauseHoldsWhileTheRecordOfTheEngineComesAndGoes before: notices_test.go:161: assertion failed: error is nil, not "engine has asked for a pause" (listed after the pause began) notices_test.go:167: assertion failed: error is nil, not "engine has asked for a pause" (expired after the pause began) Now both pass; go test -race ./app/sidecar passes.

--- a/app/sidecar/notices.go
+++ b/app/sidecar/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/forward"
@@ -17,7 +18,7 @@
 func (s *Sidecar) MayCall() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.now().Before(s.notices.PausedUntil(s.engineTarget())) {
+	if now := s.now(); now.Before(s.notices.PausedUntil(s.pauseTarget(now))) {
 		return errEnginePaused
 	}
 	return nil
@@ -36,7 +37,8 @@
 	defer s.mu.Unlock()
 	now, t := s.now(), s.engineTarget()
 	if n.Pause > 0 {
-		until := s.notices.RecordPause(t, n.Pause, now)
+		s.pausedEngine = s.pauseTarget(now)
+		until := s.notices.RecordPause(s.pausedEngine, n.Pause, now)
 		s.metrics.Count("targets_shedding", 1)
 		s.log.engine.Info().Str("target", string(t.ID)).Dur("pause", until.Sub(now)).Msg(trace.MessageTargetSheds)
 	}
@@ -50,6 +52,16 @@
 	}
 }
 
+// pauseTarget returns the incarnation of the engine whose pause holds. A record that appears or
+// expires in a pause is no sign that the engine has started again. mu must be held.
+func (s *Sidecar) pauseTarget(now time.Time) notice.Target {
+	t, p := s.engineTarget(), s.pausedEngine
+	if now.Before(s.notices.PausedUntil(p)) && (t.Incarnation == 0 || p.Incarnation == 0) {
+		return p
+	}
+	return t
+}
+
 // engineTarget returns the incarnation of the engine that is listed. If none is, it is named by
 // its address. mu must be held.
 func (s *Sidecar) engineTarget() notice.Target {
--- a/app/sidecar/notices_test.go
+++ b/app/sidecar/notices_test.go
@@ -146,3 +146,24 @@
 	s.RecordNotices(forward.Notices{Leaving: true})
 	assert.Assert(t, !s.notices.IsLeaving(s.engineTarget()))
 }
+
+// The record of an engine comes and goes with the store. A pause that the engine asked for holds
+// meanwhile.
+func TestPauseHoldsWhileTheRecordOfTheEngineComesAndGoes(t *testing.T) {
+	record := roster.Target{ID: "engine", Service: "s", State: roster.StateReady, Incarnation: 5}
+	t.Run("listed after the pause began", func(t *testing.T) {
+		s := newSidecarOf(t, &fakeEngine{answer: refuseWithPause})
+		assert.Assert(t, s.roster.Drop(record.ID))
+		assert.ErrorContains(t, s.engine.Load(t.Context(), "m", 2, 0), "503")
+		assert.ErrorIs(t, s.MayCall(), errEnginePaused)
+		record.Address = s.settings.TargetAddress
+		s.roster.Update(record)
+		assert.ErrorIs(t, s.MayCall(), errEnginePaused)
+	})
+	t.Run("expired after the pause began", func(t *testing.T) {
+		s := newSidecarOf(t, &fakeEngine{answer: refuseWithPause})
+		assert.ErrorContains(t, s.engine.Load(t.Context(), "m", 2, 0), "503")
+		assert.Assert(t, s.roster.Drop(record.ID))
+		assert.ErrorIs(t, s.MayCall(), errEnginePaused)
+	})
+}
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -47,21 +47,22 @@
 	store    *platform.Store
 	log      logs
 
-	mu          sync.Mutex // guards all fields below
-	seeds       []string
-	random      *rand.Rand
-	mirror      *mirror.Mirror
-	roster      *roster.Roster
-	entryList   *gossip.List
-	doc         *routeconfig.Document
-	declared    map[fleet.Model]*upgrade.Declarations
-	parts       *crashblame.PartLedger // kept for entries that restart
-	notices     *notice.Ledger         // kept for entries that restart
-	report      platform.Report
-	isEngineUp  bool                       // the last poll of the engine succeeded
-	loadChanged chan struct{}              // closed and replaced when the report changes
-	weights     map[uint64]*versionWeights // by version
-	uploads     peer.Slots
+	mu           sync.Mutex // guards all fields below
+	seeds        []string
+	random       *rand.Rand
+	mirror       *mirror.Mirror
+	roster       *roster.Roster
+	entryList    *gossip.List
+	doc          *routeconfig.Document
+	declared     map[fleet.Model]*upgrade.Declarations
+	parts        *crashblame.PartLedger // kept for entries that restart
+	notices      *notice.Ledger         // kept for entries that restart
+	pausedEngine notice.Target          // that asked for a pause last
+	report       platform.Report
+	isEngineUp   bool                       // the last poll of the engine succeeded
+	loadChanged  chan struct{}              // closed and replaced when the report changes
+	weights      map[uint64]*versionWeights // by version
+	uploads      peer.Slots
 }
 
 type logs struct {
