BUDGET: a restarted entry that reaches no other one doesn't take a part of one of eight

An entry that had exchanged nothing for 5 s since its start took itself for one of eight at most. In a cut in which many entries restart, each of them does so, whatever their number.

Change: it does so only if no other entry is named to it (no seeds).

TestRestartedEntriesThatAreCutOffStayWithinTheBudget before (44 entries, 300 requests in 10 s, 164 retries allowed): budget_test.go:209: assertion failed: worst is greater than 0: 330 retries for 300 requests of the service Now 88.

Not covered: entries that all restart within a cut and reach only a group of the others.

--- a/app/gateway/budget_test.go
+++ b/app/gateway/budget_test.go
@@ -36,6 +36,7 @@
 	starts   []time.Time
 	requests []time.Time // of the small service
 	retries  []time.Time
+	isCut    bool // no entry reaches another
 }
 
 func newBudgetReplay(t *testing.T, entries int) *budgetReplay {
@@ -52,7 +53,7 @@
 
 func (r *budgetReplay) restart(i int) {
 	c := &fakeClock{r.now}
-	cfg := &platform.Settings{Instance: replayedEntry(i), Zone: "z", Region: "r", PeersAddress: "10.0.0.1:1", CallersAddress: "10.0.0.1:2", Bounds: budgetBounds}
+	cfg := &platform.Settings{Instance: replayedEntry(i), Zone: "z", Region: "r", PeersAddress: "10.0.0.1:1", CallersAddress: "10.0.0.1:2", Seeds: []string{"10.0.0.2:1"}, Bounds: budgetBounds}
 	l := telemetry.NewLogs(io.Discard, settings.Log{}, string(cfg.Instance))
 	r.gateways[i], r.clocks[i], r.starts[i] = New(cfg, c, l, r.metrics, nil, nil, nil, uint64(i+1)), c, r.now
 }
@@ -84,7 +85,7 @@
 	for _, c := range r.clocks {
 		c.t = r.now
 	}
-	if r.now.UnixMilli()%500 == 0 {
+	if r.now.UnixMilli()%500 == 0 && !r.isCut {
 		r.exchange()
 	}
 	at := r.now.Sub(time.Unix(0, 0))
@@ -187,3 +188,23 @@
 		}
 	}
 }
+
+// Entries that have all restarted and reach no other one took the part of one of eight each.
+func TestRestartedEntriesThatAreCutOffStayWithinTheBudget(t *testing.T) {
+	const tick = 10 * time.Millisecond
+	r := newBudgetReplay(t, 44)
+	for range 30 * time.Second / tick {
+		r.step(tick, 150, 30, false)
+	}
+	for i := range r.gateways {
+		r.restart(i)
+	}
+	r.isCut = true
+	for range 30 * time.Second / tick {
+		r.step(tick, 150, 30, true)
+		for _, g := range r.gateways {
+			g.tick()
+		}
+	}
+	r.check()
+}
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -167,7 +167,8 @@
 	// minBudgetEntries is the minimum number of entries that the fixed allowance is divided
 	// by, because the list of entries may be incomplete.
 	minBudgetEntries = 8
-	// startBudgetEntries is the number of entries that is assumed until the first exchange.
+	// startBudgetEntries is the number of entries that is assumed until the first exchange. If
+	// other entries are named but out of reach, they may retry as well.
 	startBudgetEntries = 64
 )
 
@@ -300,7 +301,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.maxEntries == 0 && now.Sub(g.startedAt) > gossip.DefaultSettings.Lease {
-		g.divideBudgets(now) // no other entry is in reach
+		if _, isNamed := g.entryList.NextPeer(g.seeds, 0, now); !isNamed {
+			g.divideBudgets(now) // there is no other entry
+		}
 	}
 	g.copyPauses.Observe(now)
 	if g.pauseDetector.Observe(now) {
