Test, known red: entries restarted in a partition divide the allowance by those that they reach

An entry remembers the most entries that it has known, but not over a restart. After a restart in a partition it takes its group for all entries. The replay with 44 entries, 26 of them restarted in a partition into three groups, then a service that fails: budget_test.go:232: assertion failed: worst is greater than 0: 231 retries for 300 requests of the service (164 allowed). The replays that were there give the same figures as before. Not fixed: the number has to come from outside the entry, for example from agents, which outlive it, or from seeds that are out of reach; either changes what entries exchange or costs retries where seeds are stale.

--- a/app/gateway/budget_test.go
+++ b/app/gateway/budget_test.go
@@ -36,11 +36,11 @@
 	starts   []time.Time
 	requests []time.Time // of the small service
 	retries  []time.Time
-	isCut    bool // no entry reaches another
+	groups   int // of entries that reach only each other
 }
 
 func newBudgetReplay(t *testing.T, entries int) *budgetReplay {
-	r := &budgetReplay{t: t, now: time.Unix(1_000_000, 0), metrics: telemetry.NewMetrics("entry")}
+	r := &budgetReplay{t: t, groups: 1, now: time.Unix(1_000_000, 0), metrics: telemetry.NewMetrics("entry")}
 	t.Cleanup(func() { _ = r.metrics.Close() })
 	r.gateways, r.clocks, r.starts = make([]*Gateway, entries), make([]*fakeClock, entries), make([]time.Time, entries)
 	for i := range entries {
@@ -68,10 +68,13 @@
 		reach := math.Pow(2, 2*r.now.Sub(r.starts[i]).Seconds())
 		var records []gossip.Record
 		for j := range r.gateways {
-			if j != i && float64(len(records)) < reach {
+			if j != i && j%r.groups == i%r.groups && float64(len(records)) < reach {
 				records = append(records, gossip.Record{Instance: replayedEntry(j), Sequence: uint64(r.now.UnixNano())})
 			}
 		}
+		if len(records) == 0 {
+			continue
+		}
 		g.mu.Lock()
 		g.entryList.Merge(records, r.now)
 		g.divideBudgets(r.now)
@@ -85,7 +88,7 @@
 	for _, c := range r.clocks {
 		c.t = r.now
 	}
-	if r.now.UnixMilli()%500 == 0 && !r.isCut {
+	if r.now.UnixMilli()%500 == 0 {
 		r.exchange()
 	}
 	at := r.now.Sub(time.Unix(0, 0))
@@ -199,7 +202,7 @@
 	for i := range r.gateways {
 		r.restart(i)
 	}
-	r.isCut = true
+	r.groups = len(r.gateways)
 	for range 30 * time.Second / tick {
 		r.step(tick, 150, 30, true)
 		for _, g := range r.gateways {
@@ -208,3 +211,23 @@
 	}
 	r.check()
 }
+
+// Entries that restart in a partition divide the allowance by those that they reach.
+func TestEntriesRestartedInAPartitionStayWithinTheBudget(t *testing.T) {
+	const tick = 10 * time.Millisecond
+	r := newBudgetReplay(t, 44)
+	for range 30 * time.Second / tick {
+		r.step(tick, 150, 30, false)
+	}
+	r.groups = 3
+	for i := range 26 {
+		r.restart(i)
+	}
+	for range 10 * time.Second / tick {
+		r.step(tick, 150, 30, false)
+	}
+	for range 20 * time.Second / tick {
+		r.step(tick, 150, 30, true)
+	}
+	r.check()
+}
