--- a/app/gateway/budget_test.go
+++ b/app/gateway/budget_test.go
@@ -36,10 +36,11 @@
 	starts   []time.Time
 	requests []time.Time // of the small service
 	retries  []time.Time
+	groups   int // of entries that reach only each other
 }
 
 func newBudgetReplay(t *testing.T, entries int) *budgetReplay {
-	r := &budgetReplay{t: t, now: time.Unix(1_000_000, 0), metrics: telemetry.NewMetrics("entry")}
+	r := &budgetReplay{t: t, groups: 1, now: time.Unix(1_000_000, 0), metrics: telemetry.NewMetrics("entry")}
 	t.Cleanup(func() { _ = r.metrics.Close() })
 	r.gateways, r.clocks, r.starts = make([]*Gateway, entries), make([]*fakeClock, entries), make([]time.Time, entries)
 	for i := range entries {
@@ -52,7 +53,7 @@
 
 func (r *budgetReplay) restart(i int) {
 	c := &fakeClock{r.now}
-	cfg := &platform.Settings{Instance: replayedEntry(i), Zone: "z", Region: "r", PeersAddress: "10.0.0.1:1", CallersAddress: "10.0.0.1:2", Bounds: budgetBounds}
+	cfg := &platform.Settings{Instance: replayedEntry(i), Zone: "z", Region: "r", PeersAddress: "10.0.0.1:1", CallersAddress: "10.0.0.1:2", Seeds: []string{"10.0.0.2:1"}, Bounds: budgetBounds}
 	l := telemetry.NewLogs(io.Discard, settings.Log{}, string(cfg.Instance))
 	r.gateways[i], r.clocks[i], r.starts[i] = New(cfg, c, l, r.metrics, nil, nil, nil, uint64(i+1)), c, r.now
 }
@@ -67,10 +68,13 @@
 		reach := math.Pow(2, 2*r.now.Sub(r.starts[i]).Seconds())
 		var records []gossip.Record
 		for j := range r.gateways {
-			if j != i && float64(len(records)) < reach {
+			if j != i && j%r.groups == i%r.groups && float64(len(records)) < reach {
 				records = append(records, gossip.Record{Instance: replayedEntry(j), Sequence: uint64(r.now.UnixNano())})
 			}
 		}
+		if len(records) == 0 {
+			continue
+		}
 		g.mu.Lock()
 		g.entryList.Merge(records, r.now)
 		g.divideBudgets(r.now)
@@ -187,3 +191,43 @@
 		}
 	}
 }
+
+// Entries that have all restarted and reach no other one took the part of one of eight each.
+func TestRestartedEntriesThatAreCutOffStayWithinTheBudget(t *testing.T) {
+	const tick = 10 * time.Millisecond
+	r := newBudgetReplay(t, 44)
+	for range 30 * time.Second / tick {
+		r.step(tick, 150, 30, false)
+	}
+	for i := range r.gateways {
+		r.restart(i)
+	}
+	r.groups = len(r.gateways)
+	for range 30 * time.Second / tick {
+		r.step(tick, 150, 30, true)
+		for _, g := range r.gateways {
+			g.tick()
+		}
+	}
+	r.check()
+}
+
+// Entries that restart in a partition divide the allowance by those that they reach.
+func TestEntriesRestartedInAPartitionStayWithinTheBudget(t *testing.T) {
+	const tick = 10 * time.Millisecond
+	r := newBudgetReplay(t, 44)
+	for range 30 * time.Second / tick {
+		r.step(tick, 150, 30, false)
+	}
+	r.groups = 3
+	for i := range 26 {
+		r.restart(i)
+	}
+	for range 10 * time.Second / tick {
+		r.step(tick, 150, 30, false)
+	}
+	for range 20 * time.Second / tick {
+		r.step(tick, 150, 30, true)
+	}
+	r.check()
+}
