A pause that an engine asks its agent for does not close it to the entries

Callers would see: after an engine had refused a report of its agent with a pause, all entries took the engine for down until the pause ended, for up to five minutes, although it served requests. Found by review.

Cause: since agents hold to pauses, a refused report was the last one until the pause ended, and it counted as a failed poll.

Change: a poll that ends in a pause leaves the state of the engine as it was. The load that is reported meanwhile is that of the last report.

Before: TestPauseOfReportsKeepsTheEngineOpen: notices_test.go:178: assertion failed: expression is false: s.isEngineUp

--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -57,6 +57,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	r, err := s.engine.Report(ctx)
+	if err != nil && s.MayCall() != nil {
+		return // the engine asks this instance for a pause, which says nothing about its load
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	up := err == nil
--- a/app/sidecar/notices_test.go
+++ b/app/sidecar/notices_test.go
@@ -167,3 +167,13 @@
 		assert.ErrorIs(t, s.MayCall(), errEnginePaused)
 	})
 }
+
+// A pause that an engine asked its agent for closed it to the entries as well.
+func TestPauseOfReportsKeepsTheEngineOpen(t *testing.T) {
+	e := &fakeEngine{answer: refuseWithPause}
+	s := newSidecarOf(t, e)
+	s.isEngineUp = true
+	(&engineDriver{s: s}).pollEngine(t.Context())
+	assert.ErrorIs(t, s.MayCall(), errEnginePaused)
+	assert.Assert(t, s.isEngineUp)
+}
