--- /dev/null
+++ b/io/target/http10.go
@@ -0,0 +1,8 @@
+package target
+
+import (
+	"bytes"
+	"strings"
+)
+
+
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -201,6 +201,8 @@
 
 func (c *conn) endHeader() { c.head = nil }
 
+func (c *conn) endHeader() { c.head = nil }
+
 // hasEncodingInHTTP10 reports whether a response of HTTP/1.0 states a transfer encoding.
 // http.ReadResponse drops that header, and the sizes of chunks would become a part of the body.
 // Only the part of the header that fits into the buffer is examined.
