Whether a response has begun is read without a race by the stall timer

Cause: since a begun response may be sent again during a stop, the timer of a silent target reads requestHandler.responseStarted, which the request's goroutine writes.

Change: the field is atomic.

Before: WARNING: DATA RACE, write in forwardEvents, read in canStart from onStallTimer; TestSilentTargetWithoutReplacementKeepsItsRequest: race detected during execution of test. Now it passes under the race detector.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -125,7 +125,7 @@
 		return a.transportFailure(parent, err), false
 	}
 	a.recordResponseStart()
-	a.handler.responseStarted = true
+	a.handler.responseStarted.Store(true)
 	a.handler.out.WriteResponse(sent.Reply, body)
 	return dispatch.Failure{}, true
 }
@@ -148,8 +148,8 @@
 			a.result = loadbalance.ResultFailed
 			return dispatch.Failure{Kind: dispatch.KindInvalidResponse}, false
 		}
-		if !h.responseStarted {
-			h.responseStarted = true
+		if !h.responseStarted.Load() {
+			h.responseStarted.Store(true)
 			h.stream.Begin(sent.Reply)
 			h.out.WriteHeader(sent.Reply)
 		}
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -60,7 +61,7 @@
 	deadline         time.Time
 	queueWait        time.Duration
 	timeToFirstEvent time.Duration // until the first event or the response
-	responseStarted  bool          // the response header was sent to the caller
+	responseStarted  atomic.Bool   // the response header was sent to the caller
 	retryReserved    bool          // a retry was taken from the budget and not used; guarded by Gateway.mu
 	attempts         int
 	target           fleet.InstanceID
@@ -89,7 +90,7 @@
 	switch {
 	case refusal == nil:
 		return nil
-	case h.responseStarted:
+	case h.responseStarted.Load():
 		return errTruncated
 	}
 	out.Refuse(*refusal)
@@ -217,7 +218,7 @@
 
 // canStart reports whether the request may be sent to a target if this process stops.
 func (h *requestHandler) canStart() bool {
-	return h.responseStarted || h.g.stop.CanStart(h.stopGroup(), h.deadline)
+	return h.responseStarted.Load() || h.g.stop.CanStart(h.stopGroup(), h.deadline)
 }
 
 // reasonOf returns the reason of a refusal on arrival.
@@ -318,7 +319,7 @@
 		if done {
 			return nil
 		}
-		if h.responseStarted {
+		if h.responseStarted.Load() {
 			startCtx = ctx // the response goes on until the answers are due
 		}
 		h.g.mu.Lock()
@@ -332,7 +333,7 @@
 			step = dispatch.Step{Retry: true}
 		}
 		if !step.Retry {
-			if h.targetFailure != nil && !h.responseStarted {
+			if h.targetFailure != nil && !h.responseStarted.Load() {
 				h.out.WriteResponse(h.targetFailure.Reply, h.targetFailure.body)
 				return nil
 			}
@@ -495,5 +496,5 @@
 	}
 	telemetry.LogOutcome(ev.Str("request", string(h.call.ID)).Str("workspace", string(h.workspace)).Str("target", string(h.target)).
 		Int("attempts", h.attempts).Dur("waited", h.queueWait).Dur("first", h.timeToFirstEvent).Dur("took", h.g.now().Sub(h.startedAt)).
-		Bool("begun", h.responseStarted), refusal)
+		Bool("begun", h.responseStarted.Load()), refusal)
 }
