A request takes the gateway's lock once before it is admitted

The expected duration of responses was read under a lock of its own, before the check that the service is still configured, and so made the state of a removed service again. The deadline in the queue is now computed under the one lock, after that check. No decision changes.

--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -159,14 +159,6 @@
 	}
 	now := g.now()
 	g.mu.Lock()
-	expected := g.service(h.serviceName).balancer.ExpectedDuration()
-	g.mu.Unlock()
-	queueDeadline := now.Add(loadbalance.MaxWait(h.route.LatencyObjective, expected))
-	if h.deadline.Before(queueDeadline) {
-		queueDeadline = h.deadline
-	}
-	req := admit.Request{Workspace: h.workspace, Class: h.class, Deadline: queueDeadline, Cost: h.cost()}
-	g.mu.Lock()
 	if h.crashesTargets(now) {
 		g.mu.Unlock()
 		return fleet.NotRun(fleet.ReasonCrashesTargets, 0)
@@ -175,15 +167,19 @@
 		g.mu.Unlock()
 		return fleet.NotRun(fleet.ReasonUnknownService, baseRetryAfter)
 	}
-	if refusal := h.refuseWhileShedding(g.service(h.serviceName), queueDeadline, now); refusal != nil {
+	svc := g.service(h.serviceName)
+	queueDeadline := now.Add(loadbalance.MaxWait(h.route.LatencyObjective, svc.balancer.ExpectedDuration()))
+	if h.deadline.Before(queueDeadline) {
+		queueDeadline = h.deadline
+	}
+	if refusal := h.refuseWhileShedding(svc, queueDeadline, now); refusal != nil {
 		g.mu.Unlock()
 		return refusal
 	}
 	g.nextID++
-	req.ID = g.nextID
+	req := admit.Request{ID: g.nextID, Workspace: h.workspace, Class: h.class, Deadline: queueDeadline, Cost: h.cost()}
 	req.Late = h.hasReturned(now)
 	g.budgets.RecordRequest(h.serviceName, now)
-	svc := g.service(h.serviceName)
 	decision := svc.queue.Offer(req, now)
 	var verdict chan admit.Verdict
 	if decision.Verdict == admit.Queued {
