A planned stop answers a request of which a part came together with the one before

Cause: the server buffers what it reads, and doesn't tell what is left in its buffer when a request has been answered. A connection whose next request had begun in the same read counted as idle, and a drain closed it. Change: a connection delivers no more than the rest of one request in one read (splitter), so what follows is known. Disconnects of a caller that sent two requests are noticed as before. Ruled out: an estimate from the size of the read; it fails when the first request has a body.

--- a/app/daemon/drain.go
+++ b/app/daemon/drain.go
@@ -112,19 +112,54 @@
 	readAhead bool       // a byte of the next request was read
 	draining  bool
 	deadline  time.Time // the read deadline that the server has set
+	requests  splitter
+	held      []byte // received and not yet read by the server
 }
 
-// Read implements net.Conn.
+// maxHeld limits what is received of the next request while one is handled.
+const maxHeld = 4 << 10
+
+// Read implements net.Conn. It returns no more than the rest of one request, so that it is known
+// whether anything follows a request that was answered: the server doesn't tell what it has buffered.
 func (c *serverConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
+	// While a request is handled, net/http reads one byte to notice that the caller disconnects.
+	watching := len(p) == 1
+	for {
 		c.mu.Lock()
-		defer c.mu.Unlock()
-		// While a request is handled, net/http reads one byte to notice that the caller disconnects.
-		c.readAhead = !c.idle && len(p) == 1
-		c.setIdle(false)
+		if len(c.held) > 0 && (!watching || len(c.held) >= maxHeld) {
+			n := c.deliver(p, c.held)
+			c.held = c.held[n:]
+			c.mu.Unlock()
+			return n, nil
+		}
+		target := p
+		if len(c.held) > 0 {
+			target = make([]byte, maxHeld-len(c.held))
+		}
+		c.mu.Unlock()
+		n, err := c.Conn.Read(target)
+		if n == 0 {
+			return 0, err
+		}
+		c.mu.Lock()
+		if len(c.held) > 0 {
+			c.held = append(c.held, target[:n]...)
+			c.mu.Unlock()
+			continue
+		}
+		delivered := c.deliver(p, p[:n])
+		c.held = append([]byte(nil), p[delivered:n]...)
+		c.mu.Unlock()
+		return delivered, nil // the next read returns the error again
 	}
-	return n, err
+}
+
+// deliver copies the part of data that belongs to one request to p. mu must be held.
+func (c *serverConn) deliver(p, data []byte) int {
+	n := copy(p, data[:c.requests.take(data[:min(len(p), len(data))])])
+	c.readAhead = !c.idle && len(p) == 1
+	c.setIdle(false)
+	return n
 }
 
 // SetReadDeadline implements net.Conn.
@@ -162,6 +197,13 @@
 	}
 }
 
+// setBody records the length of the body of the request that was read, -1 for chunks.
+func (c *serverConn) setBody(length int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests.setBody(length)
+}
+
 type connKey struct{}
 
 // withConn implements the hook http.Server.ConnContext.
@@ -175,6 +217,7 @@
 // ServeHTTP implements http.Handler.
 func (h connHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*serverConn); ok {
+		c.setBody(r.ContentLength)
 		c.setHandling(true)
 		defer c.setHandling(false)
 	}
@@ -245,7 +288,7 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.setIdle(!c.readAhead)
+		c.setIdle(!c.readAhead && len(c.held) == 0)
 	case http.StateActive: // also for a request that was read together with the previous one
 		c.readAhead = false
 		c.setIdle(false)
--- a/app/daemon/drain_partial_test.go
+++ b/app/daemon/drain_partial_test.go
@@ -90,3 +90,48 @@
 	time.Sleep(50 * time.Millisecond)
 	assert.NilError(t, <-drain(t, s))
 }
+
+// The next request begins in the read in which the body of the one before ends.
+func TestStopAnswersRequestReadInPartAfterBody(t *testing.T) {
+	for name, first := range map[string]string{
+		"length": "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nabcd",
+		"chunks": "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n2;x=y\r\ncd\r\n0\r\nA: b\r\n\r\n",
+	} {
+		for _, part := range []string{"G", "GET /2 HT", "GET /2 HTTP/1.1\r\nHost: h\r\n"} {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, len(part)), func(t *testing.T) {
+				s, addr := startServer(t, &recorder{handled: map[string]int{}, delay: 300 * time.Millisecond})
+				k := dial(t, addr)
+				const second = "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+				assert.NilError(t, k.write(first+part))
+				time.Sleep(100 * time.Millisecond)
+				done := drain(t, s)
+				body, err := k.response()
+				assert.NilError(t, err)
+				assert.Equal(t, body, "/1 <nil>")
+				time.Sleep(50 * time.Millisecond)
+				assert.NilError(t, k.write(second[len(part):]))
+				body, err = k.response()
+				assert.NilError(t, err)
+				assert.Equal(t, body, "/2 <nil>")
+				assert.NilError(t, <-done)
+			})
+		}
+	}
+}
+
+// A caller that sent a second request together with the first and then disconnects is noticed while
+// the first one is handled.
+func TestDisconnectAfterTwoRequestsIsNoticed(t *testing.T) {
+	h := &recorder{handled: map[string]int{}, delay: 5 * time.Second}
+	_, addr := startServer(t, h)
+	k := dial(t, addr)
+	const second = "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+	assert.NilError(t, k.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"+second))
+	time.Sleep(100 * time.Millisecond)
+	assert.NilError(t, k.Close())
+	select {
+	case <-h.ended():
+	case <-time.After(2 * time.Second):
+		t.Fatal("the first request is still handled 2 s after its caller has disconnected")
+	}
+}
--- a/app/daemon/drain_test.go
+++ b/app/daemon/drain_test.go
@@ -23,6 +23,18 @@
 	mu      sync.Mutex // guards handled
 	handled map[string]int
 	delay   time.Duration
+	once    sync.Once
+	end     chan struct{} // closed when a request ends
+}
+
+// ended returns a channel that is closed when a request ends.
+func (r *recorder) ended() chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.end == nil {
+		r.end = make(chan struct{})
+	}
+	return r.end
 }
 
 // ServeHTTP implements http.Handler.
@@ -37,6 +49,8 @@
 		err = errors.Join(err, req.Context().Err())
 	}
 	_, _ = fmt.Fprintf(w, "%s %v", req.URL.Path, err)
+	ended := r.ended()
+	r.once.Do(func() { close(ended) })
 }
 
 func (r *recorder) count(path string) int {
