A daemon computes the usable targets once for each change of the list

Cause: Roster.Usable built and sorted the list of all targets at each call, and Roster.At looked through all of them. Entries ask for them at each exchange and each load report, agents forty times a second while they fetch. Change: what is derived from the records is kept until they change. The result of Usable is shared. Ruled out: an index kept up to date with each record; the list changes rarely, and building it is simple.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -119,6 +119,11 @@
 	storeUnavailable bool
 	storeRecoveredAt time.Time
 	version          uint64
+	missing          int // records that are missing from the store
+	// latest and usable are derived from the records when they are needed. They are nil after a
+	// change of the view.
+	latest map[string]*record // by address, the target that started last
+	usable map[fleet.Service][]Target
 }
 
 // New returns an empty view.
@@ -126,13 +131,38 @@
 	return &Roster{settings: settings, records: map[fleet.InstanceID]*record{}}
 }
 
+// changed records a change of the view.
+func (r *Roster) changed() {
+	r.version++
+	r.latest, r.usable = nil, nil
+}
+
+// put adds or replaces a record.
+func (r *Roster) put(rec *record) {
+	r.delete(rec.ID)
+	r.records[rec.ID] = rec
+	r.changed()
+}
+
+// delete removes the record of a target if there is one.
+func (r *Roster) delete(id fleet.InstanceID) {
+	rec, ok := r.records[id]
+	if !ok {
+		return
+	}
+	if !rec.missingSince.IsZero() {
+		r.missing--
+	}
+	delete(r.records, id)
+	r.changed()
+}
+
 // Version returns a number that increases with each change of the view.
 func (r *Roster) Version() uint64 { return r.version }
 
 // Update adds or updates a target that the platform lists.
 func (r *Roster) Update(t Target) {
-	r.version++
-	r.records[t.ID] = &record{Target: t}
+	r.put(&record{Target: t})
 }
 
 // Remove handles the deletion of a target's record and reports whether the target was
@@ -142,26 +172,24 @@
 	if !ok {
 		return false
 	}
-	r.version++
 	if rec.State == StateReady && r.mayHaveExpired(now) {
 		if rec.missingSince.IsZero() {
 			rec.missingSince = now
+			r.missing++
+			r.version++
 		}
 		return false
 	}
-	delete(r.records, id)
+	r.delete(id)
 	return true
 }
 
 // Drop removes a target whose record is there but names no target, and reports whether it was in
 // the view. Unlike a missing record, it cannot have expired.
 func (r *Roster) Drop(id fleet.InstanceID) bool {
-	if _, ok := r.records[id]; !ok {
-		return false
-	}
-	r.version++
-	delete(r.records, id)
-	return true
+	_, ok := r.records[id]
+	r.delete(id)
+	return ok
 }
 
 // mayHaveExpired reports whether a missing record may have expired because the target could
@@ -185,15 +213,14 @@
 // Expire removes the targets whose record is still missing after ExpiryGrace and returns
 // their ids.
 func (r *Roster) Expire(now time.Time) []fleet.InstanceID {
-	if r.mayHaveExpired(now) {
+	if r.missing == 0 || r.mayHaveExpired(now) {
 		return nil
 	}
 	var out []fleet.InstanceID
 	for id, rec := range r.records {
 		if !rec.missingSince.IsZero() {
-			delete(r.records, id)
+			r.delete(id)
 			out = append(out, id)
-			r.version++
 		}
 	}
 	return out
@@ -201,20 +228,39 @@
 
 // Usable returns the targets of a service that may receive requests, sorted by id. If
 // several records have the same address, only the target that started last can be running
-// there: the records of the earlier ones have not expired yet.
+// there: the records of the earlier ones have not expired yet. The result is shared and must not
+// be modified.
 func (r *Roster) Usable(s fleet.Service) []Target {
-	latest := map[string]fleet.Incarnation{}
-	for _, rec := range r.records {
-		latest[rec.Address] = max(latest[rec.Address], rec.Incarnation)
+	if r.usable == nil {
+		r.usable = map[fleet.Service][]Target{}
+		latest := r.latestByAddress()
+		for _, rec := range r.records {
+			if rec.State == StateReady && rec.Incarnation >= latest[rec.Address].Incarnation {
+				r.usable[rec.Service] = append(r.usable[rec.Service], rec.Target)
+			}
+		}
+		for _, targets := range r.usable {
+			sortByID(targets)
+		}
 	}
-	var out []Target
-	for _, rec := range r.records {
-		if rec.Service == s && rec.State == StateReady && rec.Incarnation >= latest[rec.Address] {
-			out = append(out, rec.Target)
+	return r.usable[s]
+}
+
+// latestByAddress returns the target at each address that started last.
+func (r *Roster) latestByAddress() map[string]*record {
+	if r.latest == nil {
+		r.latest = make(map[string]*record, len(r.records))
+		for _, rec := range r.records {
+			if l, ok := r.latest[rec.Address]; !ok || rec.Incarnation > l.Incarnation {
+				r.latest[rec.Address] = rec
+			}
 		}
 	}
-	slices.SortFunc(out, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+	return r.latest
+}
+
+func sortByID(targets []Target) {
+	slices.SortFunc(targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // All returns every target, sorted by id.
@@ -223,19 +269,14 @@
 	for _, rec := range r.records {
 		out = append(out, rec.Target)
 	}
-	slices.SortFunc(out, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	sortByID(out)
 	return out
 }
 
 // At returns the target at an address, or the one that started last if there are several.
 func (r *Roster) At(address string) (Target, bool) {
-	var latest *record
-	for _, rec := range r.records {
-		if rec.Address == address && (latest == nil || rec.Incarnation > latest.Incarnation) {
-			latest = rec
-		}
-	}
-	if latest == nil {
+	latest, ok := r.latestByAddress()[address]
+	if !ok {
 		return Target{}, false
 	}
 	return latest.Target, true
