A load report updates the balancer for its target only

Cause: each report that changed a target's state, and each failed connection to an agent, updated the balancers with all targets of all services. An agent that can't be reached is tried again every 0.4 s, so that the cost of a start, of added targets and of a partition grew with the square of the number of targets. Change: Balancer.SetEngine replaces what is known about one engine. An agent that was never reached changes nothing. Entries that join or leave, whose effect on an entry's share came with the next load report, update the balancers themselves, after each exchange. So does a pause.

--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -85,6 +85,7 @@
 	loads              map[fleet.InstanceID]peer.TargetLoad // last report of each target's agent
 	loadWatches        map[string]*loadWatch                // by address of the target
 	services           map[fleet.Service]*service
+	appliedShare       entryShare // that the balancers were last updated for
 	waiters            map[admit.RequestID]chan admit.Verdict
 	unstarted          map[*targetAttempt]struct{} // sent to a target, no response yet
 	nextID             admit.RequestID
@@ -311,6 +312,7 @@
 		g.metrics.Count("pauses", 1)
 		g.entryList.Resumed(now)
 		g.loads = map[fleet.InstanceID]peer.TargetLoad{}
+		g.refreshBalancers(now)
 	}
 	g.handleChanges(g.mirror.Tick(now), g.mirror.CurrentAt(), now)
 	if expired := g.roster.Expire(now); len(expired) > 0 {
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -46,6 +46,7 @@
 func (e *entryExchanger) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.exchange(ctx)
+		e.g.refreshForEntries()
 		e.g.watchTargets(ctx)
 		e.wait(ctx)
 	}
@@ -256,6 +257,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	w := &loadWatch{g: g, targetAddress: addr, period: period, cancel: cancel, hasReported: ok && old.hasReported}
 	g.loadWatches[addr] = w
+	if t, listed := w.listedTarget(); listed && ok {
+		g.refreshEngine(t, g.now()) // the interval between reports has changed
+	}
 	go w.run(ctx)
 }
 
@@ -307,7 +311,7 @@
 	g.loads[t.ID] = l
 	if !known || old.Version != l.Version || old.Accepting != l.Accepting {
 		g.log.members.Info().Str("target", string(t.ID)).Uint64("serving", l.Version).Bool("accepting", l.Accepting).Msg(trace.MessageTargetChanged)
-		g.refreshBalancers(now)
+		g.refreshEngine(t, now)
 	}
 	s := g.service(t.Service)
 	s.balancer.RecordReport(t.ID, l.Running+l.Queued, now)
@@ -317,9 +321,10 @@
 func (w *loadWatch) clearLoad() {
 	w.g.mu.Lock()
 	defer w.g.mu.Unlock()
-	if t, ok := w.listedTarget(); ok {
+	t, ok := w.listedTarget()
+	if _, known := w.g.loads[t.ID]; ok && known {
 		delete(w.g.loads, t.ID)
-		w.g.refreshBalancers(w.g.now())
+		w.g.refreshEngine(t, w.g.now())
 	}
 }
 
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"amaranthturn/app/daemon"
@@ -355,12 +354,17 @@
 	}
 	byService := map[fleet.Service][]loadbalance.Target{}
 	unreported := map[fleet.Service]bool{} // services without agents whose targets state their slots
-	position, entries := g.entryList.Position(now)
+	g.metrics.Count("balancer_refreshes", 1)
+	g.appliedShare = g.share(now)
+	position, entries := g.appliedShare.position, g.appliedShare.zoneEntries
 	for _, svc := range doc.Services() {
-		targets := slices.DeleteFunc(g.roster.Usable(svc.Name), func(t roster.Target) bool { return g.notices.IsLeaving(noticeTarget(t)) })
+		targets := g.roster.Usable(svc.Name)
 		sameZone, index := 0, 0
 		unreported[svc.Name] = svc.Engine == nil
 		for _, t := range targets {
+			if g.notices.IsLeaving(noticeTarget(t)) {
+				continue
+			}
 			if t.Zone == g.settings.Zone {
 				sameZone++
 			}
@@ -369,10 +373,12 @@
 			}
 		}
 		for _, t := range targets {
+			if g.notices.IsLeaving(noticeTarget(t)) {
+				continue
+			}
 			candidate := loadbalance.Target{ID: t.ID, Incarnation: t.Incarnation, Slots: max(1, t.Slots), SameZone: t.Zone == g.settings.Zone, NotBefore: g.notices.PausedUntil(noticeTarget(t))}
 			if svc.Engine != nil {
-				candidate.ReportsLoad, candidate.ReportInterval = g.loadReports(t.Address)
-				candidate.Closed = !g.canServe(t, now)
+				candidate.Engine = g.engineState(t, now)
 				candidate.Home = candidate.SameZone && loadbalance.IsHome(position, entries, index, sameZone)
 			}
 			if candidate.SameZone {
@@ -391,13 +397,37 @@
 	}
 	for name, candidates := range byService {
 		s := g.service(name)
-		s.balancer.SetEntries(g.entryCount(now))
+		s.balancer.SetEntries(g.appliedShare.entries)
 		s.balancer.SetUnreported(unreported[name])
 		s.balancer.SetTargets(candidates)
 		g.notifyWaiters(s.queue.Tick(now))
 	}
 }
 
+// entryShare is what decides about this entry's share of the targets.
+type entryShare struct {
+	position, zoneEntries int // among the live entries of the zone
+	entries               int // that may use the targets
+}
+
+// share returns this entry's share of the targets. mu must be held.
+func (g *Gateway) share(now time.Time) entryShare {
+	s := entryShare{entries: g.entryCount(now)}
+	s.position, s.zoneEntries = g.entryList.Position(now)
+	return s
+}
+
+// refreshForEntries updates the balancers if the entries that share the targets have changed. mu
+// must not be held.
+func (g *Gateway) refreshForEntries() {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.share(now) != g.appliedShare {
+		g.refreshBalancers(now)
+	}
+}
+
 // entryCount returns how many entries may use the targets: those that are live, and at least as
 // many as there are seeds, since an entry that has just started does not know the others. mu must
 // be held.
@@ -405,14 +435,23 @@
 	return max(len(g.entryList.Live(now))+1, len(g.seeds))
 }
 
-// loadReports returns whether the agent of the target at an address has reported load, and how
-// often it is asked to. A target that was added may have no agent. mu must be held.
-func (g *Gateway) loadReports(address string) (hasReported bool, interval time.Duration) {
-	w, ok := g.loadWatches[address]
-	if !ok {
-		return false, 0
+// engineState returns what the balancer knows of a model's target from its agent. A target that
+// was added may have no agent. mu must be held.
+func (g *Gateway) engineState(t roster.Target, now time.Time) loadbalance.Engine {
+	e := loadbalance.Engine{Closed: !g.canServe(t, now)}
+	if w, ok := g.loadWatches[t.Address]; ok {
+		e.ReportsLoad, e.ReportInterval = w.hasReported, w.period
+	}
+	return e
+}
+
+// refreshEngine updates the balancer with what has changed at one model's target. Unlike
+// refreshBalancers its cost does not grow with the number of targets. mu must be held.
+func (g *Gateway) refreshEngine(t roster.Target, now time.Time) {
+	if s, ok := g.services[t.Service]; ok {
+		s.balancer.SetEngine(t.ID, g.engineState(t, now))
+		g.notifyWaiters(s.queue.Tick(now))
 	}
-	return w.hasReported, w.period
 }
 
 // versionChangeMargin is subtracted from the time within which a new version has to be in
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -106,14 +106,19 @@
 	SameZone bool
 	// Home reports whether the target is one of those in its zone that this entry prefers.
 	Home bool
+	// NotBefore is the end of the time in which the target wants no requests.
+	NotBefore time.Time
+	Engine
+}
+
+// Engine holds what the agent of a model's target reports about it. It is zero for other targets.
+type Engine struct {
 	// ReportsLoad reports whether an agent at the target's address has reported load.
 	ReportsLoad bool
 	// ReportInterval is the time between two reports of the target's load.
 	ReportInterval time.Duration
 	// Closed reports whether the target finishes its requests and accepts no new ones.
 	Closed bool
-	// NotBefore is the end of the time in which the target wants no requests.
-	NotBefore time.Time
 }
 
 // targetState is a target and its load as this entry knows it.
@@ -171,6 +176,13 @@
 	b.targets = states
 }
 
+// SetEngine replaces what is known about the engine of one target.
+func (b *Balancer) SetEngine(id fleet.InstanceID, e Engine) {
+	if s, ok := b.targets[id]; ok {
+		s.Engine = e
+	}
+}
+
 // RecordReport records how many requests run or are queued on a target, including those of
 // this entry.
 func (b *Balancer) RecordReport(id fleet.InstanceID, requests int, now time.Time) {
--- a/core/loadbalance/loadbalance_test.go
+++ b/core/loadbalance/loadbalance_test.go
@@ -135,7 +135,7 @@
 
 func TestClosedTargetGetsNoRequests(t *testing.T) {
 	b := newTestBalancer(1, 4)
-	b.SetTargets([]loadbalance.Target{{ID: id(0), Slots: 4, Closed: true}})
+	b.SetTargets([]loadbalance.Target{{ID: id(0), Slots: 4, Engine: loadbalance.Engine{Closed: true}}})
 	_, ok := b.Choose(loadbalance.Query{AllowFull: true}, t0)
 	assert.Assert(t, !ok)
 	assert.Equal(t, b.FreeSlots(t0), 0)
@@ -211,7 +211,7 @@
 	b := newTestBalancer(3, 16)
 	later := func(d time.Duration) time.Time { return t0.Add(d) }
 	b.SetTargets([]loadbalance.Target{
-		{ID: id(0), Slots: 16, NotBefore: later(2 * time.Second)}, {ID: id(1), Slots: 16, NotBefore: later(time.Second)}, {ID: id(2), Slots: 16, Closed: true},
+		{ID: id(0), Slots: 16, NotBefore: later(2 * time.Second)}, {ID: id(1), Slots: 16, NotBefore: later(time.Second)}, {ID: id(2), Slots: 16, Engine: loadbalance.Engine{Closed: true}},
 	})
 	_, ok := b.Choose(loadbalance.Query{AllowFull: true}, t0)
 	assert.Assert(t, !ok)
@@ -231,7 +231,7 @@
 func TestTargetWhoseAgentIsDownIsUsed(t *testing.T) {
 	for _, slots := range []int{1, 4, 16} {
 		b := newTestBalancer(1, slots)
-		b.SetTargets([]loadbalance.Target{{ID: id(0), Slots: slots, ReportsLoad: true}})
+		b.SetTargets([]loadbalance.Target{{ID: id(0), Slots: slots, Engine: loadbalance.Engine{ReportsLoad: true}}})
 		assert.Equal(t, b.FreeSlots(t0), 1, "%d slots", slots)
 		assert.Equal(t, b.FreeSlots(t0.Add(loadbalance.DefaultSettings.ReportHold)), 1)
 		// What is left of the assumption counts as one request until it is exactly zero.
--- a/core/loadbalance/replay_test.go
+++ b/core/loadbalance/replay_test.go
@@ -230,7 +230,8 @@
 	var out []loadbalance.Target
 	index := 0
 	for _, g := range r.engines {
-		t := loadbalance.Target{ID: g.id, Incarnation: g.starts, Slots: engineSlots, ReportsLoad: true, ReportInterval: r.size.reportPeriod(g.zone, e.zone), SameZone: g.zone == e.zone, Closed: g.down}
+		t := loadbalance.Target{ID: g.id, Incarnation: g.starts, Slots: engineSlots, SameZone: g.zone == e.zone,
+			Engine: loadbalance.Engine{ReportsLoad: true, ReportInterval: r.size.reportPeriod(g.zone, e.zone), Closed: g.down}}
 		if t.SameZone {
 			t.Home = loadbalance.IsHome(e.position, r.size.entries[e.zone], index, r.size.engines[e.zone])
 			index++
--- a/core/loadbalance/sizes_test.go
+++ b/core/loadbalance/sizes_test.go
@@ -70,7 +70,7 @@
 	e.balancer.SetEntries(1)
 	var list []loadbalance.Target
 	for i := range targets {
-		list = append(list, loadbalance.Target{ID: id(i), Slots: slots, ReportsLoad: true, SameZone: true, Home: true})
+		list = append(list, loadbalance.Target{ID: id(i), Slots: slots, SameZone: true, Home: true, Engine: loadbalance.Engine{ReportsLoad: true}})
 	}
 	e.balancer.SetTargets(list)
 	limit := loadbalance.AdmissionLimit{Balancer: e.balancer, Now: func() time.Time { return e.now }}
