An entry learns the load of another zone's targets from one entry there

Cause: every entry kept a connection and a load watch to the agent of every model's target. Their number, and so what a daemon costs, grew with the entries times the targets: 11,500 connections for 49 entries before 235 agents. To bound the messages, reports between zones came every 3.9 s there. Change: an entry watches the agents of its own zone, and one entry in each other zone (its relay, by rendezvous, kept while it lives) streams what it knows of that zone: all at first, then changes, those of state at once, and otherwise once per period, 1 s for 49 entries. A relay that fails is replaced, its loads are held for 1.5 s. A zone from which no entry reports is watched directly, as is one whose entries are of an earlier version. A relay passes nothing on that its agent has not confirmed for three intervals. Connections to agents that are watched no more are closed. Ruled out: reports that ride on the exchange of entries (up to 0.5 s late, and a stop of a target has to be known at once); sums of zones (a request needs one target); fewer targets in each entry.

--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -10,8 +10,9 @@
 //
 // The store reader maintains the mirror, a copy of the platform's metadata, which it reads
 // from the store itself, or from other entries while the store is unavailable. The entry
-// exchanger synchronizes the list of entries. One load watch for each target's agent follows
-// the target's load. The request path uses the balancer and the queue of each service.
+// exchanger synchronizes the list of entries. One load watch for each agent of the entry's zone, and
+// one stream from an entry of each other zone, follow the load of the targets. The request path
+// uses the balancer and the queue of each service.
 //
 // # Locks
 //
@@ -84,6 +85,8 @@
 	declared           map[fleet.Model]*declaredVersions
 	loads              map[fleet.InstanceID]peer.TargetLoad // last report of each target's agent
 	loadWatches        map[string]*loadWatch                // by address of the target
+	zones              map[fleet.Zone]*zoneState            // other zones that have targets
+	zoneChanged        chan struct{}                        // closed and replaced when a target of this zone changes
 	services           map[fleet.Service]*service
 	appliedShare       entryShare // that the balancers were last updated for
 	waiters            map[admit.RequestID]chan admit.Verdict
@@ -139,7 +142,7 @@
 			Address: settings.PeersAddress, CallerAddress: settings.CallersAddress,
 		}),
 		declared: map[fleet.Model]*declaredVersions{},
-		loads:    map[fleet.InstanceID]peer.TargetLoad{}, loadWatches: map[string]*loadWatch{},
+		loads:    map[fleet.InstanceID]peer.TargetLoad{}, loadWatches: map[string]*loadWatch{}, zones: map[fleet.Zone]*zoneState{}, zoneChanged: make(chan struct{}),
 		services: map[fleet.Service]*service{}, waiters: map[admit.RequestID]chan admit.Verdict{}, unstarted: map[*targetAttempt]struct{}{},
 		ledger: crashblame.NewLedger(crashSettings), parts: crashblame.NewPartLedger(), notices: notice.NewLedger(), exchangeNow: make(chan struct{}, 1),
 		pauseDetector: clock.NewPauseDetector(pauseThreshold),
@@ -312,6 +315,7 @@
 		g.metrics.Count("pauses", 1)
 		g.entryList.Resumed(now)
 		g.loads = map[fleet.InstanceID]peer.TargetLoad{}
+		g.pauseZones(now)
 		g.refreshBalancers(now)
 	}
 	g.handleChanges(g.mirror.Tick(now), g.mirror.CurrentAt(), now)
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -9,6 +9,7 @@
 	"amaranthturn/core/mirror"
 	"amaranthturn/core/notice"
 	"amaranthturn/core/roster"
+	"amaranthturn/core/routeconfig"
 	"amaranthturn/core/trace"
 	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer"
@@ -52,6 +53,14 @@
 	}
 }
 
+// requestExchange lets the next exchange begin before its interval has passed.
+func (g *Gateway) requestExchange() {
+	select {
+	case g.exchangeNow <- struct{}{}:
+	default: // one is requested already
+	}
+}
+
 // wait returns when the next exchange is due, or sooner if the entry has news of crashes.
 func (e *entryExchanger) wait(ctx context.Context) {
 	daemon.Sleep(ctx, minExchangeInterval)
@@ -202,7 +211,8 @@
 	}
 }
 
-// watchTargets maintains a load watch on the agent of each model's target.
+// watchTargets maintains a load watch on the agent of each model's target in this entry's zone, and
+// on those in zones from which no entry reports.
 func (g *Gateway) watchTargets(ctx context.Context) {
 	doc := g.doc.Load()
 	if doc == nil {
@@ -210,26 +220,28 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	toWatch := map[string]roster.Target{}
-	for _, s := range doc.Services() {
-		if s.Engine == nil {
-			continue
+	now := g.now()
+	zones := map[fleet.Zone]bool{}
+	targets := g.modelTargets(doc)
+	for _, t := range targets {
+		if t.Zone != g.settings.Zone {
+			zones[t.Zone] = true
 		}
-		for _, t := range g.roster.Usable(s.Name) {
+	}
+	g.watchZones(ctx, zones)
+	toWatch := map[string]roster.Target{}
+	for _, t := range targets {
+		if z, ok := g.zones[t.Zone]; !ok || !z.isRelayed(now) {
 			toWatch[t.Address] = t
 		}
 	}
 	for addr, w := range g.loadWatches {
 		if _, ok := toWatch[addr]; !ok {
-			w.cancel()
-			delete(g.loadWatches, addr)
-			if t, ok := w.listedTarget(); ok {
-				delete(g.loads, t.ID)
-			}
+			g.endLoadWatch(addr, w)
 		}
 	}
 	sameZone, all := 1, 1
-	for _, r := range g.entryList.Live(g.now()) {
+	for _, r := range g.entryList.Live(now) {
 		all++
 		if r.Zone == g.settings.Zone {
 			sameZone++
@@ -244,6 +256,28 @@
 	}
 }
 
+// modelTargets returns the usable targets of the services that have engines. mu must be held.
+func (g *Gateway) modelTargets(doc *routeconfig.Document) []roster.Target {
+	var out []roster.Target
+	for _, s := range doc.Services() {
+		if s.Engine != nil {
+			out = append(out, g.roster.Usable(s.Name)...)
+		}
+	}
+	return out
+}
+
+// endLoadWatch ends the load watch of an agent. mu must be held.
+func (g *Gateway) endLoadWatch(addr string, w *loadWatch) {
+	w.cancel()
+	delete(g.loadWatches, addr)
+	g.pool.Release(g.settings.AgentAddress(addr))
+	t, ok := w.listedTarget()
+	if z, relayed := g.zones[t.Zone]; ok && (!relayed || !z.isRelayed(g.now())) {
+		delete(g.loads, t.ID)
+	}
+}
+
 // watchLoad starts a load watch of the target at an address, unless one with about the same
 // period runs. mu must be held.
 func (g *Gateway) watchLoad(ctx context.Context, addr string, period time.Duration) {
@@ -274,7 +308,8 @@
 	targetAddress string
 	period        time.Duration
 	cancel        context.CancelFunc
-	hasReported   bool // guarded by the gateway's mu
+	hasReported   bool      // guarded by the gateway's mu
+	reportedAt    time.Time // guarded by the gateway's mu
 }
 
 // run restarts the watch whenever the stream ends.
@@ -298,34 +333,55 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	w.hasReported = true
+	w.hasReported, w.reportedAt = true, now
 	t, ok := w.listedTarget()
-	if !ok || l.Incarnation != t.Incarnation && l.Incarnation != 0 {
+	if !ok || !g.recordLoad(t, l, now) {
 		return
 	}
+	g.notifyWaiters(g.service(t.Service).queue.Tick(now))
+}
+
+// recordLoad applies a report on a target, and returns whether it is of the listed incarnation. The
+// caller ticks the queue of the target's service. mu must be held.
+func (g *Gateway) recordLoad(t roster.Target, l peer.TargetLoad, now time.Time) bool {
+	if l.Incarnation != t.Incarnation && l.Incarnation != 0 {
+		return false
+	}
 	if l.Leaving && l.Incarnation != 0 {
 		g.mergeLeaving([]notice.Target{noticeTarget(t)}, now)
 	}
 	old, known := g.loads[t.ID]
 	l.Incarnation = t.Incarnation
 	g.loads[t.ID] = l
-	if !known || old.Version != l.Version || old.Accepting != l.Accepting {
+	balancer := g.service(t.Service).balancer
+	if !known || old.Version != l.Version || old.Accepting != l.Accepting || old.Incarnation != l.Incarnation {
 		g.log.members.Info().Str("target", string(t.ID)).Uint64("serving", l.Version).Bool("accepting", l.Accepting).Msg(trace.MessageTargetChanged)
-		g.refreshEngine(t, now)
+		balancer.SetEngine(t.ID, g.engineState(t, now))
+		if t.Zone == g.settings.Zone {
+			g.notifyZoneWatches()
+		}
+	}
+	balancer.RecordReport(t.ID, l.Running+l.Queued, now)
+	return true
+}
+
+// forgetLoad drops the last report on the target at an address. mu must be held.
+func (g *Gateway) forgetLoad(addr string, now time.Time) {
+	t, ok := g.roster.At(addr)
+	if _, known := g.loads[t.ID]; !ok || !known {
+		return
+	}
+	delete(g.loads, t.ID)
+	g.refreshEngine(t, now)
+	if t.Zone == g.settings.Zone {
+		g.notifyZoneWatches()
 	}
-	s := g.service(t.Service)
-	s.balancer.RecordReport(t.ID, l.Running+l.Queued, now)
-	g.notifyWaiters(s.queue.Tick(now))
 }
 
 func (w *loadWatch) clearLoad() {
 	w.g.mu.Lock()
 	defer w.g.mu.Unlock()
-	t, ok := w.listedTarget()
-	if _, known := w.g.loads[t.ID]; ok && known {
-		delete(w.g.loads, t.ID)
-		w.g.refreshEngine(t, w.g.now())
-	}
+	w.g.forgetLoad(w.targetAddress, w.g.now())
 }
 
 var _ peer.MeshHandler = (*Gateway)(nil)
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -446,10 +446,7 @@
 				Msg("attempt canceled: a part of its prompt crashes targets")
 		}
 	}
-	select {
-	case g.exchangeNow <- struct{}{}:
-	default: // one is requested already
-	}
+	g.requestExchange()
 }
 
 // partNames returns the fingerprints of parts of a prompt as they are logged.
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -442,6 +442,9 @@
 	if w, ok := g.loadWatches[t.Address]; ok {
 		e.ReportsLoad, e.ReportInterval = w.hasReported, w.period
 	}
+	if z, ok := g.zones[t.Zone]; ok && !e.ReportsLoad {
+		e.ReportInterval, e.ReportsLoad = z.reported[t.Address]
+	}
 	return e
 }
 
--- a/core/trace/messages.go
+++ b/core/trace/messages.go
@@ -10,6 +10,7 @@
 	MessageConfiguration       = "configuration in force"
 	MessageTarget              = "target"
 	MessageTargetChanged       = "target changed"
+	MessageRelayLost           = "reports on a zone ended"
 	MessageTargetRemoved       = "entry of a target is gone"
 	MessageTargetLeaves        = "target leaves"
 	MessageTargetSheds         = "target sheds load"
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -136,6 +136,17 @@
 	}
 }
 
+// Release closes the connection to an address on which no call is in progress.
+func (p *Pool) Release(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.conns[addr]; ok {
+		_ = c.Close() // returns an error only if it is closed
+		delete(p.conns, addr)
+		delete(p.staleSince, addr)
+	}
+}
+
 func (p *Pool) conn(addr string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -57,12 +57,22 @@
 	Pace                  float64 // a value above 1 means that the target is slow
 }
 
+// ZoneLoad is the load of the target at an address, as an entry of its zone knows it.
+type ZoneLoad struct {
+	Address string
+	Load    TargetLoad
+	Unknown bool // the target's agent doesn't report any more
+}
+
 // MeshHandler handles the calls of other daemons to an entry.
 type MeshHandler interface {
 	Exchange(m ExchangeMessage) ExchangeMessage
 	// Follow calls send with the known changes of the store after a position. It calls
 	// send again for new changes, or after maxInterval without any, until ctx ends.
 	Follow(ctx context.Context, after mirror.Position, maxInterval time.Duration, send func(StoreChanges) error) error
+	// WatchZone calls send with the loads of the targets in the entry's zone, first with all of
+	// them and then with those that have changed, at once or after period, until ctx ends.
+	WatchZone(ctx context.Context, period time.Duration, send func([]ZoneLoad) error) error
 }
 
 // LoadHandler handles the calls for the load of an agent's target.
@@ -106,18 +116,44 @@
 	h LoadHandler
 }
 
+// WatchZone implements peerpb.MeshServer.
+func (s *meshServer) WatchZone(p *peerpb.WatchZoneRequest, st grpc.ServerStreamingServer[peerpb.ZoneLoads]) error {
+	return s.h.WatchZone(st.Context(), millis(uint64(p.GetPeriodMs())), func(loads []ZoneLoad) error {
+		out := &peerpb.ZoneLoads{}
+		for _, l := range loads {
+			w := &peerpb.ZoneLoad{Address: l.Address}
+			if !l.Unknown {
+				w.Load = targetLoadToWire(l.Load)
+			}
+			out.Loads = append(out.Loads, w)
+		}
+		return st.Send(out)
+	})
+}
+
 // WatchLoad implements peerpb.BesideServer.
 func (s *loadServer) WatchLoad(p *peerpb.WatchLoadRequest, st grpc.ServerStreamingServer[peerpb.TargetLoad]) error {
-	period := time.Duration(p.GetPeriodMs()) * time.Millisecond
-	return s.h.WatchLoad(st.Context(), period, func(l TargetLoad) error {
-		return st.Send(&peerpb.TargetLoad{
-			Born: uint64(l.Incarnation), Running: uint32(l.Running), Queued: uint32(l.Queued),
-			CacheUsed: uint64(l.CacheUsed), CacheTotal: uint64(l.CacheTotal),
-			Model: string(l.Model), Version: l.Version, Accepting: l.Accepting, Leaving: l.Leaving, Pace: l.Pace,
-		})
+	return s.h.WatchLoad(st.Context(), millis(uint64(p.GetPeriodMs())), func(l TargetLoad) error {
+		return st.Send(targetLoadToWire(l))
 	})
 }
 
+func targetLoadToWire(l TargetLoad) *peerpb.TargetLoad {
+	return &peerpb.TargetLoad{
+		Born: uint64(l.Incarnation), Running: uint32(l.Running), Queued: uint32(l.Queued),
+		CacheUsed: uint64(l.CacheUsed), CacheTotal: uint64(l.CacheTotal),
+		Model: string(l.Model), Version: l.Version, Accepting: l.Accepting, Leaving: l.Leaving, Pace: l.Pace,
+	}
+}
+
+func targetLoadFromWire(m *peerpb.TargetLoad) TargetLoad {
+	return TargetLoad{
+		Incarnation: fleet.Incarnation(m.GetBorn()), Running: int(m.GetRunning()), Queued: int(m.GetQueued()),
+		CacheUsed: int(m.GetCacheUsed()), CacheTotal: int(m.GetCacheTotal()),
+		Model: fleet.Model(m.GetModel()), Version: m.GetVersion(), Accepting: m.GetAccepting(), Leaving: m.GetLeaving(), Pace: m.GetPace(),
+	}
+}
+
 func exchangeToWire(m ExchangeMessage, values *valueCompressor) *peerpb.EntryRows {
 	out := &peerpb.EntryRows{
 		StoreEra: uint64(m.StorePosition.Era), StoreRevision: uint64(m.StorePosition.Revision),
@@ -297,10 +333,35 @@
 		if err != nil {
 			return wrapError(addr, err)
 		}
-		onLoad(TargetLoad{
-			Incarnation: fleet.Incarnation(m.GetBorn()), Running: int(m.GetRunning()), Queued: int(m.GetQueued()),
-			CacheUsed: int(m.GetCacheUsed()), CacheTotal: int(m.GetCacheTotal()),
-			Model: fleet.Model(m.GetModel()), Version: m.GetVersion(), Accepting: m.GetAccepting(), Leaving: m.GetLeaving(), Pace: m.GetPace(),
-		})
+		onLoad(targetLoadFromWire(m))
+	}
+}
+
+// WatchZone calls onLoads for every message about the targets in the zone of the entry at addr. It
+// returns when the stream ends, or when no message arrives for idleTimeout.
+func (p *Pool) WatchZone(ctx context.Context, addr string, period, idleTimeout time.Duration, onLoads func([]ZoneLoad)) error {
+	c, err := p.conn(addr)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	idleTimer := time.AfterFunc(idleTimeout, cancel)
+	defer idleTimer.Stop()
+	st, err := peerpb.NewMeshClient(c).WatchZone(ctx, &peerpb.WatchZoneRequest{PeriodMs: uint32(period.Milliseconds())})
+	if err != nil {
+		return wrapError(addr, err)
+	}
+	for {
+		m, err := st.Recv()
+		if err != nil {
+			return wrapError(addr, err)
+		}
+		idleTimer.Reset(idleTimeout)
+		loads := make([]ZoneLoad, 0, len(m.GetLoads()))
+		for _, l := range m.GetLoads() {
+			loads = append(loads, ZoneLoad{Address: l.GetAddress(), Load: targetLoadFromWire(l.GetLoad()), Unknown: l.GetLoad() == nil})
+		}
+		onLoads(loads)
 	}
 }
