Entries of other zones are told the highest of a target's last loads

Cause: a slot that was free for a moment was offered to all entries of all zones, and each counted the same share of it. With many entries, several sent requests for it, and engines queued them past their objectives. A report that another entry passes on is also older than the requests that this entry has sent since. Change: an entry tells those of other zones the peak of a second or two (loadbalance.Peak) with its age, compares it with its own requests at that time, and counts at most one part of all entries of what becomes free in another zone.

--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -6,6 +6,7 @@
 
 	"amaranthturn/app/daemon"
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/loadbalance"
 	"amaranthturn/core/mirror"
 	"amaranthturn/core/notice"
 	"amaranthturn/core/roster"
@@ -310,6 +311,7 @@
 	cancel        context.CancelFunc
 	hasReported   bool      // guarded by the gateway's mu
 	reportedAt    time.Time // guarded by the gateway's mu
+	peak          loadbalance.Peak
 }
 
 // run restarts the watch whenever the stream ends.
@@ -338,11 +340,14 @@
 	if !ok || !g.recordLoad(t, l, now) {
 		return
 	}
+	w.peak.Record(l.Running+l.Queued, now)
+	g.service(t.Service).balancer.RecordReport(t.ID, l.Running+l.Queued, 0, now)
 	g.notifyWaiters(g.service(t.Service).queue.Tick(now))
 }
 
-// recordLoad applies a report on a target, and returns whether it is of the listed incarnation. The
-// caller ticks the queue of the target's service. mu must be held.
+// recordLoad applies what a report says of a target's state, and returns whether it is of the listed
+// incarnation. The caller records the number of requests and ticks the queue of the target's service.
+// mu must be held.
 func (g *Gateway) recordLoad(t roster.Target, l peer.TargetLoad, now time.Time) bool {
 	if l.Incarnation != t.Incarnation && l.Incarnation != 0 {
 		return false
@@ -353,15 +358,13 @@
 	old, known := g.loads[t.ID]
 	l.Incarnation = t.Incarnation
 	g.loads[t.ID] = l
-	balancer := g.service(t.Service).balancer
 	if !known || old.Version != l.Version || old.Accepting != l.Accepting || old.Incarnation != l.Incarnation {
 		g.log.members.Info().Str("target", string(t.ID)).Uint64("serving", l.Version).Bool("accepting", l.Accepting).Msg(trace.MessageTargetChanged)
-		balancer.SetEngine(t.ID, g.engineState(t, now))
+		g.service(t.Service).balancer.SetEngine(t.ID, g.engineState(t, now))
 		if t.Zone == g.settings.Zone {
 			g.notifyZoneWatches()
 		}
 	}
-	balancer.RecordReport(t.ID, l.Running+l.Queued, now)
 	return true
 }
 
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -392,7 +392,7 @@
 		}
 		return dispatch.Failure{Kind: dispatch.KindNoTarget}, false
 	}
-	svc.balancer.RecordStart(target.ID, h.call.PromptTokens)
+	svc.balancer.RecordStart(target.ID, h.call.PromptTokens, g.now())
 	g.mu.Unlock()
 	h.attempts++
 	h.target = target.ID
--- a/app/gateway/zone.go
+++ b/app/gateway/zone.go
@@ -8,6 +8,7 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/gossip"
 	"amaranthturn/core/rank"
+	"amaranthturn/core/roster"
 	"amaranthturn/core/trace"
 	"amaranthturn/io/peer"
 )
@@ -27,10 +28,6 @@
 	// zoneBatchDelay is the delay after a change, so that one message has all that follow shortly
 	// after it.
 	zoneBatchDelay = 20 * time.Millisecond
-	// missedReports is the number of intervals after which the last report of an agent is not
-	// passed on any more, but not before minReportAge: its connection may be stalled.
-	missedReports = 3
-	minReportAge  = 3 * time.Second
 	// relayRetryDelay is how long a relay that failed is not used.
 	relayRetryDelay = 5 * time.Second
 	// directDelay is how long an entry waits for a relay before it watches the agents of another
@@ -42,11 +39,11 @@
 
 // WatchZone implements peer.MeshHandler.
 func (g *Gateway) WatchZone(ctx context.Context, period time.Duration, send func([]peer.ZoneLoad) error) error {
-	sent := map[string]peer.TargetLoad{}
+	sent := map[string]time.Time{}
 	for {
 		g.mu.Lock()
 		changed := g.zoneChanged
-		loads := g.changedLoads(sent)
+		loads := g.loadsSince(sent)
 		g.mu.Unlock()
 		if err := send(loads); err != nil {
 			return err
@@ -65,9 +62,9 @@
 	}
 }
 
-// changedLoads returns the loads of the targets in this entry's zone that differ from those that
-// were sent, and records them as sent. mu must be held.
-func (g *Gateway) changedLoads(sent map[string]peer.TargetLoad) []peer.ZoneLoad {
+// loadsSince returns the loads of the targets in this entry's zone that were reported since the
+// times in sent, and updates these. mu must be held.
+func (g *Gateway) loadsSince(sent map[string]time.Time) []peer.ZoneLoad {
 	now := g.now()
 	out := []peer.ZoneLoad{}
 	known := make(map[string]bool, len(g.loadWatches))
@@ -77,13 +74,13 @@
 			continue
 		}
 		l, ok := g.loads[t.ID]
-		if !ok || now.Sub(w.reportedAt) > max(minReportAge, missedReports*w.period) {
+		if !ok {
 			continue
 		}
 		known[addr] = true
-		if old, ok := sent[addr]; !ok || old != l {
-			sent[addr] = l
-			out = append(out, peer.ZoneLoad{Address: addr, Load: l})
+		if w.reportedAt.After(sent[addr]) {
+			sent[addr] = w.reportedAt
+			out = append(out, peer.ZoneLoad{Address: addr, Load: l, Age: now.Sub(w.reportedAt), Peak: w.peak.Value()})
 		}
 	}
 	for addr := range sent {
@@ -103,6 +100,8 @@
 
 // zoneState is what this entry knows about another zone from its relay there.
 type zoneState struct {
+	zone     fleet.Zone
+	roster   *roster.Roster
 	watch    *zoneWatch
 	loads    map[string]peer.TargetLoad // last reported, by address of the target
 	reported map[string]time.Duration   // interval of the reports, by address of the target
@@ -131,7 +130,7 @@
 	for zone := range zones {
 		z, ok := g.zones[zone]
 		if !ok {
-			z = &zoneState{loads: map[string]peer.TargetLoad{}, reported: map[string]time.Duration{}, failedAt: map[fleet.InstanceID]time.Time{}, lostAt: now}
+			z = &zoneState{zone: zone, roster: g.roster, loads: map[string]peer.TargetLoad{}, reported: map[string]time.Duration{}, failedAt: map[fleet.InstanceID]time.Time{}, lostAt: now}
 			g.zones[zone] = z
 		}
 		relay, ok := z.chooseRelay(g.settings.Instance, zone, live, now)
@@ -253,6 +252,7 @@
 		w.hasReported, z.lostAt = true, time.Time{}
 		loads = append(loads, z.missingFrom(loads)...)
 	}
+	services := map[fleet.Service]bool{}
 	for _, l := range loads {
 		if l.Unknown {
 			delete(z.loads, l.Address)
@@ -260,20 +260,34 @@
 			continue
 		}
 		z.loads[l.Address], z.reported[l.Address] = l.Load, w.period
-	}
-	// A load that is not in the message has not changed. This entry may have learned of its target
-	// only now.
-	services := map[fleet.Service]bool{}
-	for addr, l := range z.loads {
-		if t, ok := g.roster.At(addr); ok && t.Zone == w.zone && g.recordLoad(t, l, now) {
+		if t, ok := z.listedTarget(l.Address); ok && g.recordLoad(t, l.Load, now) {
+			g.service(t.Service).balancer.RecordReport(t.ID, l.Peak, l.Age, now)
 			services[t.Service] = true
 		}
 	}
+	g.applyLateLoads(z, now)
 	for name := range services {
 		g.notifyWaiters(g.service(name).queue.Tick(now))
 	}
 }
 
+// applyLateLoads applies the loads of targets that this entry has learned of after their report. mu
+// must be held.
+func (g *Gateway) applyLateLoads(z *zoneState, now time.Time) {
+	for addr, l := range z.loads {
+		t, ok := z.listedTarget(addr)
+		if old, known := g.loads[t.ID]; ok && (!known || old.Incarnation != t.Incarnation) {
+			g.recordLoad(t, l, now)
+		}
+	}
+}
+
+// listedTarget returns the target that is listed at an address of the zone.
+func (z *zoneState) listedTarget(addr string) (roster.Target, bool) {
+	t, ok := z.roster.At(addr)
+	return t, ok && t.Zone == z.zone
+}
+
 // missingFrom returns the targets that the previous relay has reported and that the first message
 // of another one lacks.
 func (z *zoneState) missingFrom(loads []peer.ZoneLoad) []peer.ZoneLoad {
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -5,9 +5,9 @@
 //
 //	b := loadbalance.NewBalancer(settings, random)
 //	b.SetTargets(targets)
-//	b.RecordReport(id, requests, now) // a report of the target's agent was received
+//	b.RecordReport(id, requests, age, now) // a report of the target's agent was received
 //	if id, ok := b.Choose(query, now); ok {
-//		b.RecordStart(id, promptTokens)
+//		b.RecordStart(id, promptTokens, now)
 //		… b.RecordFirstEvent(id, promptTokens) at the first event, if there is one …
 //		b.RecordEnd(id, prefillTokens, result, now)
 //	}
@@ -124,7 +124,7 @@
 // targetState is a target and its load as this entry knows it.
 type targetState struct {
 	Target
-	ownRequests    int
+	own            ownRequests
 	prefillTokens  int // prompt tokens of own requests without a first event
 	othersRequests float64
 	reportedAt     time.Time // zero before the first report
@@ -183,18 +183,18 @@
 	}
 }
 
-// RecordReport records how many requests run or are queued on a target, including those of
-// this entry.
-func (b *Balancer) RecordReport(id fleet.InstanceID, requests int, now time.Time) {
+// RecordReport records how many requests ran or were queued on a target at a time before now,
+// including those of this entry.
+func (b *Balancer) RecordReport(id fleet.InstanceID, requests int, age time.Duration, now time.Time) {
 	if s, ok := b.targets[id]; ok {
 		// A queue at the target ends with the requests that wait there, and not as gradually as
 		// its slots are taken again.
-		others := math.Min(math.Max(0, float64(requests-s.ownRequests)), float64(s.Slots))
+		others := math.Min(math.Max(0, float64(requests-s.own.at(now.Add(-age)))), float64(s.Slots))
 		if b.entries == 1 {
 			others = 0 // own requests that have ended since
 		}
 		if known := b.estimatedOthers(s, now); others < known {
-			others = known - b.freedShare(now.Sub(s.lastKnown()))*(known-others)
+			others = known - b.freedShare(s.SameZone, now.Sub(s.lastKnown()))*(known-others)
 		}
 		s.othersRequests, s.reportedAt = others, now
 	}
@@ -212,9 +212,12 @@
 const freedShareInterval = 560 * time.Millisecond
 
 // freedShare returns the share of the slots that others have freed since a report of the given
-// age that this entry counts.
-func (b *Balancer) freedShare(age time.Duration) float64 {
+// age that this entry counts. The entries of all zones share the targets of another zone.
+func (b *Balancer) freedShare(sameZone bool, age time.Duration) float64 {
 	share := b.settings.FreedShare
+	if !sameZone && b.entries > 0 {
+		share = math.Min(share, 1/float64(b.entries))
+	}
 	if b.entries > 0 {
 		share = math.Max(share, 1/float64(b.entries*b.entries)) // few entries rarely take the same slot
 	}
@@ -222,10 +225,10 @@
 }
 
 // RecordStart counts a request sent to a target.
-func (b *Balancer) RecordStart(id fleet.InstanceID, promptTokens int) {
+func (b *Balancer) RecordStart(id fleet.InstanceID, promptTokens int, now time.Time) {
 	b.inFlight++
 	if s, ok := b.targets[id]; ok {
-		s.ownRequests++
+		s.own.started(now)
 		s.prefillTokens += promptTokens
 	}
 }
@@ -246,7 +249,7 @@
 	if !ok {
 		return
 	}
-	s.ownRequests = max(0, s.ownRequests-1)
+	s.own.ended(now)
 	s.prefillTokens = max(0, s.prefillTokens-prefillTokens)
 	switch result {
 	case ResultDone:
@@ -321,7 +324,7 @@
 // estimatedRequests returns the number of requests on a target: this entry's own and the
 // estimated number of other entries' requests.
 func (b *Balancer) estimatedRequests(s *targetState, now time.Time) float64 {
-	return float64(s.ownRequests) + b.estimatedOthers(s, now)
+	return float64(s.own.inFlight) + b.estimatedOthers(s, now)
 }
 
 func (b *Balancer) estimatedOthers(s *targetState, now time.Time) float64 {
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -61,7 +61,9 @@
 type ZoneLoad struct {
 	Address string
 	Load    TargetLoad
-	Unknown bool // the target's agent doesn't report any more
+	Age     time.Duration // of the load
+	Peak    int           // most requests that ran or were queued in the last reports
+	Unknown bool          // the target's agent doesn't report any more
 }
 
 // MeshHandler handles the calls of other daemons to an entry.
@@ -71,7 +73,8 @@
 	// send again for new changes, or after maxInterval without any, until ctx ends.
 	Follow(ctx context.Context, after mirror.Position, maxInterval time.Duration, send func(StoreChanges) error) error
 	// WatchZone calls send with the loads of the targets in the entry's zone, first with all of
-	// them and then with those that have changed, at once or after period, until ctx ends.
+	// them and then with those that were reported since, until ctx ends. It calls send at once when
+	// the state of a target has changed, and else after period.
 	WatchZone(ctx context.Context, period time.Duration, send func([]ZoneLoad) error) error
 }
 
@@ -121,7 +124,7 @@
 	return s.h.WatchZone(st.Context(), millis(uint64(p.GetPeriodMs())), func(loads []ZoneLoad) error {
 		out := &peerpb.ZoneLoads{}
 		for _, l := range loads {
-			w := &peerpb.ZoneLoad{Address: l.Address}
+			w := &peerpb.ZoneLoad{Address: l.Address, AgeMs: uint32(l.Age.Milliseconds()), Peak: uint32(l.Peak)}
 			if !l.Unknown {
 				w.Load = targetLoadToWire(l.Load)
 			}
@@ -360,7 +363,7 @@
 		idleTimer.Reset(idleTimeout)
 		loads := make([]ZoneLoad, 0, len(m.GetLoads()))
 		for _, l := range m.GetLoads() {
-			loads = append(loads, ZoneLoad{Address: l.GetAddress(), Load: targetLoadFromWire(l.GetLoad()), Unknown: l.GetLoad() == nil})
+			loads = append(loads, ZoneLoad{Address: l.GetAddress(), Load: targetLoadFromWire(l.GetLoad()), Age: millis(uint64(l.GetAgeMs())), Peak: int(l.GetPeak()), Unknown: l.GetLoad() == nil})
 		}
 		onLoads(loads)
 	}
