A queue without waiting requests does not compute the limit

Cause: each tick and each load report compared the limit, which is summed over all targets, before it looked whether any request waits. Change: the order of the two conditions. Ruled out: a running sum of the free slots; the estimate of each target changes with time.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -268,7 +268,7 @@
 
 // admitWaiting assigns free slots to the workspaces with the least normalized service.
 func (q *Queue) admitWaiting(now time.Time) (admitted, expired []Request) {
-	for q.inFlight < q.limit.Value() && len(q.active) > 0 {
+	for len(q.active) > 0 && q.inFlight < q.limit.Value() {
 		ws := q.active[0]
 		w := ws.dequeue()
 		q.removeQueued(ws)
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -388,3 +388,21 @@
 	}
 	assert.Assert(t, queued > 0 && queued <= 4, "%d requests were queued", queued)
 }
+
+// countingLimit counts how often the limit is asked for.
+type countingLimit struct{ asked int }
+
+func (l *countingLimit) Value() int                            { l.asked++; return 1 }
+func (l *countingLimit) Observe(time.Duration, int, time.Time) {}
+
+// The limit is computed from all targets. A queue without waiting requests doesn't need it.
+func TestTickWithoutWaitingRequestsDoesNotAskForTheLimit(t *testing.T) {
+	l := &countingLimit{}
+	q := NewQueue(l, func(fleet.Workspace) Limits { return Limits{Weight: 1, MaxQueued: 8} })
+	r := Request{ID: 1, Workspace: "w", Deadline: now.Add(time.Second)}
+	q.Offer(r, now)
+	l.asked = 0
+	q.Tick(now)
+	q.Release(r, 0, now)
+	assert.Equal(t, l.asked, 0)
+}
