A change of load wakes only the streams that have to send it

Cause: each change of the engine's load, ten times a second, woke every stream of load reports to find that its period had not passed. The versions to keep were checked forty times a second. Callers saw: nothing directly; an agent's cost grew with the number of entries. Change: the agent decides under its lock which streams are due and wakes these. The version manager waits for a declaration, a configuration or a change at the engine, and at most a second. Ruled out: longer periods; a change of state has to be sent at once.

--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -17,7 +17,6 @@
 	"amaranthturn/core/routeconfig"
 	"amaranthturn/core/trace"
 	"amaranthturn/core/upgrade"
-	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
 
@@ -69,11 +68,12 @@
 	if up && s.report.Incarnation != r.Incarnation {
 		s.log.engine.Info().Uint64("born", uint64(r.Incarnation)).Uint64("before", uint64(s.report.Incarnation)).Msg("engine started")
 	}
-	if up != s.isEngineUp || !equalReports(s.report, r) {
-		close(s.loadChanged)
-		s.loadChanged = make(chan struct{})
-	}
+	changed := up != s.isEngineUp || !equalReports(s.report, r)
 	s.isEngineUp, s.report = up, r
+	if changed {
+		s.notifyListeners()
+		s.checkVersions()
+	}
 }
 
 func equalReports(a, b platform.Report) bool {
@@ -234,53 +234,3 @@
 	}
 	return out
 }
-
-// WatchLoad implements peer.LoadHandler.
-func (s *Sidecar) WatchLoad(ctx context.Context, period time.Duration, send func(peer.TargetLoad) error) error {
-	var sent peer.TargetLoad
-	var sentAt time.Time
-	for {
-		now := s.now()
-		s.mu.Lock()
-		l := s.currentLoad()
-		changed := s.loadChanged
-		s.mu.Unlock()
-		if shouldSendLoad(sent, l, now.Sub(sentAt), period) {
-			if err := send(l); err != nil {
-				return err
-			}
-			sent, sentAt = l, now
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-changed:
-		case <-time.After(loadCheckInterval):
-		}
-	}
-}
-
-// loadCheckInterval is the maximum time after which a load stream checks whether a message is
-// due.
-const loadCheckInterval = time.Second
-
-// shouldSendLoad reports whether a load is sent to a listener whose previous message has the
-// given age. A load is sent at once when the target serves other weights or stops accepting
-// requests, and otherwise after the period that the listener requested.
-func shouldSendLoad(sent, l peer.TargetLoad, age, period time.Duration) bool {
-	return age >= period || sent.Incarnation != l.Incarnation || sent.Accepting != l.Accepting || sent.Leaving != l.Leaving || sent.Model != l.Model || sent.Version != l.Version
-}
-
-// currentLoad returns the load that is reported to the entries. mu must be held.
-func (s *Sidecar) currentLoad() peer.TargetLoad {
-	r := s.report
-	l := peer.TargetLoad{
-		Incarnation: r.Incarnation, Running: r.Running, Queued: r.Queued, CacheUsed: r.CacheUsed, CacheTotal: r.CacheTotal, Pace: r.Pace,
-	}
-	if m, e, ok := s.model(); ok {
-		l.Model, l.Version = m.Name, s.servingVersion(m.Name, e)
-	}
-	l.Leaving = s.isEngineUp && (r.Leaving || s.notices.IsLeaving(s.engineTarget()))
-	l.Accepting = s.isEngineUp && !r.Busy && l.Version != 0
-	return l
-}
--- a/app/sidecar/notices.go
+++ b/app/sidecar/notices.go
@@ -47,8 +47,7 @@
 	if n.Leaving && isCurrent && t.Incarnation != 0 && s.notices.RecordLeaving(t, now) {
 		s.metrics.Count("targets_leaving", 1)
 		s.log.engine.Info().Str("target", string(t.ID)).Msg(trace.MessageTargetLeaves)
-		close(s.loadChanged)
-		s.loadChanged = make(chan struct{})
+		s.notifyListeners()
 	}
 }
 
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -47,22 +47,23 @@
 	store    *platform.Store
 	log      logs
 
-	mu           sync.Mutex // guards all fields below
-	seeds        []string
-	random       *rand.Rand
-	mirror       *mirror.Mirror
-	roster       *roster.Roster
-	entryList    *gossip.List
-	doc          *routeconfig.Document
-	declared     map[fleet.Model]*upgrade.Declarations
-	parts        *crashblame.PartLedger // kept for entries that restart
-	notices      *notice.Ledger         // kept for entries that restart
-	pausedEngine notice.Target          // that asked for a pause last
-	report       platform.Report
-	isEngineUp   bool                       // the last poll of the engine succeeded
-	loadChanged  chan struct{}              // closed and replaced when the report changes
-	weights      map[uint64]*versionWeights // by version
-	uploads      peer.Slots
+	mu              sync.Mutex // guards all fields below
+	seeds           []string
+	random          *rand.Rand
+	mirror          *mirror.Mirror
+	roster          *roster.Roster
+	entryList       *gossip.List
+	doc             *routeconfig.Document
+	declared        map[fleet.Model]*upgrade.Declarations
+	parts           *crashblame.PartLedger // kept for entries that restart
+	notices         *notice.Ledger         // kept for entries that restart
+	pausedEngine    notice.Target          // that asked for a pause last
+	report          platform.Report
+	isEngineUp      bool // the last poll of the engine succeeded
+	listeners       map[*loadListener]struct{}
+	versionsChanged chan struct{}              // the versions to keep may have changed
+	weights         map[uint64]*versionWeights // by version
+	uploads         peer.Slots
 }
 
 type logs struct {
@@ -84,9 +85,9 @@
 		seeds: settings.Seeds, random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), mirror: newMirror(settings), roster: roster.New(roster.DefaultSettings),
 		// The list holds entries. This process is not an entry and does not announce itself.
 		entryList: gossip.New(gossip.DefaultSettings, gossip.Record{Region: settings.Region}), declared: map[fleet.Model]*upgrade.Declarations{},
-		parts:       crashblame.NewPartLedger(),
-		notices:     notice.NewLedger(),
-		loadChanged: make(chan struct{}), weights: map[uint64]*versionWeights{}, uploads: peer.NewSlots(maxUploads),
+		parts:     crashblame.NewPartLedger(),
+		notices:   notice.NewLedger(),
+		listeners: map[*loadListener]struct{}{}, versionsChanged: make(chan struct{}, 1), weights: map[uint64]*versionWeights{}, uploads: peer.NewSlots(maxUploads),
 	}
 	e.SetGate(s)
 	return s
@@ -191,7 +192,9 @@
 	s.notices.Forget(s.isListed, now)
 	s.entryList.Merge(m.Records, now)
 	for model, ages := range m.Declared {
-		s.declarationsOf(model).Merge(ages, now)
+		if s.declarationsOf(model).Merge(ages, now) {
+			s.checkVersions()
+		}
 	}
 	s.parts.Merge(m.Crashes, m.ProvenParts, now)
 }
@@ -313,6 +316,7 @@
 		switch {
 		case c.Document != nil && (s.doc == nil || c.Document.Version > s.doc.Version):
 			s.doc = c.Document
+			s.checkVersions()
 			s.log.config.Info().Uint64("version", c.Document.Version).Msg("configuration known")
 		case c.Declared != nil:
 			since := now
@@ -321,6 +325,7 @@
 			}
 			if s.declarationsOf(c.Declared.Model).Add(c.Declared.Version, since, now) {
 				s.log.weights.Info().Str("model", string(c.Declared.Model)).Uint64("version", c.Declared.Version).Msg("weights version declared")
+				s.checkVersions()
 			}
 		case c.Target != nil:
 			s.roster.Update(*c.Target)
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -21,6 +21,8 @@
 // Timing of the fetch loop.
 const (
 	planInterval = 25 * time.Millisecond
+	// versionCheckInterval is the maximum time after which an agent checks which versions to keep.
+	versionCheckInterval = time.Second
 	// originDelay is how long an agent waits before it requests a chunk from the origin. It is
 	// short, because all agents know the group when a version is declared.
 	originDelay        = 20 * time.Millisecond
@@ -74,8 +76,23 @@
 
 // Run implements daemon.Runner.
 func (m *versionManager) Run(ctx context.Context) {
-	for daemon.Sleep(ctx, planInterval) {
+	check := time.NewTicker(versionCheckInterval)
+	defer check.Stop()
+	for ctx.Err() == nil {
 		m.update(ctx)
+		select {
+		case <-ctx.Done():
+		case <-m.s.versionsChanged:
+		case <-check.C:
+		}
+	}
+}
+
+// checkVersions lets the version manager check at once which versions to keep.
+func (s *Sidecar) checkVersions() {
+	select {
+	case s.versionsChanged <- struct{}{}:
+	default: // it will check already
 	}
 }
 
