--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -10,6 +10,7 @@
 	"amaranthturn/core/loadbalance"
 	"amaranthturn/core/mirror"
 	"amaranthturn/core/roster"
+	"amaranthturn/core/routeconfig"
 	"amaranthturn/core/trace"
 	"amaranthturn/platform"
 )
@@ -352,58 +353,58 @@
 	if doc == nil {
 		return
 	}
-	byService := map[fleet.Service][]loadbalance.Target{}
-	unreported := map[fleet.Service]bool{} // services without agents whose targets state their slots
 	g.metrics.Count("balancer_refreshes", 1)
 	g.appliedShare = g.share(now)
-	position, entries := g.appliedShare.position, g.appliedShare.zoneEntries
-	for _, svc := range doc.Services() {
-		targets := g.roster.Usable(svc.Name)
-		sameZone, index := 0, 0
-		unreported[svc.Name] = svc.Engine == nil
-		for _, t := range targets {
-			if g.notices.IsLeaving(noticeTarget(t)) {
-				continue
-			}
-			if t.Zone == g.settings.Zone {
-				sameZone++
-			}
-			if t.Slots <= 0 {
-				unreported[svc.Name] = false
-			}
-		}
-		for _, t := range targets {
-			if g.notices.IsLeaving(noticeTarget(t)) {
-				continue
-			}
-			candidate := loadbalance.Target{ID: t.ID, Incarnation: t.Incarnation, Slots: max(1, t.Slots), SameZone: t.Zone == g.settings.Zone, NotBefore: g.notices.PausedUntil(noticeTarget(t))}
-			if svc.Engine != nil {
-				candidate.Engine = g.engineState(t, now)
-				candidate.Home = candidate.SameZone && loadbalance.IsHome(position, entries, index, sameZone)
-			}
-			if candidate.SameZone {
-				index++
-			}
-			byService[t.Service] = append(byService[t.Service], candidate)
-		}
-	}
 	for name, s := range g.services {
-		if _, ok := byService[name]; !ok {
-			s.balancer.SetTargets(nil)
-		}
 		if _, ok := doc.Service(name); !ok {
+			s.balancer.SetTargets(nil)
 			g.notifyWaiters(nil, s.queue.CancelAll())
 		}
 	}
-	for name, candidates := range byService {
-		s := g.service(name)
+	for _, svc := range doc.Services() {
+		targets := g.roster.Usable(svc.Name)
+		if _, ok := g.services[svc.Name]; !ok && len(targets) == 0 {
+			continue
+		}
+		s := g.service(svc.Name)
+		candidates, unreported := g.candidates(svc, targets, now)
 		s.balancer.SetEntries(g.appliedShare.entries)
-		s.balancer.SetUnreported(unreported[name])
+		s.balancer.SetUnreported(unreported)
 		s.balancer.SetTargets(candidates)
 		g.notifyWaiters(s.queue.Tick(now))
 	}
 }
 
+// candidates returns the targets of a service that do not leave, and whether nobody reports the load
+// of any of them although all state their slots. mu must be held.
+func (g *Gateway) candidates(svc *routeconfig.Service, targets []roster.Target, now time.Time) (out []loadbalance.Target, unreported bool) {
+	unreported = svc.Engine == nil
+	var sameZone []int // indexes in out
+	for _, t := range targets {
+		notice := noticeTarget(t)
+		if g.notices.IsLeaving(notice) {
+			continue
+		}
+		if t.Slots <= 0 {
+			unreported = false
+		}
+		c := loadbalance.Target{ID: t.ID, Incarnation: t.Incarnation, Slots: max(1, t.Slots), SameZone: t.Zone == g.settings.Zone, NotBefore: g.notices.PausedUntil(notice)}
+		if svc.Engine != nil {
+			c.Engine = g.engineState(t, now)
+		}
+		if c.SameZone {
+			sameZone = append(sameZone, len(out))
+		}
+		out = append(out, c)
+	}
+	if svc.Engine != nil {
+		for i, index := range sameZone {
+			out[index].Home = loadbalance.IsHome(g.appliedShare.position, g.appliedShare.zoneEntries, i, len(sameZone))
+		}
+	}
+	return out, unreported
+}
+
 // entryShare is what decides about this entry's share of the targets.
 type entryShare struct {
 	position, zoneEntries int // among the live entries of the zone
