BUDGET: an entry that restarts in a partition learns how many entries there are

Cause: the allowance of retries is divided by the most entries that were live at once. Entries that restarted while they reached only a part of the others divided it by that part, while those that did not restart remembered all. Callers saw: nothing directly; a service that fails gets more retries than allowed (231 for 300 requests in 10 s where 164 are allowed: 44 entries, 26 of them restart in a partition into three groups). Change: exchanges state the most entries that the sender knows to have been live at once, at most 4,096. Agents keep the number for entries that restart. It does not decrease, as before. Ruled out: the number of seeds, which is small and may be stale.

--- a/app/gateway/budget_test.go
+++ b/app/gateway/budget_test.go
@@ -14,6 +14,7 @@
 	"amaranthturn/core/dispatch"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/gossip"
+	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
 
@@ -67,17 +68,22 @@
 		}
 		reach := math.Pow(2, 2*r.now.Sub(r.starts[i]).Seconds())
 		var records []gossip.Record
+		var peers []*Gateway
 		for j := range r.gateways {
 			if j != i && j%r.groups == i%r.groups && float64(len(records)) < reach {
 				records = append(records, gossip.Record{Instance: replayedEntry(j), Sequence: uint64(r.now.UnixNano())})
+				peers = append(peers, r.gateways[j])
 			}
 		}
 		if len(records) == 0 {
 			continue
 		}
+		sender := peers[int(r.now.UnixMilli()/500)%len(peers)]
+		sender.mu.Lock()
+		maxEntries := sender.entryUpdate(r.now).MaxEntries
+		sender.mu.Unlock()
 		g.mu.Lock()
-		g.entryList.Merge(records, r.now)
-		g.divideBudgets(r.now)
+		g.mergeEntryUpdate(peer.ExchangeMessage{Records: records, MaxEntries: maxEntries}, r.now)
 		g.mu.Unlock()
 	}
 }
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -101,7 +101,8 @@
 }
 
 // divideBudgets divides the allowance of retries by the number of entries. The number doesn't
-// decrease, because entries that are out of reach may still retry. mu must be held.
+// decrease, because entries that are out of reach may still retry; one that restarts in a partition
+// learns it from daemons that did not. mu must be held.
 func (g *Gateway) divideBudgets(now time.Time) {
 	g.maxEntries = max(g.maxEntries, len(g.entryList.Live(now))+1)
 	g.budgets.SetParts(max(minBudgetEntries, g.maxEntries), now)
@@ -188,7 +189,7 @@
 	crashes, proven := g.parts.Exchange(now)
 	return peer.ExchangeMessage{
 		Records: g.entryList.Records(now), Blamed: g.ledger.MostBlamed(maxBlamedRequests, now), StorePosition: g.mirror.Position(),
-		ConfigVersion: g.configVersion(), Declared: declared, Leaving: g.notices.Leaving(),
+		ConfigVersion: g.configVersion(), MaxEntries: g.maxEntries, Declared: declared, Leaving: g.notices.Leaving(),
 		Crashes: crashes, ProvenParts: proven,
 	}
 }
@@ -200,6 +201,7 @@
 	}
 	g.mergeLeaving(update.Leaving, now)
 	g.entryList.Merge(update.Records, now)
+	g.maxEntries = max(g.maxEntries, update.MaxEntries)
 	g.divideBudgets(now)
 	g.ledger.Merge(update.Blamed, now)
 	if g.parts.Merge(update.Crashes, update.ProvenParts, now) {
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -53,6 +53,7 @@
 	mirror          *mirror.Mirror
 	roster          *roster.Roster
 	entryList       *gossip.List
+	maxEntries      int // most entries that were live at once, kept for entries that restart
 	doc             *routeconfig.Document
 	declared        map[fleet.Model]*upgrade.Declarations
 	parts           *crashblame.PartLedger // kept for entries that restart
@@ -170,7 +171,7 @@
 // exchangeMessage returns the message to an entry. mu must be held.
 func (s *Sidecar) exchangeMessage() peer.ExchangeMessage {
 	now := s.now()
-	m := peer.ExchangeMessage{StorePosition: s.mirror.Position(), Declared: map[fleet.Model][]upgrade.Age{}}
+	m := peer.ExchangeMessage{StorePosition: s.mirror.Position(), MaxEntries: s.maxEntries, Declared: map[fleet.Model][]upgrade.Age{}}
 	for model, d := range s.declared {
 		m.Declared[model] = d.Ages(upgrade.MaxAge, now)
 	}
@@ -191,6 +192,7 @@
 	s.notices.Merge(m.Leaving, now)
 	s.notices.Forget(s.isListed, now)
 	s.entryList.Merge(m.Records, now)
+	s.maxEntries = max(s.maxEntries, m.MaxEntries)
 	for model, ages := range m.Declared {
 		if s.declarationsOf(model).Merge(ages, now) {
 			s.checkVersions()
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -24,6 +24,9 @@
 	StorePosition mirror.Position
 	// ConfigVersion is the version of the configuration in force at the sender.
 	ConfigVersion uint64
+	// MaxEntries is the most entries that the sender knows to have been live at once, at most
+	// MaxStatedEntries.
+	MaxEntries int
 	// Retained are states from before a restoration of the store that are still in force.
 	Retained []mirror.Event
 	// Leaving are the targets that state that they leave.
@@ -36,6 +39,9 @@
 	ProvenParts []crashblame.Proof
 }
 
+// MaxStatedEntries limits the number of entries that a message can state.
+const MaxStatedEntries = 4096
+
 // StoreChanges is a set of changes of the platform's store, sent by another daemon.
 type StoreChanges struct {
 	mirror.Update
@@ -160,7 +166,7 @@
 func exchangeToWire(m ExchangeMessage, values *valueCompressor) *peerpb.EntryRows {
 	out := &peerpb.EntryRows{
 		StoreEra: uint64(m.StorePosition.Era), StoreRevision: uint64(m.StorePosition.Revision),
-		ConfigVersion: m.ConfigVersion, Retained: values.eventsToWire(m.Retained),
+		ConfigVersion: m.ConfigVersion, Retained: values.eventsToWire(m.Retained), MaxEntries: uint32(m.MaxEntries),
 	}
 	for _, r := range m.Records {
 		out.Rows = append(out.Rows, &peerpb.EntryRow{
@@ -195,7 +201,7 @@
 func exchangeFromWire(p *peerpb.EntryRows) (ExchangeMessage, error) {
 	m := ExchangeMessage{
 		StorePosition: mirror.Position{Era: mirror.Era(p.GetStoreEra()), Revision: mirror.Revision(p.GetStoreRevision())},
-		ConfigVersion: p.GetConfigVersion(),
+		ConfigVersion: p.GetConfigVersion(), MaxEntries: int(min(p.GetMaxEntries(), MaxStatedEntries)),
 	}
 	for _, t := range p.GetLeaving() {
 		m.Leaving = append(m.Leaving, notice.Target{ID: fleet.InstanceID(t.GetTarget()), Incarnation: fleet.Incarnation(t.GetBorn())})
