A watch whose interval changes stays reported; the log says when reports on a zone begin

Cause: a load watch that was replaced because its interval changed had no report of its own, so an entry that began to ask about the zone was told nothing of its target. Reports on a zone had a line at their end and none at their beginning. Callers saw: nothing; a load that is known 0.4 s later. Change: the replaced watch hands on its last report; a line with zone, entry, targets and period. Ruled out: keeping the watch and its interval. Measured: the new test fails without the change; app/gateway passes under the race detector.

--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -292,10 +292,13 @@
 		old.cancel()
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	w := &loadWatch{g: g, targetAddress: addr, period: period, cancel: cancel, hasReported: ok && old.hasReported}
+	w := &loadWatch{g: g, targetAddress: addr, period: period, cancel: cancel}
 	g.loadWatches[addr] = w
-	if t, listed := w.listedTarget(); listed && ok {
-		g.refreshEngine(t, g.now()) // the interval between reports has changed
+	if ok {
+		w.hasReported, w.reportedAt, w.peak = old.hasReported, old.reportedAt, old.peak
+		if t, listed := w.listedTarget(); listed {
+			g.refreshEngine(t, g.now()) // the interval between reports has changed
+		}
 	}
 	go w.run(ctx)
 }
--- a/app/gateway/zone.go
+++ b/app/gateway/zone.go
@@ -253,6 +253,8 @@
 	}
 	if !w.hasReported { // the first message is complete
 		w.hasReported, z.lostAt = true, time.Time{}
+		g.log.members.Info().Str("zone", string(w.zone)).Str("entry", string(w.relay.Instance)).Int("targets", len(loads)).Dur("period", w.period).
+			Msg(trace.MessageRelayReports)
 		loads = append(loads, z.missingFrom(loads)...)
 	}
 	services := map[fleet.Service]bool{}
--- a/app/gateway/zone_test.go
+++ b/app/gateway/zone_test.go
@@ -238,6 +238,20 @@
 	assert.Assert(t, errors.As(<-ended, &failed))
 }
 
+// The interval of a watch changes. Its target stays known to those that this entry reports to.
+func TestWatchWithAnotherPeriodStaysReported(t *testing.T) {
+	g, _, watches := newModelGateway(t, 1)
+	watches[0].period = 150 * time.Millisecond
+	watches[0].handleLoad(accepting(3))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.watchLoad(canceledContext(), watches[0].targetAddress, time.Second)
+	assert.Assert(t, g.loadWatches[watches[0].targetAddress] != watches[0])
+	loads := g.loadsSince(map[string]time.Time{})
+	assert.Equal(t, len(loads), 1)
+	assert.Equal(t, loads[0].Peak, 3)
+}
+
 // A process was paused. What it received before is as old as the pause.
 func TestPauseDropsRelayedLoads(t *testing.T) {
 	g, c, _ := newModelGateway(t, 1)
--- a/core/trace/messages.go
+++ b/core/trace/messages.go
@@ -10,6 +10,7 @@
 	MessageConfiguration       = "configuration in force"
 	MessageTarget              = "target"
 	MessageTargetChanged       = "target changed"
+	MessageRelayReports        = "reports on a zone begin"
 	MessageRelayLost           = "reports on a zone ended"
 	MessageTargetRemoved       = "entry of a target is gone"
 	MessageTargetLeaves        = "target leaves"
