The tests of requests that are read in part share their steps

Callers saw: nothing. Change: one function, the assertions and cases unchanged. Ruled out: one table for both; their names stand in the fault matrix.

--- a/app/daemon/drain_partial_test.go
+++ b/app/daemon/drain_partial_test.go
@@ -13,25 +13,31 @@
 func TestStopAnswersRequestReadInPart(t *testing.T) {
 	for _, part := range []string{"G", "GET /2 HT", "GET /2 HTTP/1.1\r\nHost: h\r\n"} {
 		t.Run(fmt.Sprintf("%d bytes", len(part)), func(t *testing.T) {
-			s, addr := startServer(t, &recorder{handled: map[string]int{}, delay: 300 * time.Millisecond})
-			k := dial(t, addr)
-			const second = "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
-			assert.NilError(t, k.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"+part))
-			time.Sleep(100 * time.Millisecond)
-			done := drain(t, s)
-			body, err := k.response()
-			assert.NilError(t, err)
-			assert.Equal(t, body, "/1 <nil>")
-			time.Sleep(50 * time.Millisecond)
-			assert.NilError(t, k.write(second[len(part):]))
-			body, err = k.response()
-			assert.NilError(t, err)
-			assert.Equal(t, body, "/2 <nil>")
-			assert.NilError(t, <-done)
+			stopAfterPart(t, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", part)
 		})
 	}
 }
 
+// stopAfterPart sends a request together with a part of the next one, and the rest after the server
+// has begun to stop and has answered the first one. Both are answered.
+func stopAfterPart(t *testing.T, first, part string) {
+	s, addr := startServer(t, &recorder{handled: map[string]int{}, delay: 300 * time.Millisecond})
+	k := dial(t, addr)
+	const second = "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+	assert.NilError(t, k.write(first+part))
+	time.Sleep(100 * time.Millisecond)
+	done := drain(t, s)
+	body, err := k.response()
+	assert.NilError(t, err)
+	assert.Equal(t, body, "/1 <nil>")
+	time.Sleep(50 * time.Millisecond)
+	assert.NilError(t, k.write(second[len(part):]))
+	body, err = k.response()
+	assert.NilError(t, err)
+	assert.Equal(t, body, "/2 <nil>")
+	assert.NilError(t, <-done)
+}
+
 // The rest of a request's body arrives during a stop, then the next request.
 func TestStopAnswersBodyThatArrives(t *testing.T) {
 	s, addr := startServer(t, &recorder{handled: map[string]int{}})
@@ -98,23 +104,7 @@
 		"chunks": "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n2;x=y\r\ncd\r\n0\r\nA: b\r\n\r\n",
 	} {
 		for _, part := range []string{"G", "GET /2 HT", "GET /2 HTTP/1.1\r\nHost: h\r\n"} {
-			t.Run(fmt.Sprintf("%s, %d bytes", name, len(part)), func(t *testing.T) {
-				s, addr := startServer(t, &recorder{handled: map[string]int{}, delay: 300 * time.Millisecond})
-				k := dial(t, addr)
-				const second = "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
-				assert.NilError(t, k.write(first+part))
-				time.Sleep(100 * time.Millisecond)
-				done := drain(t, s)
-				body, err := k.response()
-				assert.NilError(t, err)
-				assert.Equal(t, body, "/1 <nil>")
-				time.Sleep(50 * time.Millisecond)
-				assert.NilError(t, k.write(second[len(part):]))
-				body, err = k.response()
-				assert.NilError(t, err)
-				assert.Equal(t, body, "/2 <nil>")
-				assert.NilError(t, <-done)
-			})
+			t.Run(fmt.Sprintf("%s, %d bytes", name, len(part)), func(t *testing.T) { stopAfterPart(t, first, part) })
 		}
 	}
 }
