Test: a zone whose entries are of an earlier version is watched directly

Cause: no test had an entry that does not know the stream of a zone's loads, as while a new version of the system is rolled out. Callers saw: nothing. Change: the test, with a server that knows no service.

--- a/app/gateway/zone_test.go
+++ b/app/gateway/zone_test.go
@@ -252,6 +252,38 @@
 	assert.Equal(t, loads[0].Peak, 3)
 }
 
+// The entries of a zone are of an earlier version, which passes no loads on.
+func TestZoneOfEarlierVersionIsWatchedDirectly(t *testing.T) {
+	server := grpc.NewServer(peer.ServerOptions(nil)...) // knows no service
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	t.Cleanup(func() { server.Stop(); <-served })
+	g, c, _ := newModelGateway(t, 1)
+	addZone(g, "z2", 3, c.t)
+	entry := func(incarnation fleet.Incarnation) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.entryList.Merge([]gossip.Record{{Instance: "e9", Incarnation: incarnation, Zone: "z2", Region: "z2", Address: l.Addr().String()}}, c.t)
+	}
+	entry(1)
+	g.watchTargets(canceledContext())
+	z := g.zones["z2"]
+	z.watch.run(t.Context())
+	assert.Assert(t, z.watch == nil)
+	g.watchTargets(canceledContext())
+	assert.Assert(t, z.watch == nil, "it is not asked again at once")
+	c.t = c.t.Add(directDelay)
+	g.watchTargets(canceledContext())
+	assert.Equal(t, len(g.loadWatches), 4)
+	c.t = c.t.Add(relayRetryDelay)
+	entry(2)
+	g.watchTargets(canceledContext())
+	assert.Assert(t, z.watch != nil, "it may be of the new version now")
+	assert.Equal(t, len(g.loadWatches), 4, "until it reports")
+}
+
 // A process was paused. What it received before is as old as the pause.
 func TestPauseDropsRelayedLoads(t *testing.T) {
 	g, c, _ := newModelGateway(t, 1)
