app/gateway: logs name the content that a target broke off, and the entries offered to callers

Lines of failed attempts don't say which requests have the same content, nor how many crashes an entry knows of, so the hypotheses of the incident can't be told apart. The same for the entries that callers are told of.

--- a/app/gateway/leaving_bound_test.go
+++ b/app/gateway/leaving_bound_test.go
@@ -163,7 +163,7 @@
 		peer.RegisterMesh(server, g)
 		go func() { _ = server.Serve(f.listeners[id]) }()
 		t.Cleanup(func() { server.Stop(); pool.Close(); _ = m.Close() })
-		for _, r := range []daemon.Runner{&ticker{g}, &storeReader{g: g}, &follower{g}, &entryExchanger{g}} {
+		for _, r := range []daemon.Runner{&ticker{g}, &storeReader{g: g}, &follower{g}, &entryExchanger{g: g}} {
 			go r.Run(ctx)
 		}
 	}
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -42,13 +42,17 @@
 
 // entryExchanger exchanges the list of entries with other entries, and reads the store's
 // content from entries whose copy is newer.
-type entryExchanger struct{ g *Gateway }
+type entryExchanger struct {
+	g       *Gateway
+	offered map[fleet.InstanceID]bool // entries that callers were told of at the last exchange
+}
 
 // Run implements daemon.Runner.
 func (e *entryExchanger) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.exchange(ctx)
 		e.g.refreshForEntries()
+		e.logEntries()
 		e.g.watchTargets(ctx)
 		e.wait(ctx)
 	}
@@ -74,6 +78,27 @@
 	}
 }
 
+// logEntries logs the entries that callers are told of since the last exchange, or no longer.
+func (e *entryExchanger) logEntries() {
+	g := e.g
+	g.mu.Lock()
+	live := g.entryList.Live(g.now())
+	g.mu.Unlock()
+	before := e.offered
+	e.offered = make(map[fleet.InstanceID]bool, len(live))
+	for _, r := range live {
+		e.offered[r.Instance] = true
+		if !before[r.Instance] {
+			g.log.members.Info().Str("entry", string(r.Instance)).Msg("entry is offered to callers")
+		}
+	}
+	for id := range before {
+		if !e.offered[id] {
+			g.log.members.Info().Str("entry", string(id)).Msg("entry is no longer offered to callers")
+		}
+	}
+}
+
 func (e *entryExchanger) exchange(ctx context.Context) {
 	g := e.g
 	now := g.now()
--- a/app/gateway/race.go
+++ b/app/gateway/race.go
@@ -262,6 +262,7 @@
 	a.service.balancer.RecordEnd(a.target.ID, a.prefillTokens, a.result, now)
 	if a.crashed {
 		g.ledger.RecordCrash([]fleet.Fingerprint{h.fingerprint}, now)
+		a.logCrash(now)
 	}
 	if a.brokeBeforeFirstEvent() && g.recordPartCrash(h, a.target.ID) {
 		// Another attempt would probably crash another target.
@@ -273,6 +274,13 @@
 	return failure
 }
 
+// logCrash writes the log line of a target that broke off a request. The handler's mu and Gateway.mu must be held.
+func (a *targetAttempt) logCrash(now time.Time) {
+	h := a.handler
+	h.g.log.requests.Info().Str("request", string(h.call.ID)).Str("content", h.fingerprint.String()).Str("target", string(a.target.ID)).
+		Uint64("born", uint64(a.target.Incarnation)).Float64("blame", h.g.ledger.Blame(h.fingerprint, now)).Msg("target broke off a request")
+}
+
 // logFailure writes the log line of a failed attempt. The target beside is that of an attempt that
 // goes on.
 func (h *requestHandler) logFailure(target fleet.InstanceID, failure dispatch.Failure, step dispatch.Step, beside fleet.InstanceID) {
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -440,7 +439,7 @@
 func partNames(parts []fleet.Fingerprint) []string {
 	out := make([]string, len(parts))
 	for i, p := range parts {
-		out[i] = strconv.FormatUint(uint64(p), 16)
+		out[i] = p.String()
 	}
 	return out
 }
--- a/core/crashblame/crashblame.go
+++ b/core/crashblame/crashblame.go
@@ -114,6 +114,14 @@
 	return Unrestricted
 }
 
+// Blame returns the blame of a request.
+func (l *Ledger) Blame(f fleet.Fingerprint, now time.Time) float64 {
+	if r, ok := l.records[f]; ok {
+		return l.decayedBlame(r, now)
+	}
+	return 0
+}
+
 // RecordCrash adds blame to the requests that ran on a target when it crashed.
 func (l *Ledger) RecordCrash(running []fleet.Fingerprint, now time.Time) {
 	distinct := slices.Clone(running)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"strconv"
 	"strings"
 )
 
@@ -84,6 +85,9 @@
 // Fingerprint is the hash of a request's workspace, model and body.
 type Fingerprint uint64
 
+// String returns the fingerprint as it stands in logs.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
+
 // Bytes is a size in bytes.
 type Bytes int64
 
