--- a/core/gossip/list_test.go
+++ b/core/gossip/list_test.go
@@ -122,3 +122,36 @@
 		}
 	}
 }
+
+// An entry has lost power. The others pass its record on, at first to each other and then to entries
+// that start. From Lease after its last exchange on, nobody may offer it, whoever heard of it from whom.
+func TestRecordThatIsPassedOnStaysAsOldAsItIs(t *testing.T) {
+	const hops = 6
+	gone := gossip.New(gossip.DefaultSettings, record(0))
+	first := gossip.New(gossip.DefaultSettings, record(1))
+	first.Merge(gone.Records(t0), t0)
+	known := []*gossip.List{first}
+	for i := range hops {
+		now := t0.Add(time.Duration(i+1) * (gossip.DefaultSettings.Lease - time.Millisecond))
+		started := gossip.New(gossip.DefaultSettings, record(2+i))
+		started.Merge(known[len(known)-1].Records(now), now)
+		known = append(known, started)
+		for _, l := range known {
+			for _, r := range l.Live(now.Add(2 * time.Millisecond)) {
+				assert.Assert(t, r.Instance != record(0).Instance, "hop %d", i)
+			}
+		}
+	}
+}
+
+// The lease of an entry that lost power ended long before this process was paused, or ends after it.
+func TestPauseDoesNotBringBackEntriesThatAreGone(t *testing.T) {
+	for _, before := range []time.Duration{gossip.DefaultSettings.Lease + time.Second, 30 * time.Second} {
+		l := gossip.New(gossip.DefaultSettings, record(0))
+		l.Merge([]gossip.Record{record(1)}, t0)
+		resumedAt := t0.Add(before)
+		assert.Equal(t, len(l.Live(resumedAt)), 0)
+		l.Resumed(resumedAt)
+		assert.Equal(t, len(l.Live(resumedAt)), 0, "after %v", before)
+	}
+}
