--- a/app/entry/attach.go
+++ b/app/entry/attach.go
@@ -120,7 +120,7 @@
 	if r.CrashedIncarnation != 0 && e.crashedIncarnations[r.Instance] != r.CrashedIncarnation {
 		e.crashedIncarnations[r.Instance] = r.CrashedIncarnation
 		e.opt.Metrics.Count("engine_crashes", 1)
-		e.ledger.RecordCrash(r.Crashed, now)
+		e.recordBlame(engineCrash(r), r.Crashed, now)
 	}
 }
 
--- a/app/entry/attempts.go
+++ b/app/entry/attempts.go
@@ -349,7 +349,11 @@
 func (h *requestHandler) recordCompletion(exclusive bool) {
 	h.e.reqMu.Lock()
 	defer h.e.reqMu.Unlock()
-	h.e.ledger.RecordCompletion(h.gen.Fingerprint, exclusive, h.e.now())
+	if exclusive {
+		h.e.ledger.RecordProof(h.gen.Fingerprint, h.e.now())
+		return
+	}
+	h.e.ledger.RecordSharedCompletion(h.gen.Fingerprint, h.e.now())
 }
 
 // callFailure translates the error of a call that ended without a complete response. If the
--- a/app/entry/blame_test.go
+++ b/app/entry/blame_test.go
@@ -31,9 +31,9 @@
 		f.replies[breaks] = breaksLater
 		r := f.generate(t.Context(), silenceDeadline)
 		assert.Equal(t, r.refusal.Outcome, fleet.OutcomeUnknown)
-		blamed := f.e.ledger.MostBlamed(2, f.e.now())
+		blamed := f.e.ledger.Exchange(f.e.now())
 		assert.Equal(t, len(blamed), 1)
-		assert.Assert(t, blamed[0].Value > 0.9 && blamed[0].Value <= 1, "%v", blamed)
+		assert.Assert(t, blamed[0].Share > 0.9 && blamed[0].Share <= 1, "%v", blamed)
 		assert.Equal(t, len(f.sent()), 2, "a suspect is not replaced")
 		f.close()
 	}
@@ -54,7 +54,7 @@
 	}, nil)
 	assert.Equal(t, refusal.Outcome, fleet.OutcomeUnknown)
 	assert.Equal(t, refusal.Reason, fleet.ReasonDeadlinePassed)
-	assert.Equal(t, len(f.e.ledger.MostBlamed(1, f.e.now())), 0)
+	assert.Equal(t, len(f.e.ledger.Exchange(f.e.now())), 0)
 	f.close()
 }
 
@@ -69,6 +69,6 @@
 		RequestID: "r", Model: stopModel, Body: []byte(generateBody), Deadline: time.Now().Add(deadline),
 	}, nil)
 	assert.Equal(t, refusal.Outcome, fleet.OutcomeUnknown)
-	assert.Equal(t, len(f.e.ledger.MostBlamed(1, f.e.now())), 0)
+	assert.Equal(t, len(f.e.ledger.Exchange(f.e.now())), 0)
 	f.close()
 }
--- a/app/entry/candidates.go
+++ b/app/entry/candidates.go
@@ -36,11 +36,16 @@
 	e.reqMu.Lock()
 	defer e.reqMu.Unlock()
 	eligible := h.eligible(candidates)
-	exclusive := e.ledger.Restriction(h.gen.Fingerprint, now) != crashblame.Unrestricted
+	restriction := e.ledger.Restriction(h.gen.Fingerprint, now)
+	exclusive := restriction != crashblame.Unrestricted
 	c, ok := h.pick(candidates, eligible, picker.Query{Prefix: h.prefixHash, Exclusive: exclusive, Avoid: h.state.Avoid()}, now)
 	if ok {
 		h.recordStart(c.ID)
 	}
+	if ok && restriction == crashblame.Refuse {
+		e.ledger.RecordTrial(h.gen.Fingerprint, now)
+		e.requestAnnouncement()
+	}
 	return chosenTarget{c, exclusive}, ok
 }
 
--- a/app/entry/config.go
+++ b/app/entry/config.go
@@ -355,13 +355,10 @@
 	}
 }
 
-// maxBlamedRequests limits the blamed requests in one message.
-const maxBlamedRequests = 16
-
 func (e *Entry) syncMessage() peer.SyncMessage {
 	now := e.now()
 	e.reqMu.Lock()
-	blamed := e.ledger.MostBlamed(maxBlamedRequests, now)
+	blamed := e.ledger.Exchange(now)
 	e.reqMu.Unlock()
 	e.cfgMu.Lock()
 	defer e.cfgMu.Unlock()
@@ -432,8 +429,11 @@
 	e.node.RecordPeerPlatformAge(from, m.PlatformAge, now)
 	e.cfgMu.Unlock()
 	e.reqMu.Lock()
-	e.ledger.Merge(m.Blamed, now)
+	changed := e.ledger.Merge(m.Blamed, now)
 	e.reqMu.Unlock()
+	if changed {
+		e.requestAnnouncement()
+	}
 }
 
 // Sync implements peer.EntryHandler. If the requesting entry has a newer configuration or
--- a/app/entry/entry_test.go
+++ b/app/entry/entry_test.go
@@ -23,8 +23,8 @@
 	for _, exclusive := range []bool{false, true} {
 		e := &Entry{opt: Options{Clock: fixedClock(now)}, ledger: crashblame.NewLedger(crashblame.DefaultSettings)}
 		h := &requestHandler{e: e, gen: peer.GenerateRequest{Fingerprint: 7}}
-		e.ledger.RecordCrash([]fleet.Fingerprint{7}, now)
+		e.ledger.RecordCrash(crashblame.CrashOf("t", 1), []fleet.Fingerprint{7}, now)
 		h.recordCompletion(exclusive)
-		assert.Equal(t, len(e.ledger.MostBlamed(1, now)) == 0, exclusive)
+		assert.Equal(t, e.ledger.Blame(7, now) == 0, exclusive)
 	}
 }
--- a/app/entry/replacement_test.go
+++ b/app/entry/replacement_test.go
@@ -13,6 +13,7 @@
 	"amaranthturn/app/telemetry"
 	"amaranthturn/core/clock"
 	"amaranthturn/core/config"
+	"amaranthturn/core/crashblame"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/keys"
 	"amaranthturn/core/membership"
@@ -60,7 +61,7 @@
 func suspect(a *scriptedAgent, r peer.GenerateRequest) {
 	a.fleet.e.reqMu.Lock()
 	defer a.fleet.e.reqMu.Unlock()
-	a.fleet.e.ledger.RecordCrash([]fleet.Fingerprint{r.Fingerprint}, a.fleet.e.now())
+	a.fleet.e.ledger.RecordCrash(crashblame.CrashOf(a.id, 1), []fleet.Fingerprint{r.Fingerprint}, a.fleet.e.now())
 }
 
 func beginStop(a *scriptedAgent, _ peer.GenerateRequest) {
@@ -107,7 +108,7 @@
 func TestReplacementsAreLimited(t *testing.T) {
 	t.Run("exclusive", func(t *testing.T) {
 		f := newScriptedFleet(t, 3, neverAnswers)
-		f.e.ledger.RecordCrash([]fleet.Fingerprint{fingerprint(caller.GenerateRequest{Workspace: "w", Model: stopModel, Body: []byte(generateBody)})}, f.e.now())
+		f.e.ledger.RecordCrash(crashblame.CrashOf("other", 1), []fleet.Fingerprint{fingerprint(caller.GenerateRequest{Workspace: "w", Model: stopModel, Body: []byte(generateBody)})}, f.e.now())
 		r := f.generate(t.Context(), 2*time.Second)
 		assert.Equal(t, r.refusal.Outcome, fleet.OutcomeUnknown)
 		assert.Equal(t, len(f.sent()), 1)
--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -10,10 +10,8 @@
 	"amaranthturn/app/telemetry"
 	"amaranthturn/core/admit"
 	"amaranthturn/core/config"
-	"amaranthturn/core/crashblame"
 	"amaranthturn/core/dispatch"
 	"amaranthturn/core/fleet"
-	"amaranthturn/core/membership"
 	"amaranthturn/core/picker"
 	"amaranthturn/core/retry"
 	"amaranthturn/core/shutdown"
@@ -135,7 +133,7 @@
 
 // admitAndRun waits for a slot and runs the request in it.
 func (h *requestHandler) admitAndRun(ctx context.Context) *fleet.Refusal {
-	if h.restriction() == crashblame.Refuse {
+	if h.crashesTargets() {
 		return fleet.NotRun(fleet.ReasonCrashesTargets, 0)
 	}
 	if !h.canStart() {
@@ -147,6 +145,9 @@
 	defer h.releaseSlot()
 	admittedAt := h.e.now()
 	h.metrics.Latency("queue_time", admittedAt.Sub(h.startedAt))
+	if h.crashesTargets() { // became known while the request waited
+		return fleet.NotRun(fleet.ReasonCrashesTargets, 0)
+	}
 	refusal := h.run(ctx)
 	if refusal == nil {
 		h.e.stop.Record(h.stopGroup(), h.e.now().Sub(admittedAt))
@@ -162,12 +163,6 @@
 
 func (h *requestHandler) deadline() time.Time { return h.gen.Deadline }
 
-func (h *requestHandler) restriction() crashblame.Restriction {
-	h.e.reqMu.Lock()
-	defer h.e.reqMu.Unlock()
-	return h.e.ledger.Restriction(h.gen.Fingerprint, h.e.now())
-}
-
 // acquireSlot acquires a slot, waiting in the queue if none is free.
 func (h *requestHandler) acquireSlot(ctx context.Context) *fleet.Refusal {
 	e := h.e
@@ -277,7 +272,7 @@
 			h.state.StartAttempt("") // nothing is sent to a target
 			return h.state.Failed(dispatch.Failure{Kind: daemon.FailureKind(startCtx)}, h.allowRetry, 0, h.e.now()).Refusal
 		}
-		if h.restriction() == crashblame.Refuse {
+		if h.crashesTargets() {
 			return h.state.Failed(dispatch.Failure{
 				Kind: dispatch.KindRefused, Refusal: fleet.NotRun(fleet.ReasonCrashesTargets, 0),
 			}, h.allowRetry, 0, h.e.now()).Refusal
@@ -323,49 +318,3 @@
 	h.e.queue.Observe(delay, now)
 	h.e.reqMu.Unlock()
 }
-
-// provisionalCrash is a crash recorded because a connection was lost. It is kept until it is
-// known whether the target has crashed.
-type provisionalCrash struct {
-	incarnation  fleet.Incarnation
-	fingerprints []fleet.Fingerprint
-	at           time.Time
-}
-
-// maxHeartbeatDelay is how long heartbeats from before a crash may still arrive.
-const maxHeartbeatDelay = time.Second
-
-// recordCrash records one crash of a target for all requests that ran there.
-func (e *Entry) recordCrash(target fleet.InstanceID) {
-	e.memMu.Lock()
-	var incarnation fleet.Incarnation
-	if a, ok := e.table.Get(target); ok {
-		incarnation = a.Incarnation
-	}
-	e.memMu.Unlock()
-	e.reqMu.Lock()
-	defer e.reqMu.Unlock()
-	var fingerprints []fleet.Fingerprint
-	for _, fp := range e.running[target] {
-		fingerprints = append(fingerprints, fp)
-	}
-	delete(e.running, target)
-	if len(fingerprints) > 0 {
-		e.ledger.RecordCrash(fingerprints, e.now())
-		e.provisionalCrashes[target] = provisionalCrash{incarnation: incarnation, fingerprints: fingerprints, at: e.now()}
-	}
-}
-
-// retractCrash retracts a provisional crash if the same incarnation of the target still
-// sends heartbeats. reqMu must be held.
-func (e *Entry) retractCrash(r membership.Report, now time.Time) {
-	crash, ok := e.provisionalCrashes[r.Instance]
-	switch {
-	case !ok:
-	case r.Incarnation != crash.incarnation:
-		delete(e.provisionalCrashes, r.Instance)
-	case now.Sub(crash.at) > maxHeartbeatDelay:
-		e.ledger.RetractCrash(crash.fingerprints, now)
-		delete(e.provisionalCrashes, r.Instance)
-	}
-}
--- a/app/entry/silence_test.go
+++ b/app/entry/silence_test.go
@@ -303,7 +303,7 @@
 			assert.Assert(t, r.took < 2*longPause, "%v", r.took)
 			assert.Equal(t, len(f.sent()) > 1, c.agents > 1, "replacements: %d", len(f.sent())-1)
 			breaks := strings.HasSuffix(c.name, "breaks_connection")
-			assert.Equal(t, len(f.e.ledger.MostBlamed(1, f.e.now())) > 0, breaks, "a canceled attempt is no crash")
+			assert.Equal(t, len(f.e.ledger.Exchange(f.e.now())) > 0, breaks, "a canceled attempt is no crash")
 			f.close()
 		})
 	}
--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -37,6 +37,9 @@
 	result          loadbalance.Result
 	prefillTokens   int
 	crashed         bool
+	answered        bool        // the target has answered, whatever it was
+	completed       bool        // the response is complete and successful, and not the rest of another one
+	isTrial         bool        // the request is known to crash targets
 	headerReceived  bool        // the header of a successful response
 	responseStarted bool        // guarded by the gateway's mu
 	hasUnusedRetry  bool        // it took a retry from the budget and was not sent; guarded by the gateway's mu
@@ -71,7 +74,9 @@
 	if err != nil {
 		return a.transportFailure(err), false
 	}
-	switch forward.Classify(sent.Reply) {
+	verdict := forward.Classify(sent.Reply)
+	a.answered = verdict != forward.VerdictWrongTarget && (sent.Signed || sent.NotRun)
+	switch verdict {
 	case forward.VerdictNoCapacity, forward.VerdictWrongTarget:
 		defer sent.Close()
 		sent.Discard(maxRejectionBytes, rejectionTimeout) // allows the connection to be reused
@@ -157,6 +162,7 @@
 	if !a.claimResponse(&targetResponse{sent.Reply, body}) {
 		return dispatch.Failure{Kind: dispatch.KindInvalidResponse}, false
 	}
+	a.completed = sent.Status/100 == 2
 	a.handler.out.WriteResponse(sent.Reply, body)
 	return dispatch.Failure{}, true
 }
@@ -197,6 +203,7 @@
 func (a *targetAttempt) endOfEvents(r forward.Reply) (dispatch.Failure, bool) {
 	switch {
 	case a.responseStarted && a.claimEnd(r):
+		a.completed = a.lastEventID == ""
 		return dispatch.Failure{}, true
 	case a.parent.Err() != nil || a.isSuperseded():
 	case a.responseStarted:
@@ -239,7 +246,7 @@
 	a.responseStarted = true
 	delete(h.g.unstarted, a)
 	if now := h.g.now(); a.headerReceived && h.g.parts.RecordBegun(h.call.SharedParts, now) {
-		h.g.partsChanged(now)
+		h.g.crashesChanged(now)
 	}
 	a.service.balancer.RecordFirstEvent(a.target.ID, a.prefillTokens)
 	a.prefillTokens = 0
@@ -255,7 +262,9 @@
 // watchUntilStarted adds an attempt to those that are canceled if they may not start any more. mu
 // must be held.
 func (g *Gateway) watchUntilStarted(a *targetAttempt) {
-	a.startVersions = g.loadedVersions(a.target)
+	if a.handler.isStreaming() { // other responses do not show with which weights they start
+		a.startVersions = g.loadedVersions(a.target)
+	}
 	g.unstarted[a] = struct{}{}
 }
 
--- a/app/gateway/crash_evidence_test.go
+++ b/app/gateway/crash_evidence_test.go
@@ -26,12 +26,13 @@
 	"amaranthturn/platform/platformtest"
 )
 
+const crashService fleet.Service = "plain"
+
 const (
-	crashService   fleet.Service = "plain"
-	crashTargets                 = 3
-	crashingBody                 = "crashing"
-	rejectedHeader               = "X-Rejected"
-	waitingHeader                = "X-Waiting"
+	crashTargets   = 3
+	crashingBody   = "crashing"
+	rejectedHeader = "X-Rejected"
+	waitingHeader  = "X-Waiting"
 	// maxCrashes is how many targets a request may end before it is refused.
 	maxCrashes = 3
 	// maxSendsAfterCrashes is how often a request may be sent after it has ended maxCrashes targets.
@@ -57,7 +58,7 @@
 	l       net.Listener
 	mu      sync.Mutex
 	started int
-	conns   map[net.Conn]bool // with a request
+	conns   map[net.Conn]bool // with a request, and whether it ends with the target
 }
 
 func newCrashFleet(t *testing.T, entries int) *crashFleet {
@@ -132,7 +133,7 @@
 		}
 		body, _ := io.ReadAll(r.Body)
 		t.mu.Lock()
-		t.conns[c] = true
+		t.conns[c] = r.Header.Get(rejectedHeader) == "" // the rejection is on its way when the target ends
 		t.mu.Unlock()
 		status := http.StatusOK
 		switch {
@@ -159,10 +160,12 @@
 // end breaks off everything that runs on the target, and starts it again.
 func (t *crashTarget) end() {
 	t.mu.Lock()
-	for c := range t.conns {
-		_ = c.Close()
+	for c, isCut := range t.conns {
+		if isCut {
+			_ = c.Close()
+			delete(t.conns, c)
+		}
 	}
-	t.conns = map[net.Conn]bool{}
 	if !t.f.breaksOnly {
 		t.started++
 	}
@@ -210,6 +213,17 @@
 	}
 }
 
+// running returns the number of requests at the targets.
+func (f *crashFleet) running() int {
+	n := 0
+	for _, t := range f.targets {
+		t.mu.Lock()
+		n += len(t.conns)
+		t.mu.Unlock()
+	}
+	return n
+}
+
 func (f *crashFleet) assertRefusedEverywhere() {
 	f.t.Helper()
 	before := f.sends.Load()
@@ -249,10 +263,99 @@
 	for f.sends.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	for range maxCrashes {
-		f.send(f.entries[0], crashingBody)
+	for range maxCrashes - 1 {
+		f.crash(1)
 	}
 	close(f.release)
 	assert.Equal(t, (<-rejected).status, http.StatusNotFound)
+	f.crash(1)
+	f.assertRefusedEverywhere()
+}
+
+// Connections break and the targets live, three times under one request that has never completed.
+func TestLostResponsesDoNotBlockPopularRequest(t *testing.T) {
+	f := newCrashFleet(t, 1)
+	f.breaksOnly = true
+	g := f.entries[0]
+	for range 4 * crashTargets {
+		assert.Equal(t, f.send(g, crashingBody).refusal.Reason, fleet.ReasonTargetLost)
+		f.clock.step.Add(int64(2 * time.Second)) // after which a target that has failed is used again
+		for range 4 * crashTargets {             // at random targets
+			assert.Equal(t, f.send(g, "sound").refusal.Reason, fleet.Reason(""))
+		}
+	}
+}
+
+// A request runs on each of the targets that another one ends.
+func TestSoundRequestBesideCrashingOneIsServed(t *testing.T) {
+	for _, isProven := range []bool{false, true} {
+		f := newCrashFleet(t, 8)
+		if isProven {
+			assert.Equal(t, f.send(f.entries[7], "sound").status, http.StatusOK)
+		}
+		var wg sync.WaitGroup
+		for _, g := range f.entries[:maxCrashes] {
+			for range 8 * crashTargets { // at random targets
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					f.send(g, "sound", waitingHeader)
+				}()
+			}
+		}
+		for f.running() < 8*crashTargets*maxCrashes {
+			time.Sleep(time.Millisecond)
+		}
+		for _, target := range f.targets {
+			target.end()
+		}
+		wg.Wait()
+		f.exchange()
+		refusedFor := time.Duration(0)
+		for f.send(f.entries[refusedFor/time.Second%8], "sound").status != http.StatusOK {
+			refusedFor += time.Second
+			f.clock.step.Add(int64(time.Second))
+		}
+		f.exchange()
+		for _, g := range f.entries {
+			assert.Equal(t, f.send(g, "sound").status, http.StatusOK)
+		}
+		assert.Assert(t, refusedFor == 0 || !isProven && refusedFor < 30*time.Second, "proven %v: refused for %v", isProven, refusedFor)
+	}
+}
+
+// Requests wait at targets while one of the same content becomes known to end them.
+func TestWaitingAttemptsOfCrashingRequestAreCanceled(t *testing.T) {
+	f := newCrashFleet(t, 4)
+	waiting := f.entries[3]
+	const n = 6
+	ended := make(chan *refusalRecorder, n)
+	for range n {
+		go func() { ended <- f.send(waiting, crashingBody, rejectedHeader) }()
+	}
+	for f.sends.Load() < n {
+		time.Sleep(time.Millisecond)
+	}
+	f.crash(maxCrashes)
+	f.exchange()
+	for range n {
+		select {
+		case r := <-ended:
+			assert.Equal(t, r.refusal.Outcome, fleet.OutcomeUnknown, "it may have run")
+		case <-time.After(2 * time.Second):
+			t.Fatal("a request waits at a target that it would end")
+		}
+	}
+	close(f.release)
+	f.assertRefusedEverywhere()
+}
+
+// An entry starts after a request has ended three targets.
+func TestStartedEntryLearnsOfCrashingRequest(t *testing.T) {
+	f := newCrashFleet(t, 3)
+	f.crash(maxCrashes)
+	f.exchange()
+	started := f.addEntry()
+	started.mergeFrom(f.entries[0], f.clock.Now())
 	f.assertRefusedEverywhere()
 }
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -182,11 +182,9 @@
 	startBudgetEntries = 64
 )
 
-// crashSettings block a request for some seconds after it has crashed three targets, the
-// number that the platform allows. A lost response is indistinguishable from a crash here,
-// and many callers may send the same request, so blame expires soon and no request is run
-// exclusively.
-var crashSettings = crashblame.Settings{MaxCrashedTargets: 3, ExclusiveThreshold: 3, HalfLife: 20 * time.Second, Capacity: 4096}
+// crashSettings refuse a request after it has crashed three targets, the number that the platform
+// allows. Targets run requests of other entries too, so none can be run alone.
+var crashSettings = crashblame.Settings{MaxCrashedTargets: 3, TrialDelay: 15 * time.Second, Capacity: 4096}
 
 // IsLeaving implements platform.Gateway.
 func (g *Gateway) IsLeaving() bool { return g.leaving.Load() }
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -11,8 +11,6 @@
 
 	"amaranthturn/app/settings"
 	"amaranthturn/app/telemetry"
-	"amaranthturn/core/crashblame"
-	"amaranthturn/core/fleet"
 	"amaranthturn/core/mirror"
 	"amaranthturn/core/roster"
 	"amaranthturn/io/peer"
@@ -180,26 +178,6 @@
 	}
 }
 
-// A popular request whose responses are lost twice in a row, while other copies of it
-// succeed, must still be served. A request that crashes each target is blocked, even if
-// it is repeated only every five seconds.
-func TestLostResponsesDoNotBlockPopularRequest(t *testing.T) {
-	now := time.Unix(1_000_000, 0)
-	l := crashblame.NewLedger(crashSettings)
-	l.RecordCrash([]fleet.Fingerprint{1}, now)
-	l.RecordCrash([]fleet.Fingerprint{1}, now)
-	assert.Equal(t, l.Restriction(1, now), crashblame.Unrestricted)
-	l.RecordCrash([]fleet.Fingerprint{1}, now)
-	assert.Equal(t, l.Restriction(1, now), crashblame.Refuse)
-	assert.Equal(t, l.Restriction(1, now.Add(10*time.Second)), crashblame.Unrestricted)
-	for range 3 {
-		assert.Equal(t, l.Restriction(2, now), crashblame.Unrestricted)
-		l.RecordCrash([]fleet.Fingerprint{2}, now)
-		now = now.Add(5 * time.Second)
-	}
-	assert.Equal(t, l.Restriction(2, now.Add(-5*time.Second)), crashblame.Refuse)
-}
-
 // An entry that has just started knows no others and watches targets with a short period.
 // When it knows the forty others of its fleet, the period follows. It stays the same while a
 // few entries come and go.
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -36,8 +36,6 @@
 	loadWatchRetryDelay = 400 * time.Millisecond
 	// catchUpTimeout limits a read of another entry's copy of the store.
 	catchUpTimeout = 1500 * time.Millisecond
-	// maxBlamedRequests limits the blamed requests in one message.
-	maxBlamedRequests = 16
 )
 
 // entryExchanger exchanges the list of entries with other entries, and reads the store's
@@ -217,7 +215,7 @@
 	}
 	crashes, proven := g.parts.Exchange(now)
 	return peer.ExchangeMessage{
-		Records: g.entryList.Records(now), Blamed: g.ledger.MostBlamed(maxBlamedRequests, now), StorePosition: g.mirror.Position(),
+		Records: g.entryList.Records(now), Blamed: g.ledger.Exchange(now), StorePosition: g.mirror.Position(),
 		ConfigVersion: g.configVersion(), MaxEntries: g.maxEntries, Declared: declared, Leaving: g.notices.Leaving(),
 		Crashes: crashes, ProvenParts: proven, Reads: g.roster.Reads().Reports(now),
 	}
@@ -233,10 +231,7 @@
 	g.entryList.Merge(update.Records, now)
 	g.maxEntries = max(g.maxEntries, update.MaxEntries)
 	g.divideBudgets(now)
-	g.ledger.Merge(update.Blamed, now)
-	if g.parts.Merge(update.Crashes, update.ProvenParts, now) {
-		g.partsChanged(now)
-	}
+	g.mergeCrashes(update.Blamed, update.Crashes, update.ProvenParts, now)
 	for m, ages := range update.Declared {
 		if g.declarationsOf(m).Merge(ages, now) {
 			g.log.config.Info().Str("model", string(m)).Uint64("version", g.declared[m].Newest()).Msg("weights version declared, known from an entry")
--- a/app/gateway/race.go
+++ b/app/gateway/race.go
@@ -70,9 +70,7 @@
 	}
 	h.race.running = append(h.race.running, a)
 	h.attempts++
-	if h.isStreaming() { // other responses do not show when they start
-		h.g.watchUntilStarted(a)
-	}
+	h.g.watchUntilStarted(a)
 	return a
 }
 
@@ -260,27 +258,13 @@
 		a.service.balancer.RecordDuration(now.Sub(a.startedAt), now)
 	}
 	a.service.balancer.RecordEnd(a.target.ID, a.prefillTokens, a.result, now)
-	if a.crashed {
-		g.ledger.RecordCrash([]fleet.Fingerprint{h.fingerprint}, now)
-		a.logCrash(now)
-	}
-	if a.brokeBeforeFirstEvent() && g.recordPartCrash(h, a.target.ID) {
+	if a.recordCrashes(done, now) {
 		// Another attempt would probably crash another target.
 		failure = dispatch.Failure{Kind: dispatch.KindRefused, Refusal: &fleet.Refusal{Outcome: fleet.OutcomeUnknown, Reason: fleet.ReasonCrashesTargets}}
 	}
-	if done {
-		g.ledger.RecordCompletion(h.fingerprint, false, now)
-	}
 	return failure
 }
 
-// logCrash writes the log line of a target that broke off a request. The handler's mu and Gateway.mu must be held.
-func (a *targetAttempt) logCrash(now time.Time) {
-	h := a.handler
-	h.g.log.requests.Info().Str("request", string(h.call.ID)).Str("content", h.fingerprint.String()).Str("target", string(a.target.ID)).
-		Uint64("born", uint64(a.target.Incarnation)).Float64("blame", h.g.ledger.Blame(h.fingerprint, now)).Msg("target broke off a request")
-}
-
 // logFailure writes the log line of a failed attempt. The target beside is that of an attempt that
 // goes on.
 func (h *requestHandler) logFailure(target fleet.InstanceID, failure dispatch.Failure, step dispatch.Step, beside fleet.InstanceID) {
--- a/app/gateway/race_cases_test.go
+++ b/app/gateway/race_cases_test.go
@@ -286,7 +286,7 @@
 		for id := range crashblame.ReportID(8) {
 			g.parts.RecordCrash(id, p.parts, now)
 		}
-		g.partsChanged(now)
+		g.crashesChanged(now)
 	})
 	p.serve(g)
 	assert.NilError(t, p.err)
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -12,7 +12,6 @@
 	"amaranthturn/app/daemon"
 	"amaranthturn/app/telemetry"
 	"amaranthturn/core/admit"
-	"amaranthturn/core/crashblame"
 	"amaranthturn/core/dispatch"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/forward"
@@ -162,7 +161,7 @@
 	}
 	now := g.now()
 	g.mu.Lock()
-	if h.crashesTargets(now) {
+	if h.crashesTargets(now) && !h.isTrialDue(now) {
 		g.mu.Unlock()
 		return fleet.NotRun(fleet.ReasonCrashesTargets, 0)
 	}
@@ -252,12 +251,6 @@
 	h.g.patience.RecordRefusal(h.route.Name, h.g.now())
 }
 
-// crashesTargets reports whether the request or a part of its prompt is known to crash the
-// targets that run it. Gateway.mu must be held.
-func (h *requestHandler) crashesTargets(now time.Time) bool {
-	return h.g.ledger.Restriction(h.fingerprint, now) == crashblame.Refuse || h.g.parts.Restriction(h.call.SharedParts, now) == crashblame.Refuse
-}
-
 // cost estimates the work of a request. The unit is the prefill of one token.
 func (h *requestHandler) cost() float64 {
 	const outputTokenCost = 10 // work of generating a token, in prefill tokens
@@ -386,7 +379,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	if h.crashesTargets(now) { // became known while the request waited
+	crashesTargets := h.crashesTargets(now)
+	if crashesTargets && !h.isTrialDue(now) { // became known while the request waited
 		return nil, dispatch.Failure{Kind: dispatch.KindRefused, Refusal: fleet.NotRun(fleet.ReasonCrashesTargets, 0)}
 	}
 	target, ok := h.chooseTarget(svc)
@@ -403,45 +397,11 @@
 	h.race.ctx, h.race.service = ctx, svc
 	h.target = target.ID
 	h.startStallTimer()
-	return h.startAttempt(target), dispatch.Failure{}
-}
-
-// recordPartCrash records that a target broke off a request before the first event of its
-// response, and reports whether a part of the request's prompt is suspected. mu must be held.
-func (g *Gateway) recordPartCrash(h *requestHandler, t fleet.InstanceID) bool {
-	parts, now := h.call.SharedParts, g.now()
-	id := xxhash.Sum64String(string(h.call.ID) + "\x00" + string(t))
-	if g.parts.RecordCrash(crashblame.ReportID(id), parts, now) {
-		g.partsChanged(now)
-	}
-	suspect := g.parts.Suspect(parts, now)
-	g.log.requests.Info().Str("request", string(h.call.ID)).Str("target", string(t)).Strs("parts", partNames(parts)).Bool("suspect", suspect).
-		Msg("target broke off between header and first event")
-	return suspect
-}
-
-// partsChanged cancels the attempts that would crash their targets by what is known now, and
-// requests an exchange. mu must be held.
-func (g *Gateway) partsChanged(now time.Time) {
-	for a := range g.unstarted {
-		if g.parts.Restriction(a.handler.call.SharedParts, now) == crashblame.Refuse {
-			delete(g.unstarted, a)
-			a.canceled.Store(true)
-			a.cancel()
-			g.log.requests.Info().Str("request", string(a.handler.call.ID)).Str("target", string(a.target.ID)).
-				Msg("attempt canceled: a part of its prompt crashes targets")
-		}
-	}
-	g.requestExchange()
-}
-
-// partNames returns the fingerprints of parts of a prompt as they are logged.
-func partNames(parts []fleet.Fingerprint) []string {
-	out := make([]string, len(parts))
-	for i, p := range parts {
-		out[i] = p.String()
+	a := h.startAttempt(target)
+	if crashesTargets {
+		a.beginTrial(now)
 	}
-	return out
+	return a, dispatch.Failure{}
 }
 
 // chooseTarget selects the target of an attempt. mu must be held.
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -56,9 +56,10 @@
 	maxEntries      int // most entries that were live at once, kept for entries that restart
 	doc             *routeconfig.Document
 	declared        map[fleet.Model]*upgrade.Declarations
-	parts           *crashblame.PartLedger // kept for entries that restart
-	notices         *notice.Ledger         // kept for entries that restart
-	pausedEngine    notice.Target          // that asked for a pause last
+	crashes         *crashblame.Ledger // kept for entries that restart, as parts
+	parts           *crashblame.PartLedger
+	notices         *notice.Ledger // kept for entries that restart
+	pausedEngine    notice.Target  // that asked for a pause last
 	report          platform.Report
 	isEngineUp      bool // the last poll of the engine succeeded
 	listeners       map[*loadListener]struct{}
@@ -86,6 +87,7 @@
 		seeds: settings.Seeds, random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), mirror: newMirror(settings), roster: roster.New(roster.DefaultSettings),
 		// The list holds entries. This process is not an entry and does not announce itself.
 		entryList: gossip.New(gossip.DefaultSettings, gossip.Record{Region: settings.Region}), declared: map[fleet.Model]*upgrade.Declarations{},
+		crashes:   crashblame.NewLedger(crashblame.DefaultSettings),
 		parts:     crashblame.NewPartLedger(),
 		notices:   notice.NewLedger(),
 		listeners: map[*loadListener]struct{}{}, versionsChanged: make(chan struct{}, 1), weights: map[uint64]*versionWeights{}, uploads: peer.NewSlots(maxUploads),
@@ -178,6 +180,7 @@
 	if s.doc != nil {
 		m.ConfigVersion = s.doc.Version
 	}
+	m.Blamed = s.crashes.Exchange(now)
 	m.Crashes, m.ProvenParts = s.parts.Exchange(now)
 	m.Leaving = s.notices.Leaving()
 	return m
@@ -198,6 +201,7 @@
 			s.checkVersions()
 		}
 	}
+	s.crashes.Merge(m.Blamed, now)
 	s.parts.Merge(m.Crashes, m.ProvenParts, now)
 }
 
--- a/app/sidecar/sidecar_test.go
+++ b/app/sidecar/sidecar_test.go
@@ -101,11 +101,11 @@
 	assert.Equal(t, members["10.0.0.1:8620"].ID, fleet.InstanceID("after"))
 }
 
-// All entries restart after a prompt part has crashed engines. The agents still know of it, and
+// All entries restart after a request and a prompt part have crashed targets. The agents still know of it, and
 // of how long a declaration has been known.
 func TestCrashReportsOutliveRestartOfAllEntries(t *testing.T) {
 	s := &Sidecar{
-		clock: clock.System{}, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), parts: crashblame.NewPartLedger(),
+		clock: clock.System{}, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), crashes: crashblame.NewLedger(crashblame.DefaultSettings), parts: crashblame.NewPartLedger(),
 		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil), notices: notice.NewLedger(), roster: roster.New(roster.DefaultSettings),
 	}
 	now := time.Now()
@@ -114,13 +114,20 @@
 	for id := range crashblame.ReportID(crashblame.MaxCrashes) {
 		before.RecordCrash(id, deadly, now)
 	}
-	var m peer.ExchangeMessage
+	const content = fleet.Fingerprint(3)
+	contentsBefore, contents := crashblame.NewLedger(crashblame.DefaultSettings), crashblame.NewLedger(crashblame.DefaultSettings)
+	for i := range uint64(crashblame.DefaultSettings.MaxCrashedTargets) {
+		contentsBefore.RecordCrash(crashblame.CrashOf("t", i), []fleet.Fingerprint{content}, now)
+	}
+	m := peer.ExchangeMessage{Blamed: contentsBefore.Exchange(now)}
 	m.Crashes, m.ProvenParts = before.Exchange(now)
 	m.Declared = map[fleet.Model][]upgrade.Age{"m": {{Version: 2, Known: time.Second}}}
 	s.mergeExchange(m)
 	handedOn := s.exchangeMessage()
 	restarted.Merge(handedOn.Crashes, handedOn.ProvenParts, now)
 	assert.Equal(t, restarted.Restriction(deadly, now), crashblame.Refuse)
+	contents.Merge(handedOn.Blamed, now)
+	assert.Equal(t, contents.Restriction(content, now), crashblame.Refuse)
 	assert.Equal(t, s.declarationsOf("m").Newest(), uint64(2))
 }
 
@@ -129,7 +136,7 @@
 func TestDeclarationOutlivesRestartOfAllEntries(t *testing.T) {
 	c := clock.System{}
 	s := &Sidecar{
-		clock: c, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), parts: crashblame.NewPartLedger(),
+		clock: c, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), crashes: crashblame.NewLedger(crashblame.DefaultSettings), parts: crashblame.NewPartLedger(),
 		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil), notices: notice.NewLedger(), roster: roster.New(roster.DefaultSettings),
 	}
 	s.mergeExchange(peer.ExchangeMessage{Declared: map[fleet.Model][]upgrade.Age{"m": {{Version: 2, Known: 3 * time.Second}}}})
@@ -143,7 +150,7 @@
 func TestAgentDropsTargetsThatAreGone(t *testing.T) {
 	c := &fakeClock{time.Unix(1_000_000, 0)}
 	s := &Sidecar{
-		clock: c, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), parts: crashblame.NewPartLedger(),
+		clock: c, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), crashes: crashblame.NewLedger(crashblame.DefaultSettings), parts: crashblame.NewPartLedger(),
 		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil), notices: notice.NewLedger(), roster: roster.New(roster.DefaultSettings),
 	}
 	s.mergeExchange(peer.ExchangeMessage{Leaving: []notice.Target{{ID: "a", Incarnation: 1}}})
--- a/core/crashblame/crashblame.go
+++ b/core/crashblame/crashblame.go
@@ -7,17 +7,30 @@
 //	switch l.Restriction(fp, now) {
 //	case crashblame.Unrestricted: // run it on any target
 //	case crashblame.Exclusive:    // run it on a target without other requests
-//	case crashblame.Refuse:       // refuse it as not_run
+//	case crashblame.Refuse:       // refuse it as not_run, unless l.IsTrialDue(fp, rank, now)
 //	}
-//	l.RecordCrash(running, now)              // fingerprints of the requests on a crashed target
-//	l.RecordCompletion(fp, exclusively, now) // a request that ended without a crash
+//	l.RecordCrash(id, running, now)  // fingerprints of the requests on a crashed target
+//	l.RecordProof(fp, now)           // a request that completed although it was suspected
+//	l.RetractCrash(id, now)          // the target of a crash is alive
+//	l.Merge(received, now)           // what another entry's Exchange returned
 //
 // # Blame
 //
 // A crash adds one unit of blame, divided equally among the requests that ran on the
 // target. A request with enough blame runs on a target without other requests: if it
 // crashes that target too, it gets the full unit of blame, and a request that only ran next
-// to the crashing request finishes and its blame is cleared.
+// to the crashing request finishes and its blame is cleared. Where requests can't run alone,
+// each of them gets the full unit.
+//
+// Each unit carries the name of its crash and its age. Entries exchange units: those of different
+// crashes add up, those of one crash count once, and the lower share of it holds, since a share
+// only falls when more becomes known. Blame does not decay while the request comes.
+//
+// # Sound requests
+//
+// A request that completed is excused for the next crashes beside it, as many as a request may
+// cause. One that is refused without ever having completed is run again as a trial, by one entry at
+// a time and after times that grow with each trial.
 //
 // # Parts of prompts
 //
@@ -33,10 +46,13 @@
 package crashblame
 
 import (
-	"math"
+	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"amaranthturn/core/fleet"
 )
 
@@ -52,169 +68,380 @@
 	Refuse                          // stop
 )
 
+// CrashID names one crash.
+type CrashID uint64
+
+// CrashOf returns the name of the crash of one incarnation of a target, the same at all entries.
+func CrashOf(t fleet.InstanceID, incarnation uint64) CrashID {
+	return CrashID(xxhash.Sum64String(string(t) + "\x00" + strconv.FormatUint(incarnation, 10)))
+}
+
 // Settings configure a Ledger.
 type Settings struct {
 	// MaxCrashedTargets is the number of targets that one request may crash before it is
 	// refused.
 	MaxCrashedTargets int
-	// ExclusiveThreshold is the minimum blame at which a request is Exclusive.
+	// ExclusiveThreshold is the minimum blame at which a request is Exclusive, or 0 if
+	// requests can't run alone.
 	ExclusiveThreshold float64
-	// HalfLife is the time in which blame decays to half.
-	HalfLife time.Duration
+	// TrialDelay is the time from the last crash to the first trial of a refused request.
+	TrialDelay time.Duration
 	// Capacity limits the number of fingerprints kept.
 	Capacity int
 }
 
 // DefaultSettings refuse a request after it crashed two targets.
-var DefaultSettings = Settings{MaxCrashedTargets: 2, ExclusiveThreshold: 0.05, HalfLife: 10 * time.Minute, Capacity: 4096}
+var DefaultSettings = Settings{MaxCrashedTargets: 2, ExclusiveThreshold: 0.05, TrialDelay: 5 * time.Minute, Capacity: 4096}
 
-// refuseTolerance is subtracted from MaxCrashedTargets to get the blame at which a request
-// is refused, so that MaxCrashedTargets crashes with full blame reach it although the blame
-// of the earlier ones has decayed.
-const refuseTolerance = 0.5
+const (
+	// refuseTolerance is subtracted from MaxCrashedTargets to get the blame at which a request
+	// is refused, since a share of the blame may be that of sound requests beside it.
+	refuseTolerance = 0.5
+	// Lifetime is how long blame is kept after the crash, and after a request was last refused
+	// because of it.
+	Lifetime = 10 * time.Minute
+	// clearedLifetime is how long a unit without a share is kept, so that others learn of it.
+	clearedLifetime = time.Minute
+	// relayAllowance is added to the age of what another entry tells. A message looks younger by the
+	// time that it takes, and entries would renew what none of them uses by telling each other.
+	relayAllowance = time.Second
+	// maxUnits limits the units kept for one request.
+	maxUnits = 16
+	// MaxExchanged limits the units in one message.
+	MaxExchanged = 64
+	// maxAge limits the age of a unit, so that it can be subtracted from a time.
+	maxAge = 24 * time.Hour
+	// trialBackoff is the factor by which the delay grows with each crash and trial.
+	trialBackoff = 8
+	// maxTrialBackoffs limits the growth of the delay.
+	maxTrialBackoffs = 4
+	// trialInterval is the time between the trials that two entries may begin. It is longer than
+	// news takes to reach the other one.
+	trialInterval = 3 * time.Second
+)
 
-// Blame is the blame of one fingerprint as exchanged between entries.
+// Blame is one unit of blame of a request, as exchanged between entries.
 type Blame struct {
 	Fingerprint fleet.Fingerprint
-	Value       float64
+	Crash       CrashID
+	Share       float64       // 0 if the request is cleared of the crash
+	Age         time.Duration // since the crash
+	Idle        time.Duration // since the request was last refused, at most Age
+	IsTrial     bool          // no crash: an entry has begun a trial of the request
+}
+
+type unit struct {
+	share   float64
+	at      time.Time
+	isTrial bool
 }
 
 type blameRecord struct {
-	blame     float64
-	updatedAt time.Time
+	units     map[CrashID]unit
+	usedAt    time.Time // of the last crash or refusal
+	changedAt time.Time
 }
 
 // Ledger tracks the blame of fingerprints. It is not safe for concurrent use.
 type Ledger struct {
 	settings Settings
 	records  map[fleet.Fingerprint]*blameRecord
+	blamed   map[CrashID][]fleet.Fingerprint // with a share
+	proofs   *proofs
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger(settings Settings) *Ledger {
-	return &Ledger{settings: settings, records: map[fleet.Fingerprint]*blameRecord{}}
+	return &Ledger{settings: settings, records: map[fleet.Fingerprint]*blameRecord{}, blamed: map[CrashID][]fleet.Fingerprint{}, proofs: newProofs()}
 }
 
 // SetMaxCrashedTargets sets the number of targets that one request may crash.
 func (l *Ledger) SetMaxCrashedTargets(n int) { l.settings.MaxCrashedTargets = n }
 
-// Restriction returns the current restriction of a request.
+// Restriction returns the current restriction of a request that has come.
 func (l *Ledger) Restriction(f fleet.Fingerprint, now time.Time) Restriction {
-	r, ok := l.records[f]
+	r, ok := l.live(f, now)
 	if !ok {
 		return Unrestricted
 	}
-	b := l.decayedBlame(r, now)
+	b := r.blame()
 	switch {
-	case b >= float64(l.settings.MaxCrashedTargets)-refuseTolerance:
+	case l.isRefused(b):
+		r.usedAt = later(r.usedAt, now)
 		return Refuse
-	case b >= l.settings.ExclusiveThreshold:
+	case l.settings.ExclusiveThreshold > 0 && b >= l.settings.ExclusiveThreshold:
 		return Exclusive
 	}
 	return Unrestricted
 }
 
+func (l *Ledger) isRefused(blame float64) bool {
+	return blame >= float64(l.settings.MaxCrashedTargets)-refuseTolerance
+}
+
 // Blame returns the blame of a request.
 func (l *Ledger) Blame(f fleet.Fingerprint, now time.Time) float64 {
-	if r, ok := l.records[f]; ok {
-		return l.decayedBlame(r, now)
+	if r, ok := l.live(f, now); ok {
+		return r.blame()
 	}
 	return 0
 }
 
-// RecordCrash adds blame to the requests that ran on a target when it crashed.
-func (l *Ledger) RecordCrash(running []fleet.Fingerprint, now time.Time) {
+// IsTrialDue reports whether a refused request may be run once more. The rank of this entry among
+// those that may do so for the request begins with 0; entries with a higher one wait longer.
+func (l *Ledger) IsTrialDue(f fleet.Fingerprint, rank int, now time.Time) bool {
+	r, ok := l.live(f, now)
+	if !ok {
+		return false
+	}
+	backoffs := int(r.blame()) - l.settings.MaxCrashedTargets
+	last := time.Time{}
+	for _, u := range r.units {
+		if u.isTrial {
+			backoffs++
+		}
+		if u.isTrial || u.share > 0 {
+			last = later(last, u.at)
+		}
+	}
+	delay := l.settings.TrialDelay
+	for range min(max(0, backoffs), maxTrialBackoffs) {
+		delay *= trialBackoff
+	}
+	return now.Sub(last) >= delay+time.Duration(rank)*trialInterval
+}
+
+// RecordTrial records that a refused request is run once more.
+func (l *Ledger) RecordTrial(f fleet.Fingerprint, now time.Time) {
+	if r, ok := l.live(f, now); ok {
+		r.put(CrashOf("trial "+fleet.InstanceID(f.String()), uint64(now.UnixNano())), unit{at: now, isTrial: true}, now)
+	}
+}
+
+// RecordCrash adds blame to the requests that ran on a target when it crashed, divided among them. It
+// returns whether other entries should be told.
+func (l *Ledger) RecordCrash(id CrashID, running []fleet.Fingerprint, now time.Time) (changed bool) {
 	distinct := slices.Clone(running)
 	slices.Sort(distinct)
 	distinct = slices.Compact(distinct)
 	for _, f := range distinct {
-		l.add(f, 1/float64(len(distinct)), now)
+		if l.add(f, id, unit{share: 1 / float64(len(distinct)), at: now}, now, now) {
+			changed = true
+		}
 	}
+	return changed
 }
 
 // RetractCrash removes the blame of a crash that did not happen: the target was only
 // unreachable, and the same incarnation responds again.
-func (l *Ledger) RetractCrash(running []fleet.Fingerprint, now time.Time) {
-	for _, f := range running {
-		r, ok := l.records[f]
-		if !ok {
-			continue
-		}
-		r.blame = l.decayedBlame(r, now) - 1/float64(len(running))
-		r.updatedAt = now
-		if r.blame < l.settings.ExclusiveThreshold {
-			delete(l.records, f)
+func (l *Ledger) RetractCrash(id CrashID, now time.Time) {
+	for _, f := range slices.Clone(l.blamed[id]) {
+		l.setShare(f, id, 0, now)
+	}
+}
+
+// RecordAnswer retracts the crash of a target that has answered a request which was sent after it.
+func (l *Ledger) RecordAnswer(id CrashID, sentAt, now time.Time) {
+	for _, f := range slices.Clone(l.blamed[id]) {
+		if l.records[f].units[id].at.Before(sentAt) {
+			l.setShare(f, id, 0, now)
 		}
 	}
 }
 
-// RecordCompletion clears the blame of a request that completed on a target without other
-// requests, and halves that of one that completed next to others.
-func (l *Ledger) RecordCompletion(f fleet.Fingerprint, exclusively bool, now time.Time) {
-	r, ok := l.records[f]
+// RecordProof clears the blame of a request that completed, on a target without other requests if
+// requests can run alone.
+func (l *Ledger) RecordProof(f fleet.Fingerprint, now time.Time) {
+	l.proofs.prove(f, now, now)
+	l.scaleShares(f, 0, now)
+}
+
+// RecordSharedCompletion halves the blame of a request that completed next to others.
+func (l *Ledger) RecordSharedCompletion(f fleet.Fingerprint, now time.Time) {
+	l.scaleShares(f, 0.5, now)
+}
+
+func (l *Ledger) scaleShares(f fleet.Fingerprint, factor float64, now time.Time) {
+	r, ok := l.live(f, now)
 	if !ok {
 		return
 	}
-	if exclusively {
-		delete(l.records, f)
-		return
+	for id, u := range r.units {
+		if u.share > 0 {
+			l.setShare(f, id, u.share*factor, now)
+		}
 	}
-	r.blame = l.decayedBlame(r, now) / 2
-	r.updatedAt = now
 }
 
-// Merge merges the blame records of another entry. The higher value wins.
-func (l *Ledger) Merge(blames []Blame, now time.Time) {
-	for _, b := range blames {
-		if math.IsNaN(b.Value) || b.Value <= 0 {
+// Merge merges the units of another entry, and returns whether others should be told.
+func (l *Ledger) Merge(blames []Blame, now time.Time) (changed bool) {
+	for _, b := range blames[:min(len(blames), MaxExchanged)] {
+		// The comparison is false for a share that is no number.
+		if isShare := b.Share >= 0 && b.Share <= 1; !isShare || b.Crash == 0 || b.Age < 0 || b.Idle < 0 || b.Idle >= Lifetime-relayAllowance {
 			continue
 		}
-		value := min(b.Value, float64(l.settings.MaxCrashedTargets)+1)
-		r, ok := l.records[b.Fingerprint]
-		if !ok {
-			l.add(b.Fingerprint, value, now)
-			continue
+		u := unit{share: b.Share, at: now.Add(-min(b.Age, maxAge)), isTrial: b.IsTrial}
+		if u.isTrial {
+			u.share = 0
 		}
-		if value > l.decayedBlame(r, now) {
-			r.blame, r.updatedAt = value, now
+		if l.add(b.Fingerprint, b.Crash, u, now.Add(-b.Idle-relayAllowance), now) {
+			changed = true
 		}
 	}
+	return changed
 }
 
-// MostBlamed returns up to n fingerprints with the most blame, to send to other entries.
-func (l *Ledger) MostBlamed(n int, now time.Time) []Blame {
-	var out []Blame
-	for f, r := range l.records {
-		if b := l.decayedBlame(r, now); b >= l.settings.ExclusiveThreshold {
-			out = append(out, Blame{f, b})
+// Exchange returns units to send to other entries: those that changed last and those of the requests
+// with the most blame.
+func (l *Ledger) Exchange(now time.Time) []Blame {
+	type candidate struct {
+		f         fleet.Fingerprint
+		blame     float64
+		changedAt time.Time
+	}
+	var all []candidate
+	for f := range l.records {
+		if r, ok := l.live(f, now); ok {
+			all = append(all, candidate{f, r.blame(), r.changedAt})
 		}
 	}
-	slices.SortFunc(out, func(a, b Blame) int {
-		switch {
-		case a.Value != b.Value && a.Value > b.Value:
-			return -1
-		case a.Value != b.Value:
-			return 1
-		case a.Fingerprint < b.Fingerprint:
-			return -1
+	var out []Blame
+	sent := map[fleet.Fingerprint]bool{}
+	for i, compare := range []func(a, b candidate) int{
+		func(a, b candidate) int { return b.changedAt.Compare(a.changedAt) },
+		func(a, b candidate) int { return cmp.Compare(b.blame, a.blame) },
+	} {
+		slices.SortFunc(all, func(a, b candidate) int { return cmp.Or(compare(a, b), cmp.Compare(a.f, b.f)) })
+		for _, c := range all {
+			if sent[c.f] || len(out)+len(l.records[c.f].units) > MaxExchanged*(i+1)/2 {
+				continue
+			}
+			out, sent[c.f] = append(out, l.records[c.f].exchanged(c.f, now)...), true
 		}
-		return 1
-	})
-	return out[:min(n, len(out))]
+	}
+	return out
+}
+
+func (r *blameRecord) exchanged(f fleet.Fingerprint, now time.Time) []Blame {
+	var out []Blame
+	for id, u := range r.units {
+		age := max(0, now.Sub(u.at))
+		out = append(out, Blame{Fingerprint: f, Crash: id, Share: u.share, Age: age, Idle: min(age, max(0, now.Sub(r.usedAt))), IsTrial: u.isTrial})
+	}
+	slices.SortFunc(out, func(a, b Blame) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Crash, b.Crash)) })
+	return out
 }
 
 // Len returns the number of fingerprints kept.
 func (l *Ledger) Len() int { return len(l.records) }
 
-func (l *Ledger) add(f fleet.Fingerprint, blame float64, now time.Time) {
+// live returns the record of a request, without units that are no longer needed.
+func (l *Ledger) live(f fleet.Fingerprint, now time.Time) (*blameRecord, bool) {
 	r, ok := l.records[f]
+	if !ok {
+		return nil, false
+	}
+	if now.Sub(r.usedAt) >= Lifetime {
+		l.delete(f)
+		return nil, false
+	}
+	for id, u := range r.units {
+		if u.share == 0 && !u.isTrial && now.Sub(later(u.at, r.changedAt)) >= clearedLifetime {
+			delete(r.units, id)
+		}
+	}
+	if len(r.units) == 0 {
+		l.delete(f)
+		return nil, false
+	}
+	return r, true
+}
+
+func (l *Ledger) delete(f fleet.Fingerprint) {
+	for id := range l.records[f].units {
+		l.unindex(f, id)
+	}
+	delete(l.records, f)
+}
+
+// add adds a unit, or lowers the share of a known one, and returns whether it did.
+func (l *Ledger) add(f fleet.Fingerprint, id CrashID, u unit, usedAt, now time.Time) bool {
+	r, ok := l.live(f, now)
+	old, isKnown := unit{}, false
+	if ok {
+		r.usedAt = later(r.usedAt, usedAt)
+		old, isKnown = r.units[id]
+	}
+	if isKnown && old.share <= u.share || !isKnown && u.share == 0 && !u.isTrial && now.Sub(u.at) >= clearedLifetime {
+		return false
+	}
+	if isKnown && old.at.Before(u.at) {
+		u.at = old.at // a copy only looks younger than it is
+	}
 	if !ok {
 		l.evictIfFull(now)
-		r = &blameRecord{updatedAt: now}
+		r = &blameRecord{units: map[CrashID]unit{}, usedAt: usedAt}
 		l.records[f] = r
 	}
-	r.blame = l.decayedBlame(r, now) + blame
-	r.updatedAt = now
+	if u.share > 0 && l.isExcused(f, r, u.at) {
+		u.share = 0
+	}
+	l.unindex(f, id)
+	r.put(id, u, now)
+	if u.share > 0 {
+		l.blamed[id] = append(l.blamed[id], f)
+	}
+	for len(r.units) > maxUnits {
+		l.dropOldest(f, r)
+	}
+	return true
+}
+
+// isExcused reports whether a request that completed is not blamed for a crash: one before the
+// completion, or one of the first after it.
+func (l *Ledger) isExcused(f fleet.Fingerprint, r *blameRecord, at time.Time) bool {
+	provenAt, ok := l.proofs.at(f)
+	if !ok || at.Sub(provenAt) >= ProofLifetime {
+		return false
+	}
+	since := 0
+	for _, u := range r.units {
+		if !u.isTrial && u.at.After(provenAt) {
+			since++
+		}
+	}
+	return !at.After(provenAt) || since < l.settings.MaxCrashedTargets
+}
+
+func (l *Ledger) setShare(f fleet.Fingerprint, id CrashID, share float64, now time.Time) {
+	r := l.records[f]
+	u := r.units[id]
+	u.share = share
+	r.put(id, u, now)
+	if share == 0 {
+		l.unindex(f, id)
+	}
+}
+
+// unindex removes a request from those that are blamed for a crash.
+func (l *Ledger) unindex(f fleet.Fingerprint, id CrashID) {
+	rest := slices.DeleteFunc(l.blamed[id], func(other fleet.Fingerprint) bool { return other == f })
+	if len(rest) == 0 {
+		delete(l.blamed, id)
+		return
+	}
+	l.blamed[id] = rest
+}
+
+func (l *Ledger) dropOldest(f fleet.Fingerprint, r *blameRecord) {
+	var oldest CrashID
+	for id, u := range r.units {
+		if o, ok := r.units[oldest]; !ok || u.at.Before(o.at) || u.at.Equal(o.at) && id < oldest {
+			oldest = id
+		}
+	}
+	l.unindex(f, oldest)
+	delete(r.units, oldest)
 }
 
 // evictIfFull deletes the least blamed fingerprint if the ledger is full.
@@ -222,17 +449,29 @@
 	if len(l.records) < l.settings.Capacity {
 		return
 	}
-	var leastBlamed fleet.Fingerprint
-	lowest := math.Inf(1)
+	var least fleet.Fingerprint
+	var leastRecord *blameRecord
 	for f, r := range l.records {
-		if b := l.decayedBlame(r, now); b < lowest || b == lowest && f < leastBlamed {
-			leastBlamed, lowest = f, b
+		if now.Sub(r.usedAt) >= Lifetime {
+			l.delete(f)
+			return
+		}
+		if leastRecord == nil || cmp.Or(cmp.Compare(r.blame(), leastRecord.blame()), r.usedAt.Compare(leastRecord.usedAt), cmp.Compare(f, least)) < 0 {
+			least, leastRecord = f, r
 		}
 	}
-	delete(l.records, leastBlamed)
+	l.delete(least)
 }
 
-func (l *Ledger) decayedBlame(r *blameRecord, now time.Time) float64 {
-	age := max(0, now.Sub(r.updatedAt))
-	return r.blame * math.Exp2(-float64(age)/float64(l.settings.HalfLife))
+func (r *blameRecord) put(id CrashID, u unit, now time.Time) {
+	r.units[id] = u
+	r.changedAt = now
+}
+
+func (r *blameRecord) blame() float64 {
+	sum := 0.0
+	for _, u := range r.units {
+		sum += u.share
+	}
+	return sum
 }
--- a/core/crashblame/parts.go
+++ b/core/crashblame/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/list"
 	"slices"
 	"time"
 
@@ -47,11 +46,6 @@
 	usedAt time.Time           // made, or a request was refused because of it
 }
 
-type proofRecord struct {
-	part     fleet.Fingerprint
-	provenAt time.Time
-}
-
 // PartLedger detects parts of prompts that crash every target which begins to write a
 // response on them. It is not safe for concurrent use.
 //
@@ -59,13 +53,12 @@
 // detected: a response that breaks off looks the same when only the target is faulty.
 type PartLedger struct {
 	reports []*reportRecord
-	proofs  map[fleet.Fingerprint]*list.Element
-	order   *list.List // of *proofRecord, least recently renewed first
+	proofs  *proofs
 }
 
 // NewPartLedger returns an empty ledger.
 func NewPartLedger() *PartLedger {
-	return &PartLedger{proofs: map[fleet.Fingerprint]*list.Element{}, order: list.New()}
+	return &PartLedger{proofs: newProofs()}
 }
 
 // RecordBegun records that a response to a request with these parts began, which proves
@@ -73,7 +66,7 @@
 // is proven.
 func (l *PartLedger) RecordBegun(parts []fleet.Fingerprint, now time.Time) (changed bool) {
 	for _, p := range parts[:min(len(parts), MaxParts)] {
-		if l.prove(p, now, now) {
+		if l.proofs.prove(p, now, now) {
 			changed = changed || l.isReported(p, now)
 		}
 	}
@@ -85,7 +78,7 @@
 // are proven, since faulty responses break off in the same way.
 func (l *PartLedger) RecordCrash(id ReportID, parts []fleet.Fingerprint, now time.Time) (changed bool) {
 	parts = parts[:min(len(parts), MaxParts)]
-	if !slices.ContainsFunc(parts, func(p fleet.Fingerprint) bool { return !l.isProven(p, now) }) {
+	if !slices.ContainsFunc(parts, func(p fleet.Fingerprint) bool { return !l.proofs.isValid(p, now) }) {
 		return false
 	}
 	return l.add(id, parts, now, now)
@@ -96,7 +89,7 @@
 // have in common, because any of them may be the one that crashes targets.
 func (l *PartLedger) Restriction(parts []fleet.Fingerprint, now time.Time) Restriction {
 	for _, p := range parts[:min(len(parts), MaxParts)] {
-		if l.isProven(p, now) {
+		if l.proofs.isValid(p, now) {
 			continue
 		}
 		with := l.reportsWith(p, now)
@@ -115,7 +108,7 @@
 // request should not be sent to another target after a crash.
 func (l *PartLedger) Suspect(parts []fleet.Fingerprint, now time.Time) bool {
 	return slices.ContainsFunc(parts[:min(len(parts), MaxParts)], func(p fleet.Fingerprint) bool {
-		return !l.isProven(p, now) && l.isReported(p, now)
+		return !l.proofs.isValid(p, now) && l.isReported(p, now)
 	})
 }
 
@@ -128,8 +121,8 @@
 	for _, r := range l.reports {
 		reports = append(reports, Report{ID: r.id, Parts: slices.Clone(r.parts), Age: max(0, now.Sub(r.usedAt))})
 		for _, p := range r.parts {
-			if !seen[p] && l.isProven(p, now) {
-				proven = append(proven, Proof{Part: p, Age: max(0, now.Sub(l.provenAt(p)))})
+			if provenAt, ok := l.proofs.at(p); ok && !seen[p] && now.Sub(provenAt) < ProofLifetime {
+				proven = append(proven, Proof{Part: p, Age: max(0, now.Sub(provenAt))})
 			}
 			seen[p] = true
 		}
@@ -144,18 +137,18 @@
 func (l *PartLedger) Merge(reports []Report, proven []Proof, now time.Time) (changed bool) {
 	for _, r := range reports[:min(len(reports), MaxReports)] {
 		// An incomplete report would blame the wrong parts.
-		if r.Age < 0 || r.Age >= ReportLifetime || len(r.Parts) == 0 || len(r.Parts) > MaxParts {
+		if r.Age < 0 || r.Age >= ReportLifetime-relayAllowance || len(r.Parts) == 0 || len(r.Parts) > MaxParts {
 			continue
 		}
-		if l.add(r.ID, r.Parts, now.Add(-r.Age), now) {
+		if l.add(r.ID, r.Parts, now.Add(-r.Age-relayAllowance), now) {
 			changed = true
 		}
 	}
 	for _, p := range proven[:min(len(proven), MaxReports*MaxParts)] {
-		if p.Age < 0 || p.Age >= ProofLifetime {
+		if p.Age < 0 || p.Age >= ProofLifetime-relayAllowance {
 			continue
 		}
-		if l.prove(p.Part, now.Add(-p.Age), now) && l.isReported(p.Part, now) {
+		if l.proofs.prove(p.Part, now.Add(-p.Age-relayAllowance), now) && l.isReported(p.Part, now) {
 			changed = true
 		}
 	}
@@ -213,44 +206,9 @@
 func (l *PartLedger) hasCommonParts(parts []fleet.Fingerprint, reports []*reportRecord, now time.Time) bool {
 	for _, p := range reports[0].parts {
 		isCommon := !slices.ContainsFunc(reports, func(r *reportRecord) bool { return !r.has(p) })
-		if isCommon && !l.isProven(p, now) && !slices.Contains(parts, p) {
+		if isCommon && !l.proofs.isValid(p, now) && !slices.Contains(parts, p) {
 			return false
 		}
 	}
 	return true
 }
-
-// prove records a proof and returns whether the part was not proven before. When there are
-// too many proofs, the one that was renewed least recently is deleted.
-func (l *PartLedger) prove(p fleet.Fingerprint, provenAt, now time.Time) bool {
-	if e, ok := l.proofs[p]; ok {
-		wasProven := l.isProven(p, now)
-		record := e.Value.(*proofRecord)
-		record.provenAt = later(record.provenAt, provenAt)
-		l.order.MoveToBack(e)
-		return !wasProven
-	}
-	l.proofs[p] = l.order.PushBack(&proofRecord{part: p, provenAt: provenAt})
-	if len(l.proofs) > MaxProofs {
-		oldest := l.order.Remove(l.order.Front()).(*proofRecord)
-		delete(l.proofs, oldest.part)
-	}
-	return true
-}
-
-func (l *PartLedger) isProven(p fleet.Fingerprint, now time.Time) bool {
-	_, ok := l.proofs[p]
-	return ok && now.Sub(l.provenAt(p)) < ProofLifetime
-}
-
-// provenAt returns when a part in proofs was last proven.
-func (l *PartLedger) provenAt(p fleet.Fingerprint) time.Time {
-	return l.proofs[p].Value.(*proofRecord).provenAt
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/core/crashblame/parts_test.go
+++ b/core/crashblame/parts_test.go
@@ -138,7 +138,7 @@
 	for i := 0; i < len(proven); i += MaxReports * MaxParts {
 		l.Merge(reports[i:], proven[i:], now)
 	}
-	assert.Assert(t, len(l.reports) <= MaxReports && len(l.proofs) <= MaxProofs && l.order.Len() == len(l.proofs))
+	assert.Assert(t, len(l.reports) <= MaxReports && len(l.proofs.elements) <= MaxProofs && l.proofs.order.Len() == len(l.proofs.elements))
 }
 
 // TestLedgerOfPartsIsBounded records more parts and crashes than are kept. The newest stay,
@@ -150,9 +150,9 @@
 		at = at.Add(time.Millisecond)
 		l.RecordBegun(parts{1000 + i, first}, at)
 	}
-	assert.Equal(t, len(l.proofs), MaxProofs)
-	assert.Equal(t, l.order.Len(), MaxProofs)
-	assert.Assert(t, l.isProven(first, at) && l.isProven(1000+2*MaxProofs-1, at) && !l.isProven(1000, at))
+	assert.Equal(t, len(l.proofs.elements), MaxProofs)
+	assert.Equal(t, l.proofs.order.Len(), MaxProofs)
+	assert.Assert(t, l.proofs.isValid(first, at) && l.proofs.isValid(1000+2*MaxProofs-1, at) && !l.proofs.isValid(1000, at))
 	for i := range ReportID(2 * MaxReports) {
 		at = at.Add(time.Millisecond)
 		assert.Assert(t, l.RecordCrash(i, parts{deadly}, at))
@@ -233,7 +233,7 @@
 			"": func(t *rapid.T) {
 				for _, l := range ledgers {
 					request := drawParts(t)
-					unproven := slices.DeleteFunc(slices.Clone(request), func(p fleet.Fingerprint) bool { return l.isProven(p, at) })
+					unproven := slices.DeleteFunc(slices.Clone(request), func(p fleet.Fingerprint) bool { return l.proofs.isValid(p, at) })
 					got := l.Restriction(request, at)
 					assert.Equal(t, got, l.Restriction(unproven, at))
 					assert.Equal(t, l.Suspect(request, at), l.Suspect(unproven, at))
@@ -407,3 +407,27 @@
 		}
 	}
 }
+
+// Nobody uses a report and a proof any more. Entries that tell each other of them must not keep them.
+func TestReportsEndAlthoughEntriesTellEachOther(t *testing.T) {
+	const entries, delay = 8, 700 * time.Millisecond
+	var all []*PartLedger
+	for range entries {
+		all = append(all, NewPartLedger())
+	}
+	crash(all[0], 1, parts{other, first}, now)
+	all[0].RecordBegun(parts{first}, now)
+	at := now
+	for at.Before(now.Add(ReportLifetime + delay)) {
+		at = at.Add(delay)
+		for _, l := range all {
+			reports, proven := l.Exchange(at.Add(-delay)) // the message takes its time
+			all[rand.IntN(entries)].Merge(reports, proven, at)
+		}
+	}
+	for _, l := range all {
+		reports, _ := l.Exchange(at)
+		assert.Equal(t, len(reports), 0)
+		assert.Assert(t, !l.proofs.isValid(first, at))
+	}
+}
--- a/core/gossip/list.go
+++ b/core/gossip/list.go
@@ -139,6 +139,18 @@
 	return index, count
 }
 
+// Rank returns this entry's position among the live entries for a key. All entries with the same list
+// agree on the order.
+func (l *List) Rank(key string, now time.Time) int {
+	ids := []fleet.InstanceID{l.self.Instance}
+	for id, m := range l.members {
+		if l.isLive(m, now) {
+			ids = append(ids, id)
+		}
+	}
+	return slices.Index(rank.Top(key, ids, len(ids)), l.self.Instance)
+}
+
 // IsReader reports whether this entry reads the platform's store on behalf of the others. One
 // entry of each region does.
 func (l *List) IsReader(now time.Time) bool {
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -321,7 +321,9 @@
 func suspectsToWire(list []crashblame.Blame) []*peerpb.Suspect {
 	var out []*peerpb.Suspect
 	for _, b := range list {
-		out = append(out, &peerpb.Suspect{Fingerprint: uint64(b.Fingerprint), Blame: b.Value})
+		out = append(out, &peerpb.Suspect{
+			Fingerprint: uint64(b.Fingerprint), Share: b.Share, Crash: uint64(b.Crash), AgeMs: uint64(b.Age.Milliseconds()), IdleMs: uint64(b.Idle.Milliseconds()), Trial: b.IsTrial,
+		})
 	}
 	return out
 }
@@ -329,7 +331,10 @@
 func suspectsFromWire(list []*peerpb.Suspect) []crashblame.Blame {
 	var out []crashblame.Blame
 	for _, p := range list {
-		out = append(out, crashblame.Blame{Fingerprint: fleet.Fingerprint(p.GetFingerprint()), Value: p.GetBlame()})
+		out = append(out, crashblame.Blame{
+			Fingerprint: fleet.Fingerprint(p.GetFingerprint()), Crash: crashblame.CrashID(p.GetCrash()), Share: p.GetShare(),
+			Age: millis(p.GetAgeMs()), Idle: millis(p.GetIdleMs()), IsTrial: p.GetTrial(),
+		})
 	}
 	return out
 }
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -174,7 +174,7 @@
 func exchangeToWire(m ExchangeMessage, values *valueCompressor) *peerpb.EntryRows {
 	out := &peerpb.EntryRows{
 		StoreEra: uint64(m.StorePosition.Era), StoreRevision: uint64(m.StorePosition.Revision),
-		ConfigVersion: m.ConfigVersion, Retained: values.eventsToWire(m.Retained), MaxEntries: uint32(m.MaxEntries), Reads: readsToWire(m.Reads),
+		ConfigVersion: m.ConfigVersion, Retained: values.eventsToWire(m.Retained), MaxEntries: uint32(m.MaxEntries), Reads: readsToWire(m.Reads), Suspects: suspectsToWire(m.Blamed),
 	}
 	for _, r := range m.Records {
 		out.Rows = append(out.Rows, &peerpb.EntryRow{
@@ -182,9 +182,6 @@
 			AvailabilityZone: string(r.Zone), PeerAddress: r.Address, CallerAddress: r.CallerAddress, Leaving: r.Leaving,
 		})
 	}
-	for _, b := range m.Blamed {
-		out.Blamed = append(out.Blamed, &peerpb.BlamedRequest{Fingerprint: uint64(b.Fingerprint), Blame: b.Value})
-	}
 	for m, ages := range m.Declared {
 		for _, a := range ages {
 			out.Declared = append(out.Declared, &peerpb.DeclaredVersion{Model: string(m), Version: a.Version, KnownMs: uint64(a.Known.Milliseconds())})
@@ -209,7 +206,7 @@
 func exchangeFromWire(p *peerpb.EntryRows) (ExchangeMessage, error) {
 	m := ExchangeMessage{
 		StorePosition: mirror.Position{Era: mirror.Era(p.GetStoreEra()), Revision: mirror.Revision(p.GetStoreRevision())},
-		ConfigVersion: p.GetConfigVersion(), MaxEntries: int(min(p.GetMaxEntries(), MaxStatedEntries)), Reads: readsFromWire(p.GetReads()),
+		ConfigVersion: p.GetConfigVersion(), MaxEntries: int(min(p.GetMaxEntries(), MaxStatedEntries)), Reads: readsFromWire(p.GetReads()), Blamed: suspectsFromWire(p.GetSuspects()),
 	}
 	for _, t := range p.GetLeaving() {
 		m.Leaving = append(m.Leaving, notice.Target{ID: fleet.InstanceID(t.GetTarget()), Incarnation: fleet.Incarnation(t.GetBorn())})
@@ -226,9 +223,6 @@
 			Address: r.GetPeerAddress(), CallerAddress: r.GetCallerAddress(), Leaving: r.GetLeaving(),
 		})
 	}
-	for _, b := range p.GetBlamed() {
-		m.Blamed = append(m.Blamed, crashblame.Blame{Fingerprint: fleet.Fingerprint(b.GetFingerprint()), Value: b.GetBlame()})
-	}
 	m.Declared = map[fleet.Model][]upgrade.Age{}
 	for _, d := range p.GetDeclared() {
 		model := fleet.Model(d.GetModel())
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -20,7 +20,7 @@
 func TestExchangeKeepsEveryFieldOnTheWire(t *testing.T) {
 	m := ExchangeMessage{
 		Records:       []gossip.Record{{Instance: "e", Incarnation: 1, Sequence: 2, Region: "r", Zone: "z", Address: "a", CallerAddress: "c", Leaving: true}},
-		Blamed:        []crashblame.Blame{{Fingerprint: 7, Value: 0.5}},
+		Blamed:        []crashblame.Blame{{Fingerprint: 7, Crash: 8, Share: 0.5, Age: 3 * time.Second, Idle: 2 * time.Second}, {Fingerprint: 9, Crash: 10, IsTrial: true}},
 		StorePosition: mirror.Position{Era: 2, Revision: 9},
 		ConfigVersion: 11,
 		Leaving:       []notice.Target{{ID: "t", Incarnation: 5}},
