core/gossip: records of entries carry their age, and only fresh ones are offered to callers

Cause: evidence without its age. A record that was passed on counted as heard now, so that it lived another lease at each entry, and longer still at entries that start; a pause of the process renewed all members, those included whose lease had long ended.

Change: a record carries the time since its entry sent it. The answer to an exchange counts as sent when the exchange began; a message that waited in a buffer during a pause is older by the pause. After a pause only those who were live when it began are kept, for two seconds. Callers are offered the entries whose record is younger than three seconds and with which no exchange has failed since they sent it; a record by way of others clears that, so a cut between two entries hides none of them. The lease of five seconds stays for the reader of the store, the shares and the budgets. An entry out of reach is asked last, which no longer costs 0.8 s of the exchanges.

Ruled out: a shorter lease for all (a second reader of the store after each freeze), removal by a failed exchange alone.

--- a/app/gateway/budget_test.go
+++ b/app/gateway/budget_test.go
@@ -83,7 +83,7 @@
 		maxEntries := sender.entryUpdate(r.now).MaxEntries
 		sender.mu.Unlock()
 		g.mu.Lock()
-		g.mergeEntryUpdate(peer.ExchangeMessage{Records: records, MaxEntries: maxEntries}, r.now)
+		g.mergeEntryUpdate(peer.ExchangeMessage{Records: records, MaxEntries: maxEntries}, r.now, r.now)
 		g.mu.Unlock()
 	}
 }
--- a/app/gateway/follow.go
+++ b/app/gateway/follow.go
@@ -15,7 +15,8 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.mergeEntryUpdate(update, now)
+	g.observePause(now) // the message may have waited since before it
+	g.mergeEntryUpdate(update, now, now)
 	reply := g.entryUpdate(now)
 	reply.Retained = g.retainedFor(update)
 	return reply
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -235,7 +235,7 @@
 func (g *Gateway) Entries(zone fleet.Zone, _ string) ([]string, time.Duration) {
 	now := g.now()
 	g.mu.Lock()
-	records := g.entryList.Live(now)
+	records := g.entryList.Offered(now)
 	g.mu.Unlock()
 	if !g.leaving.Load() {
 		records = append(records, gossip.Record{Instance: g.settings.Instance, Zone: g.settings.Zone, CallerAddress: g.settings.CallersAddress})
@@ -314,6 +314,20 @@
 	}
 }
 
+// observePause drops what may be outdated if this process was paused. mu must be held.
+func (g *Gateway) observePause(now time.Time) {
+	if !g.pauseDetector.Observe(now) {
+		return
+	}
+	g.log.process.Warn().Msg(trace.MessageGatewayPaused)
+	g.metrics.Count("pauses", 1)
+	g.entryList.Resumed(g.pauseDetector.PausedAt(), now)
+	g.roster.Reads().Clear()
+	g.loads = map[fleet.InstanceID]peer.TargetLoad{}
+	g.pauseZones(now)
+	g.refreshBalancers(now)
+}
+
 func (g *Gateway) tick() {
 	now := g.now()
 	g.mu.Lock()
@@ -324,15 +338,7 @@
 		}
 	}
 	g.copyPauses.Observe(now)
-	if g.pauseDetector.Observe(now) {
-		g.log.process.Warn().Msg(trace.MessageGatewayPaused)
-		g.metrics.Count("pauses", 1)
-		g.entryList.Resumed(now)
-		g.roster.Reads().Clear()
-		g.loads = map[fleet.InstanceID]peer.TargetLoad{}
-		g.pauseZones(now)
-		g.refreshBalancers(now)
-	}
+	g.observePause(now)
 	// The records whose retention ends were deleted at an unknown time.
 	g.handleChanges(g.mirror.Tick(now), time.Time{}, now)
 	g.removeMissing(now)
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -240,7 +240,7 @@
 	reply := other.Exchange(g.message(now))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.mergeEntryUpdate(reply, now)
+	g.mergeEntryUpdate(reply, now, now)
 }
 
 // The stream of an entry that has not learned of the restoration must not hide that the copy
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -80,11 +80,11 @@
 func (e *entryExchanger) logEntries() {
 	g := e.g
 	g.mu.Lock()
-	live := g.entryList.Live(g.now())
+	offered := g.entryList.Offered(g.now())
 	g.mu.Unlock()
 	before := e.offered
-	e.offered = make(map[fleet.InstanceID]bool, len(live))
-	for _, r := range live {
+	e.offered = make(map[fleet.InstanceID]bool, len(offered))
+	for _, r := range offered {
 		e.offered[r.Instance] = true
 		if !before[r.Instance] {
 			g.log.members.Info().Str("entry", string(r.Instance)).Msg("entry is offered to callers")
@@ -111,10 +111,11 @@
 	received, err := g.pool.Exchange(ctx, addr, update)
 	if err != nil {
 		g.metrics.Count("exchange_failures", 1)
+		g.recordExchangeFailure(ctx, addr)
 		return
 	}
 	g.mu.Lock()
-	g.mergeEntryUpdate(received, g.now())
+	g.mergeEntryUpdate(received, now, g.now())
 	storeUnavailable := g.storeUnavailable
 	g.mu.Unlock()
 	if isBehind(at, received.StorePosition, storeUnavailable) {
@@ -123,6 +124,16 @@
 	g.handOn(ctx, addr, received)
 }
 
+// recordExchangeFailure records that an entry did not answer, unless this process has stopped waiting.
+func (g *Gateway) recordExchangeFailure(ctx context.Context, addr string) {
+	if ctx.Err() != nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.entryList.RecordFailure(addr, g.now())
+}
+
 // divideBudgets divides the allowance of retries by the number of entries. The number doesn't
 // decrease, because entries that are out of reach may still retry; one that restarts in a partition
 // learns it from daemons that did not. mu must be held.
@@ -221,14 +232,14 @@
 	}
 }
 
-// mergeEntryUpdate merges a message from another entry. mu must be held.
-func (g *Gateway) mergeEntryUpdate(update peer.ExchangeMessage, now time.Time) {
+// mergeEntryUpdate merges a message that another entry sent at sentAt or later. mu must be held.
+func (g *Gateway) mergeEntryUpdate(update peer.ExchangeMessage, sentAt, now time.Time) {
 	if update.StorePosition.Era == g.mirror.Position().Era {
 		g.recall(update.Retained)
 	}
 	g.mergeLeaving(update.Leaving, now)
 	g.mergeReads(update.Reads, now)
-	g.entryList.Merge(update.Records, now)
+	g.entryList.Merge(update.Records, sentAt)
 	g.maxEntries = max(g.maxEntries, update.MaxEntries)
 	g.divideBudgets(now)
 	g.mergeCrashes(update.Blamed, update.Crashes, update.ProvenParts, now)
--- a/app/gateway/restored_store_test.go
+++ b/app/gateway/restored_store_test.go
@@ -27,7 +27,7 @@
 	for _, p := range [][2]*Gateway{{a, b}, {b, a}} {
 		reply := p[1].Exchange(p[0].message(c.t))
 		p[0].mu.Lock()
-		p[0].mergeEntryUpdate(reply, c.t)
+		p[0].mergeEntryUpdate(reply, c.t, c.t)
 		m := p[0].entryUpdate(c.t)
 		m.Retained = p[0].retainedFor(reply)
 		p[0].mu.Unlock()
--- a/app/sidecar/load_test.go
+++ b/app/sidecar/load_test.go
@@ -99,11 +99,11 @@
 func TestDeclarationWakesVersionManager(t *testing.T) {
 	s, _, _ := newModelAgent(t)
 	s.mu.Lock()
-	s.mergeExchange(peer.ExchangeMessage{})
+	s.mergeExchange(peer.ExchangeMessage{}, s.now())
 	s.mu.Unlock()
 	assert.Equal(t, len(s.versionsChanged), 0)
 	s.mu.Lock()
-	s.mergeExchange(peer.ExchangeMessage{Declared: map[fleet.Model][]upgrade.Age{"m": {{Version: 2}}}})
+	s.mergeExchange(peer.ExchangeMessage{Declared: map[fleet.Model][]upgrade.Age{"m": {{Version: 2}}}}, s.now())
 	s.mu.Unlock()
 	assert.Equal(t, len(s.versionsChanged), 1)
 }
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -151,13 +151,17 @@
 // and has an older configuration, it is sent the states from before.
 func (e *entryExchanger) exchange(ctx context.Context, addr string, message peer.ExchangeMessage) {
 	s := e.s
+	sentAt := s.now()
 	update, err := s.pool.Exchange(ctx, addr, message)
 	if err != nil {
 		s.metrics.Count("exchange_failures", 1)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.entryList.RecordFailure(addr, s.now())
 		return
 	}
 	s.mu.Lock()
-	s.mergeExchange(update)
+	s.mergeExchange(update, sentAt)
 	if at := s.mirror.Position(); at.Era > 0 && update.StorePosition.Era == at.Era && update.ConfigVersion < message.ConfigVersion {
 		message.Retained = s.mirror.Retained()
 	}
@@ -186,15 +190,15 @@
 	return m
 }
 
-// mergeExchange merges the message of an entry. mu must be held.
-func (s *Sidecar) mergeExchange(m peer.ExchangeMessage) {
+// mergeExchange merges a message that an entry sent at sentAt or later. mu must be held.
+func (s *Sidecar) mergeExchange(m peer.ExchangeMessage, sentAt time.Time) {
 	now := s.now()
 	if m.StorePosition.Era == s.mirror.Position().Era {
 		s.handleChanges(s.mirror.Recall(m.Retained, now), false)
 	}
 	s.notices.Merge(m.Leaving, now)
 	s.notices.Forget(s.isListed, now)
-	s.entryList.Merge(m.Records, now)
+	s.entryList.Merge(m.Records, sentAt)
 	s.maxEntries = max(s.maxEntries, m.MaxEntries)
 	for model, ages := range m.Declared {
 		if s.declarationsOf(model).Merge(ages, now) {
--- a/app/sidecar/sidecar_test.go
+++ b/app/sidecar/sidecar_test.go
@@ -122,7 +122,7 @@
 	m := peer.ExchangeMessage{Blamed: contentsBefore.Exchange(now)}
 	m.Crashes, m.ProvenParts = before.Exchange(now)
 	m.Declared = map[fleet.Model][]upgrade.Age{"m": {{Version: 2, Known: time.Second}}}
-	s.mergeExchange(m)
+	s.mergeExchange(m, s.now())
 	handedOn := s.exchangeMessage()
 	restarted.Merge(handedOn.Crashes, handedOn.ProvenParts, now)
 	assert.Equal(t, restarted.Restriction(deadly, now), crashblame.Refuse)
@@ -139,7 +139,7 @@
 		clock: c, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), crashes: crashblame.NewLedger(crashblame.DefaultSettings), parts: crashblame.NewPartLedger(),
 		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil), notices: notice.NewLedger(), roster: roster.New(roster.DefaultSettings),
 	}
-	s.mergeExchange(peer.ExchangeMessage{Declared: map[fleet.Model][]upgrade.Age{"m": {{Version: 2, Known: 3 * time.Second}}}})
+	s.mergeExchange(peer.ExchangeMessage{Declared: map[fleet.Model][]upgrade.Age{"m": {{Version: 2, Known: 3 * time.Second}}}}, s.now())
 	var restarted upgrade.Declarations
 	now := c.Now()
 	restarted.Merge(s.exchangeMessage().Declared["m"], now)
@@ -153,9 +153,9 @@
 		clock: c, entryList: gossip.New(gossip.DefaultSettings, gossip.Record{}), crashes: crashblame.NewLedger(crashblame.DefaultSettings), parts: crashblame.NewPartLedger(),
 		declared: map[fleet.Model]*upgrade.Declarations{}, mirror: mirror.New(nil), notices: notice.NewLedger(), roster: roster.New(roster.DefaultSettings),
 	}
-	s.mergeExchange(peer.ExchangeMessage{Leaving: []notice.Target{{ID: "a", Incarnation: 1}}})
+	s.mergeExchange(peer.ExchangeMessage{Leaving: []notice.Target{{ID: "a", Incarnation: 1}}}, s.now())
 	assert.Equal(t, len(s.exchangeMessage().Leaving), 1)
 	c.t = c.t.Add(time.Hour)
-	s.mergeExchange(peer.ExchangeMessage{})
+	s.mergeExchange(peer.ExchangeMessage{}, s.now())
 	assert.Equal(t, len(s.exchangeMessage().Leaving), 0)
 }
--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -30,6 +30,7 @@
 type PauseDetector struct {
 	limit     time.Duration
 	last      time.Time
+	pausedAt  time.Time // last observation before the last pause
 	resumedAt time.Time // end of the last pause
 }
 
@@ -50,10 +51,13 @@
 	if d.gap(last, now) <= d.limit {
 		return false
 	}
-	d.resumedAt = now
+	d.pausedAt, d.resumedAt = last, now
 	return true
 }
 
+// PausedAt returns when the process was last observed before its last pause.
+func (d *PauseDetector) PausedAt() time.Time { return d.pausedAt }
+
 // PausedSince reports whether the process was paused at any time between since and now. It
 // also notices a pause that has just ended and that no poll has observed yet.
 func (d *PauseDetector) PausedSince(since, now time.Time) bool {
--- a/core/gossip/list.go
+++ b/core/gossip/list.go
@@ -7,13 +7,19 @@
 //	l.Merge(received, now)                          // records received from another entry
 //	records := l.Records(now)                       // to send to another entry
 //	addr, ok := l.NextPeer(seeds, randomValue, now) // the next entry to exchange records with
+//	l.RecordFailure(addr, now)                      // that exchange failed
+//	offered := l.Offered(now)                       // the entries to send callers to
 //
 // # Liveness
 //
-// An entry increments its sequence with each of its own exchanges. An entry whose sequence
-// has not increased for Lease is not offered to callers. Its record is kept until
-// ForgetAfter has passed, so that an outdated record that others still send does not make
-// it live again.
+// An entry increments its sequence with each of its own exchanges. Each record carries the time
+// since its entry sent it, whoever passes it on. An entry whose last record is older than Lease is
+// not live. Its record is kept until ForgetAfter has passed, so that an outdated record that others
+// still send does not make it live again.
+//
+// Callers are not sent to an entry whose last record is older than OfferLease, nor to one with which
+// an exchange has failed, until a later record of it arrives: by way of others, if only the path
+// between the two is cut.
 package gossip
 
 import (
@@ -29,12 +35,17 @@
 type Settings struct {
 	// Lease is how long an entry counts as live without an update.
 	Lease time.Duration
+	// OfferLease is how long an entry is offered to callers without an update.
+	OfferLease time.Duration
+	// ResumeGrace is how long the entries that were live when this process was paused count as
+	// live after it.
+	ResumeGrace time.Duration
 	// ForgetAfter is how long the record of an unresponsive entry is kept.
 	ForgetAfter time.Duration
 }
 
 // DefaultSettings suit one exchange per second with one other entry.
-var DefaultSettings = Settings{Lease: 5 * time.Second, ForgetAfter: 60 * time.Second}
+var DefaultSettings = Settings{Lease: 5 * time.Second, OfferLease: 3 * time.Second, ResumeGrace: 2 * time.Second, ForgetAfter: 60 * time.Second}
 
 // Record is the record of an entry.
 type Record struct {
@@ -46,11 +57,13 @@
 	Address       string // of the peer listener
 	CallerAddress string // of the caller listener
 	Leaving       bool
+	Age           time.Duration // since the entry sent the record
 }
 
 type member struct {
 	Record
-	lastSeen time.Time
+	sentAt   time.Time // at the latest
+	failedAt time.Time // of the last failed exchange with the entry
 }
 
 // List is the list kept by one entry. It is not safe for concurrent use.
@@ -58,6 +71,9 @@
 	settings Settings
 	self     Record
 	members  map[fleet.InstanceID]*member
+	// resumedAt and pause are those of the last pause of this process.
+	resumedAt time.Time
+	pause     time.Duration
 }
 
 // New returns a list that contains only this entry.
@@ -68,18 +84,31 @@
 // Leave marks this entry as leaving.
 func (l *List) Leave() { l.self.Leaving = true }
 
-// Merge adds the records received from another entry. A record that is not newer than the
-// known one of the same entry is ignored.
-func (l *List) Merge(records []Record, now time.Time) {
+// bufferedTime is how long after a pause of this process messages may arrive that have waited in a
+// buffer during it.
+const bufferedTime = 300 * time.Millisecond
+
+// Merge adds the records that another entry sent at the given time or later. A record that is not
+// newer than the known one of the same entry is ignored.
+func (l *List) Merge(records []Record, sentAt time.Time) {
+	if !l.resumedAt.IsZero() && sentAt.Sub(l.resumedAt) < bufferedTime {
+		sentAt = sentAt.Add(-l.pause)
+	}
 	for _, r := range records {
 		if r.Instance == l.self.Instance {
 			continue
 		}
-		old, ok := l.members[r.Instance]
-		if ok && !isNewer(r, old.Record) {
-			continue
+		m := &member{Record: r, sentAt: sentAt.Add(-min(max(0, r.Age), l.settings.ForgetAfter))}
+		if old, ok := l.members[r.Instance]; ok {
+			if !isNewer(r, old.Record) {
+				continue
+			}
+			if old.sentAt.After(m.sentAt) {
+				m.sentAt = old.sentAt
+			}
+			m.failedAt = old.failedAt
 		}
-		l.members[r.Instance] = &member{Record: r, lastSeen: now}
+		l.members[r.Instance] = m
 	}
 }
 
@@ -96,11 +125,13 @@
 	l.self.Sequence++
 	out := []Record{l.self}
 	for id, m := range l.members {
-		switch age := now.Sub(m.lastSeen); {
+		switch age := now.Sub(m.sentAt); {
 		case age > l.settings.ForgetAfter:
 			delete(l.members, id)
 		case age <= l.settings.Lease:
-			out = append(out, m.Record)
+			r := m.Record
+			r.Age = max(0, age)
+			out = append(out, r)
 		}
 	}
 	sortRecords(out)
@@ -119,8 +150,28 @@
 	return out
 }
 
+// Offered returns the records of the other entries that callers may be sent to.
+func (l *List) Offered(now time.Time) []Record {
+	return slices.DeleteFunc(l.Live(now), func(r Record) bool {
+		m := l.members[r.Instance]
+		return m.hasFailed() || now.Sub(m.sentAt) > l.settings.OfferLease
+	})
+}
+
+// RecordFailure records that an exchange with the entry at a peer address has failed.
+func (l *List) RecordFailure(addr string, now time.Time) {
+	for _, m := range l.members {
+		if m.Address == addr {
+			m.failedAt = now
+		}
+	}
+}
+
+// hasFailed reports whether an exchange has failed since the entry sent its last record.
+func (m *member) hasFailed() bool { return !m.failedAt.IsZero() && !m.sentAt.After(m.failedAt) }
+
 func (l *List) isLive(m *member, now time.Time) bool {
-	return now.Sub(m.lastSeen) <= l.settings.Lease && !m.Leaving
+	return now.Sub(m.sentAt) <= l.settings.Lease && !m.Leaving
 }
 
 // Position returns this entry's position among the live entries of its zone, and their
@@ -192,11 +243,14 @@
 	return first, l.members[first].Address
 }
 
-// Resumed renews all leases after a pause of this process, which could not receive updates
-// in the meantime.
-func (l *List) Resumed(now time.Time) {
+// Resumed keeps the entries that were live when this process was paused for a while, since it could
+// not receive updates in the meantime.
+func (l *List) Resumed(pausedAt, now time.Time) {
+	l.resumedAt, l.pause = now, now.Sub(pausedAt)
 	for _, m := range l.members {
-		m.lastSeen = now
+		if until := now.Add(l.settings.ResumeGrace - l.settings.Lease); l.isLive(m, pausedAt) && m.sentAt.Before(until) {
+			m.sentAt = until
+		}
 	}
 }
 
@@ -208,7 +262,7 @@
 // candidates so that two groups that lost contact find each other again.
 func (l *List) NextPeer(seeds []string, randomValue float64, now time.Time) (string, bool) {
 	var candidates, sameRegion []string
-	for _, r := range l.Live(now) {
+	for _, r := range l.reachable(now) {
 		candidates = append(candidates, r.Address)
 		if r.Region == l.self.Region {
 			sameRegion = append(sameRegion, r.Address)
@@ -231,6 +285,17 @@
 	return candidates[int(randomValue*float64(len(candidates)))], true
 }
 
+// reachable returns the records of the live entries without those with which an exchange has failed
+// since, or all if it has failed with each.
+func (l *List) reachable(now time.Time) []Record {
+	live := l.Live(now)
+	reachable := slices.DeleteFunc(slices.Clone(live), func(r Record) bool { return l.members[r.Instance].hasFailed() })
+	if len(reachable) == 0 {
+		return live
+	}
+	return reachable
+}
+
 func sortRecords(records []Record) {
 	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Instance, b.Instance) })
 }
--- a/core/gossip/list_test.go
+++ b/core/gossip/list_test.go
@@ -151,7 +151,142 @@
 		l.Merge([]gossip.Record{record(1)}, t0)
 		resumedAt := t0.Add(before)
 		assert.Equal(t, len(l.Live(resumedAt)), 0)
-		l.Resumed(resumedAt)
+		l.Resumed(resumedAt.Add(-time.Second/2), resumedAt)
 		assert.Equal(t, len(l.Live(resumedAt)), 0, "after %v", before)
 	}
 }
+
+// fleetOfLists is entries that exchange their records as the daemons do.
+type fleetOfLists struct {
+	now    time.Time
+	random *rand.Rand
+	lists  []*gossip.List // nil for an entry without power
+	byAddr map[string]int
+	nextAt []time.Time
+	starts int
+}
+
+const (
+	exchangePeriod  = 500 * time.Millisecond
+	exchangeTimeout = 800 * time.Millisecond
+	regions         = 3
+)
+
+func newFleetOfLists(n int) *fleetOfLists {
+	f := &fleetOfLists{now: t0, random: rand.New(rand.NewPCG(1, uint64(n))), lists: make([]*gossip.List, n), nextAt: make([]time.Time, n), byAddr: map[string]int{}}
+	for i := range n {
+		f.byAddr[record(i).Address] = i
+		f.start(i)
+	}
+	return f
+}
+
+func (f *fleetOfLists) start(i int) {
+	f.starts++
+	r := record(i)
+	r.Region = fleet.Region(fmt.Sprintf("r%d", i%regions))
+	r.Incarnation = fleet.Incarnation(f.starts)
+	f.lists[i] = gossip.New(gossip.DefaultSettings, r)
+	f.nextAt[i] = f.now.Add(time.Duration(f.random.Int64N(int64(exchangePeriod))))
+}
+
+// advance lets time pass, with the exchanges in it.
+func (f *fleetOfLists) advance(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(10 * time.Millisecond) {
+		for i, l := range f.lists {
+			if l == nil || f.now.Before(f.nextAt[i]) {
+				continue
+			}
+			f.nextAt[i] = f.now.Add(exchangePeriod/2 + time.Duration(f.random.Int64N(int64(exchangePeriod))))
+			addr, ok := l.NextPeer([]string{record(0).Address, record(1).Address}, f.random.Float64(), f.now)
+			if !ok {
+				continue
+			}
+			if other := f.lists[f.byAddr[addr]]; other != nil {
+				other.Merge(l.Records(f.now), f.now)
+				l.Merge(other.Records(f.now), f.now)
+				continue
+			}
+			f.nextAt[i] = f.now.Add(exchangeTimeout)
+			l.RecordFailure(addr, f.nextAt[i])
+		}
+	}
+}
+
+// offering returns how many entries offer entry i.
+func (f *fleetOfLists) offering(i int) int {
+	n := 0
+	for _, l := range f.lists {
+		if l == nil {
+			continue
+		}
+		for _, r := range l.Offered(f.now) {
+			if r.Instance == record(i).Instance {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Two entries lose power, and the others restart in turn, which makes those that just started ask
+// around. Nobody offers the two once their records are older than OfferLease, and sound entries go
+// on being offered.
+func TestEntriesWithoutPowerAreNotOffered(t *testing.T) {
+	for _, n := range []int{8, 44} {
+		f := newFleetOfLists(n)
+		f.advance(10 * time.Second)
+		offered, asked := 0, 0
+		for range 20 {
+			f.advance(500 * time.Millisecond)
+			for i := range n {
+				offered, asked = offered+f.offering(i), asked+n-1
+			}
+		}
+		t.Logf("%d entries: %.4f offered", n, float64(offered)/float64(asked))
+		assert.Assert(t, float64(offered) > 0.99*float64(asked), "%d entries: %d of %d offered", n, offered, asked)
+		f.lists[1], f.lists[n-1] = nil, nil
+		f.advance(gossip.DefaultSettings.OfferLease)
+		for i := range 40 {
+			f.advance(200 * time.Millisecond)
+			assert.Equal(t, f.offering(1)+f.offering(n-1), 0, "%d entries, step %d", n, i)
+			if j := i % n; f.lists[j] != nil {
+				f.start(j)
+			}
+		}
+	}
+}
+
+// An exchange has failed. The entry is offered again once a record arrives that it has sent since, by
+// way of another entry, and not before.
+func TestFailedExchangeEndsTheOffer(t *testing.T) {
+	l := gossip.New(gossip.DefaultSettings, record(0))
+	r := record(1)
+	receive := func(age time.Duration, now time.Time) {
+		r.Sequence++
+		r.Age = age
+		l.Merge([]gossip.Record{r}, now)
+	}
+	receive(0, t0)
+	assert.Equal(t, len(l.Offered(t0)), 1)
+	failedAt := t0.Add(time.Second)
+	l.RecordFailure(r.Address, failedAt)
+	assert.Equal(t, len(l.Offered(failedAt)), 0)
+	assert.Equal(t, len(l.Live(failedAt)), 1)
+	addr, ok := l.NextPeer(nil, 0, failedAt)
+	assert.Assert(t, ok && addr == r.Address, "the only other entry is tried again")
+	now := failedAt.Add(time.Second)
+	receive(1500*time.Millisecond, now)
+	assert.Equal(t, len(l.Offered(now)), 0)
+	receive(500*time.Millisecond, now)
+	assert.Equal(t, len(l.Offered(now)), 1)
+}
+
+// A message has waited in a buffer while this process was paused.
+func TestMessageFromBeforeAPauseIsOld(t *testing.T) {
+	l := gossip.New(gossip.DefaultSettings, record(0))
+	resumedAt := t0.Add(10 * time.Second)
+	l.Resumed(t0, resumedAt)
+	l.Merge([]gossip.Record{record(1)}, resumedAt.Add(time.Millisecond))
+	assert.Equal(t, len(l.Live(resumedAt)), 0)
+}
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -179,7 +179,7 @@
 	for _, r := range m.Records {
 		out.Rows = append(out.Rows, &peerpb.EntryRow{
 			Instance: string(r.Instance), Incarnation: uint64(r.Incarnation), Sequence: r.Sequence, Region: string(r.Region),
-			AvailabilityZone: string(r.Zone), PeerAddress: r.Address, CallerAddress: r.CallerAddress, Leaving: r.Leaving,
+			AvailabilityZone: string(r.Zone), PeerAddress: r.Address, CallerAddress: r.CallerAddress, Leaving: r.Leaving, AgeMs: uint64(r.Age.Milliseconds()),
 		})
 	}
 	for m, ages := range m.Declared {
@@ -220,7 +220,7 @@
 		m.Records = append(m.Records, gossip.Record{
 			Instance: fleet.InstanceID(r.GetInstance()), Incarnation: fleet.Incarnation(r.GetIncarnation()), Sequence: r.GetSequence(),
 			Region: fleet.Region(r.GetRegion()), Zone: fleet.Zone(r.GetAvailabilityZone()),
-			Address: r.GetPeerAddress(), CallerAddress: r.GetCallerAddress(), Leaving: r.GetLeaving(),
+			Address: r.GetPeerAddress(), CallerAddress: r.GetCallerAddress(), Leaving: r.GetLeaving(), Age: millis(r.GetAgeMs()),
 		})
 	}
 	m.Declared = map[fleet.Model][]upgrade.Age{}
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -19,7 +19,7 @@
 // A field that only one of the two conversions knows is lost on the wire without an error.
 func TestExchangeKeepsEveryFieldOnTheWire(t *testing.T) {
 	m := ExchangeMessage{
-		Records:       []gossip.Record{{Instance: "e", Incarnation: 1, Sequence: 2, Region: "r", Zone: "z", Address: "a", CallerAddress: "c", Leaving: true}},
+		Records:       []gossip.Record{{Instance: "e", Incarnation: 1, Sequence: 2, Region: "r", Zone: "z", Address: "a", CallerAddress: "c", Leaving: true, Age: 3 * time.Second}},
 		Blamed:        []crashblame.Blame{{Fingerprint: 7, Crash: 8, Share: 0.5, Age: 3 * time.Second, Idle: 2 * time.Second}, {Fingerprint: 9, Crash: 10, IsTrial: true}},
 		StorePosition: mirror.Position{Era: 2, Revision: 9},
 		ConfigVersion: 11,
