Unfinished events, lines and bodies are bounded in sum, on both request paths

Operators' report: bytes without end, until the machine that had called ran out of memory.

Cause: an event may have 1 MiB and counted towards no sum, nor did 256 KiB of each body. An agent of the project's own interface held 216 MB for 200 streams of a faulty engine. The process would end, and with it all other callers' requests.

Change: bounded.Budget counts what readers hold. The stream that goes beyond is ended, the others go on.

Ruled out by reading: valid events without end behind a slow caller (one event is held, the target waits), trailers and chunk extensions (TestChunkFramingWithoutEndIsAnError), messages of peers (one size limit each; their number is not bounded).

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -170,7 +170,7 @@
 // forwardEvents forwards a stream's events as they arrive.
 func (a *targetAttempt) forwardEvents(sent *platform.Response) (dispatch.Failure, bool) {
 	h := a.handler
-	reader := target.NewEventReader(sent.Body)
+	reader := sent.Events()
 	for {
 		ev, err := reader.Next()
 		if errors.Is(err, io.EOF) {
--- a/io/bounded/bounded.go
+++ b/io/bounded/bounded.go
@@ -6,11 +6,21 @@
 //	body, err := bounded.ReadAll(resp.Body, bounded.PartBody, maxBodyBytes)
 //	var tooLarge *bounded.TooLargeError
 //	if errors.As(err, &tooLarge) { … }
+//
+// Messages below their own limits may still be too many for the process. A Budget bounds what
+// several readers hold at the same time:
+//
+//	share := budget.NewShare()
+//	defer share.Release()
+//	err := share.Hold(n) // on each growth
 package bounded
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"slices"
+	"sync/atomic"
 )
 
 // MaxHeaderBytes is the maximum size of the headers of a response to a call of our own.
@@ -26,6 +36,7 @@
 	PartEvent     Part = "event"
 	PartPages     Part = "pages"      // all pages of one list
 	PartAllBodies Part = "all bodies" // those held at the same time
+	PartAllEvents Part = "all events" // those held at the same time
 	PartMessage   Part = "message"
 )
 
@@ -65,7 +76,65 @@
 
 func (r *Reader) tooLarge() error { return &TooLargeError{Part: r.Part, Limit: r.Limit} }
 
-// ReadAll reads r to its end.
+// maxChunkBytes is the maximum that ReadAll reserves beyond what has arrived.
+const maxChunkBytes = 16 << 10
+
+// ReadAll reads r to its end. Unlike io.ReadAll, it reserves hardly more than what has arrived, since
+// the rest may never come.
 func ReadAll(r io.Reader, part Part, limit int64) ([]byte, error) {
-	return io.ReadAll(&Reader{R: r, Part: part, Limit: limit})
+	bounded := &Reader{R: r, Part: part, Limit: limit}
+	var full [][]byte
+	chunk := make([]byte, 0, 512)
+	for {
+		n, err := bounded.Read(chunk[len(chunk):cap(chunk)])
+		chunk = chunk[:len(chunk)+n]
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = nil
+			}
+			return slices.Concat(append(full, chunk)...), err
+		}
+		if len(chunk) == cap(chunk) {
+			full = append(full, chunk)
+			chunk = make([]byte, 0, min(2*cap(chunk), maxChunkBytes))
+		}
+	}
+}
+
+// Budget is the maximum that several readers hold in memory at the same time.
+type Budget struct {
+	part  Part
+	limit int64 // in bytes
+	free  int64 // in bytes
+	held  atomic.Int64
+}
+
+// NewBudget returns a budget of limit bytes. The first free bytes of each share do not count, so that
+// large messages do not fail small ones.
+func NewBudget(part Part, limit, free int64) *Budget {
+	return &Budget{part: part, limit: limit, free: free}
 }
+
+// NewShare returns the share of one reader, which is not safe for concurrent use.
+func (b *Budget) NewShare() *Share { return &Share{budget: b} }
+
+// Share is what one reader holds.
+type Share struct {
+	budget  *Budget
+	counted int64
+}
+
+// Hold sets the number of bytes that the reader holds. It returns a *TooLargeError if all shares
+// together are above the limit.
+func (s *Share) Hold(n int64) error {
+	counted := max(0, n-s.budget.free)
+	more := counted - s.counted
+	s.counted = counted
+	if held := s.budget.held.Add(more); more > 0 && held > s.budget.limit {
+		return &TooLargeError{Part: s.budget.part, Limit: s.budget.limit}
+	}
+	return nil
+}
+
+// Release returns what the reader holds.
+func (s *Share) Release() { _ = s.Hold(0) }
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -136,15 +136,16 @@
 
 // Client is a client of one engine.
 type Client struct {
-	base  string
-	http  *http.Client
-	token string
+	base   string
+	http   *http.Client
+	token  string
+	events *bounded.Budget
 }
 
 // NewClient returns a client, which must be the only user of h. The token authenticates the
 // agent to engines that check the sender of commands. It may be empty.
 func NewClient(base string, h *http.Client, token string) *Client {
-	return &Client{base: base, http: h, token: token}
+	return &Client{base: base, http: h, token: token, events: bounded.NewBudget(bounded.PartAllEvents, maxHeldEventBytes, freeEventBytes)}
 }
 
 // State reads the engine's state.
@@ -228,21 +229,53 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return readTokens(resp.Body, onToken)
+	held := c.events.NewShare()
+	defer held.Release()
+	return readTokens(&pendingReader{r: resp.Body, held: held}, onToken)
 }
 
 // Size limits of responses.
 const (
 	// maxEventBytes limits what an engine sends up to the next token.
 	maxEventBytes = 1 << 20
-	maxStateBytes = 4 << 20
-	maxCacheBytes = 64 << 20
+	// maxHeldEventBytes limits what all streams of an engine have sent up to their next tokens, beyond
+	// freeEventBytes of each.
+	maxHeldEventBytes = 16 << 20
+	freeEventBytes    = 16 << 10
+	maxStateBytes     = 4 << 20
+	maxCacheBytes     = 64 << 20
 )
 
-func readTokens(body io.Reader, onToken func(Token) error) error {
+// pendingReader counts the bytes that were read and not yet split into lines.
+type pendingReader struct {
+	r       io.Reader
+	held    *bounded.Share
+	pending int64
+}
+
+// Read implements io.Reader.
+func (p *pendingReader) Read(b []byte) (int, error) {
+	n, err := p.r.Read(b)
+	p.pending += int64(n)
+	if err := p.held.Hold(p.pending); err != nil {
+		return 0, err
+	}
+	return n, err
+}
+
+// splitLines is bufio.ScanLines and releases the lines.
+func (p *pendingReader) splitLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	advance, token, err = bufio.ScanLines(data, atEOF)
+	p.pending -= int64(advance)
+	_ = p.held.Hold(p.pending) // there are fewer
+	return advance, token, err
+}
+
+func readTokens(body *pendingReader, onToken func(Token) error) error {
 	tooLarge := &bounded.TooLargeError{Part: bounded.PartEvent, Limit: maxEventBytes}
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	scanner.Split(body.splitLines)
 	skipped := 0
 	for scanner.Scan() {
 		if skipped += len(scanner.Bytes()) + 1; skipped > maxEventBytes {
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -1,11 +1,15 @@
 package engine_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,6 +54,49 @@
 	assertTooLarge(t, err, bounded.PartBody)
 }
 
+// An engine begins a line on each of many streams and does not end it. What has arrived must not add up
+// to the memory of the process, in which other streams go on.
+func TestUnfinishedLinesAreBoundedInSum(t *testing.T) {
+	const streams, maxHeldBytes = 200, 48 << 20
+	unfinished := strings.Repeat("x", 1000<<10)
+	var sent atomic.Int32
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Resume-From") == "1" {
+			_, _ = io.WriteString(w, "data: {\"index\":0,\"text\":\"a\",\"done\":true}\n")
+			return
+		}
+		_, _ = io.WriteString(w, unfinished)
+		_ = http.NewResponseController(w).Flush()
+		sent.Add(1)
+		<-r.Context().Done()
+	}))
+	defer srv.Close()
+	c := engine.NewClient(srv.URL, srv.Client(), "")
+	ctx, cancel := context.WithCancel(t.Context())
+	before := liveHeap()
+	var wg sync.WaitGroup
+	for range streams {
+		wg.Go(func() { _ = c.Generate(ctx, engine.GenerateRequest{}, func(engine.Token) error { return nil }) })
+	}
+	for sent.Load() < streams {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(500 * time.Millisecond) // what is in the sockets is read
+	held := liveHeap() - before
+	assert.Check(t, held < maxHeldBytes, "%d bytes", held)
+	assert.NilError(t, c.Generate(ctx, engine.GenerateRequest{ResumeFrom: 1}, func(engine.Token) error { return nil }))
+	cancel()
+	wg.Wait()
+}
+
+// liveHeap returns the bytes of the heap that are in use.
+func liveHeap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // What is no token may come without end, in one line or in many.
 func TestStreamWithoutTokens(t *testing.T) {
 	for name, text := range map[string]string{"one line": "x", "comments": ": x\n", "empty lines": "\n"} {
--- a/io/target/events.go
+++ b/io/target/events.go
@@ -24,21 +24,33 @@
 // EventReader reads complete events. It does not return a truncated event, nor one that other
 // bytes follow, such as the header of a response.
 type EventReader struct {
-	rd *bufio.Reader
+	rd   *bufio.Reader
+	held *bounded.Share // nil if the events are not counted
 }
 
 // NewEventReader returns a reader of the events in r.
 func NewEventReader(r io.Reader) *EventReader { return &EventReader{rd: bufio.NewReaderSize(r, 4<<10)} }
 
-// Next returns the next event. It returns io.EOF if the stream ended after a complete event,
+// hold counts the bytes of the current event.
+func (e *EventReader) hold(n int) error {
+	if e.held == nil {
+		return nil
+	}
+	return e.held.Hold(int64(n))
+}
+
+// Next returns the next event, which counts as held until the next call. It returns io.EOF if the stream ended after a complete event,
 // io.ErrUnexpectedEOF if it ended within one, *bounded.TooLargeError if the event is too
-// large and ErrMalformedEvent if one of its lines is no field.
+// large, by itself or with those of the pool's other responses, and ErrMalformedEvent if one of its lines is no field.
 func (e *EventReader) Next() (Event, error) {
 	var ev Event
 	lineStart := 0
 	for {
 		part, err := e.rd.ReadSlice('\n')
 		ev.Raw = append(ev.Raw, part...)
+		if err := e.hold(cap(ev.Raw)); err != nil {
+			return Event{}, err
+		}
 		switch {
 		case len(ev.Raw) > maxEventBytes:
 			return Event{}, &bounded.TooLargeError{Part: bounded.PartEvent, Limit: maxEventBytes}
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -40,7 +40,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -146,25 +145,33 @@
 // cannot send.
 const minStatus = 100
 
-// Limits of the bodies that ReadBody holds in memory.
+// Limits of what the responses of a pool hold in memory. Targets in trouble may answer many requests
+// with more than the process has memory for.
 const (
-	// maxHeldBytes is the maximum for all bodies of a pool. Targets in trouble may answer
-	// many requests with more than the process has memory for.
+	// maxHeldBytes is the maximum for the bodies that ReadBody returns.
 	maxHeldBytes = 48 << 20
-	// freeBodyBytes is the part of each body that does not count towards maxHeldBytes, so
-	// that large responses do not fail small ones.
-	freeBodyBytes = 256 << 10
+	// maxHeldEventBytes is the maximum for the events that are read or forwarded.
+	maxHeldEventBytes = 16 << 20
+	// freeBytes is the part of each body or event that does not count.
+	freeBytes = 16 << 10
 )
 
 // Pool keeps idle connections by address.
 type Pool struct {
 	mu   sync.Mutex // guards idle
 	idle map[string][]*conn
-	held atomic.Int64 // bytes of bodies beyond freeBodyBytes
+
+	bodies, events *bounded.Budget
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}} }
+func NewPool() *Pool {
+	return &Pool{
+		idle:   map[string][]*conn{},
+		bodies: bounded.NewBudget(bounded.PartAllBodies, maxHeldBytes, freeBytes),
+		events: bounded.NewBudget(bounded.PartAllEvents, maxHeldEventBytes, freeBytes),
+	}
+}
 
 type conn struct {
 	net.Conn
@@ -214,8 +221,8 @@
 	stop         func() bool
 	written      chan error
 	bodyComplete bool
-	identified   bool  // the response names its request
-	held         int64 // bytes of the body that count towards the pool's maximum
+	identified   bool           // the response names its request
+	held         *bounded.Share // of the pool's bodies or events
 }
 
 // Do sends a request and returns when the header of its response has arrived. When ctx ends,
@@ -327,9 +334,18 @@
 	if resp.Length > limit {
 		return nil, &bounded.TooLargeError{Part: bounded.PartBody, Limit: limit}
 	}
+	resp.held = resp.pool.bodies.NewShare()
 	return bounded.ReadAll(&heldReader{resp: resp}, bounded.PartBody, limit)
 }
 
+// Events returns a reader of the body's events. Its events count as held until Close.
+func (resp *Response) Events() *EventReader {
+	resp.held = resp.pool.events.NewShare()
+	r := NewEventReader(resp.Body)
+	r.held = resp.held
+	return r
+}
+
 // heldReader counts the bytes of a body that are held in memory.
 type heldReader struct {
 	resp *Response
@@ -340,11 +356,8 @@
 func (r *heldReader) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
 	r.read += int64(n)
-	if more := r.read - freeBodyBytes - r.resp.held; more > 0 {
-		r.resp.held += more
-		if r.resp.pool.held.Add(more) > maxHeldBytes {
-			return 0, &bounded.TooLargeError{Part: bounded.PartAllBodies, Limit: maxHeldBytes}
-		}
+	if err := r.resp.held.Hold(r.read); err != nil {
+		return 0, err
 	}
 	return n, err
 }
@@ -366,8 +379,9 @@
 // Close returns the connection to the pool if the response was read completely, names its
 // request and nothing follows it, and closes the connection otherwise.
 func (resp *Response) Close() {
-	resp.pool.held.Add(-resp.held)
-	resp.held = 0
+	if resp.held != nil {
+		resp.held.Release()
+	}
 	stopped := resp.stop()
 	sent := false
 	select {
