app/gateway: streams that had begun are blamed in part for the crash of their target

Cause: all that an engine cuts was blamed alike. Change: half a share if the response had begun, and the tolerance of the limit falls from 0.5 to 0.25 (it made up for blame that decays, which it no longer does).

--- a/app/gateway/crash_evidence_test.go
+++ b/app/gateway/crash_evidence_test.go
@@ -16,6 +16,7 @@
 
 	"amaranthturn/app/settings"
 	"amaranthturn/app/telemetry"
+	"amaranthturn/core/crashblame"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/forward"
 	"amaranthturn/core/roster"
@@ -359,3 +360,24 @@
 	started.mergeFrom(f.entries[0], f.clock.Now())
 	f.assertRefusedEverywhere()
 }
+
+// Targets end while they write a stream, which another request may be the cause of. The stream goes on
+// at the next one, and is blamed in part.
+func TestStreamThatHadBegunIsBlamedInPart(t *testing.T) {
+	var plays []play
+	for i := range crashTargets {
+		plays = append(plays, play{version: 1, end: endClosed, endAt: 2 + i})
+	}
+	p := replayOf(t, "s", crashTargets, plays...)
+	g := newReplayGateway(t, []*replay{p})
+	p.serve(g)
+	assert.Assert(t, p.err != nil, "the stream is cut")
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	units := g.ledger.Exchange(g.now())
+	assert.Equal(t, len(units), crashTargets)
+	for _, u := range units {
+		assert.Equal(t, u.Share, begunShare)
+	}
+	assert.Equal(t, g.ledger.Restriction(units[0].Fingerprint, g.now()), crashblame.Unrestricted)
+}
--- a/app/gateway/crashes.go
+++ b/app/gateway/crashes.go
@@ -47,7 +47,7 @@
 		g.ledger.RecordProof(h.fingerprint, now)
 	}
 	if a.crashed {
-		changed := g.ledger.RecordCrash(id, []fleet.Fingerprint{h.fingerprint}, now)
+		changed := g.ledger.RecordShare(id, h.fingerprint, a.crashShare(), now)
 		g.log.requests.Info().Str("request", string(h.call.ID)).Str("content", h.fingerprint.String()).Str("target", string(a.target.ID)).
 			Uint64("born", uint64(a.target.Incarnation)).Float64("blame", g.ledger.Blame(h.fingerprint, now)).Msg("target broke off a request")
 		if changed {
@@ -57,6 +57,19 @@
 	return a.brokeBeforeFirstEvent() && g.recordPartCrash(h, a.target.ID)
 }
 
+// begunShare is the share of the blame of a request whose response had begun. Most requests that end
+// with the target of another one are streams within their responses, while one that crashes targets
+// mostly does so when it begins to run.
+const begunShare = 0.5
+
+// crashShare returns the share of the blame for the crash of the attempt's target.
+func (a *targetAttempt) crashShare() float64 {
+	if a.responseStarted {
+		return begunShare
+	}
+	return 1
+}
+
 // recordPartCrash records that a target broke off a request before the first event of its
 // response, and reports whether a part of the request's prompt is suspected. mu must be held.
 func (g *Gateway) recordPartCrash(h *requestHandler, t fleet.InstanceID) bool {
--- a/core/crashblame/crashblame.go
+++ b/core/crashblame/crashblame.go
@@ -20,7 +20,7 @@
 // target. A request with enough blame runs on a target without other requests: if it
 // crashes that target too, it gets the full unit of blame, and a request that only ran next
 // to the crashing request finishes and its blame is cleared. Where requests can't run alone,
-// each of them gets the full unit.
+// each of them gets a share that others do not lower: RecordShare.
 //
 // Each unit carries the name of its crash and its age. Entries exchange units: those of different
 // crashes add up, those of one crash count once, and the lower share of it holds, since a share
@@ -95,8 +95,8 @@
 
 const (
 	// refuseTolerance is subtracted from MaxCrashedTargets to get the blame at which a request
-	// is refused, since a share of the blame may be that of sound requests beside it.
-	refuseTolerance = 0.5
+	// is refused, since small shares of it may be those of sound requests beside it.
+	refuseTolerance = 0.25
 	// Lifetime is how long blame is kept after the crash, and after a request was last refused
 	// because of it.
 	Lifetime = 10 * time.Minute
@@ -225,13 +225,19 @@
 	slices.Sort(distinct)
 	distinct = slices.Compact(distinct)
 	for _, f := range distinct {
-		if l.add(f, id, unit{share: 1 / float64(len(distinct)), at: now}, now, now) {
+		if l.RecordShare(id, f, 1/float64(len(distinct)), now) {
 			changed = true
 		}
 	}
 	return changed
 }
 
+// RecordShare adds a share of the blame for a crash to one request. It returns whether other entries
+// should be told.
+func (l *Ledger) RecordShare(id CrashID, f fleet.Fingerprint, share float64, now time.Time) (changed bool) {
+	return l.add(f, id, unit{share: share, at: now}, now, now)
+}
+
 // RetractCrash removes the blame of a crash that did not happen: the target was only
 // unreachable, and the same incarnation responds again.
 func (l *Ledger) RetractCrash(id CrashID, now time.Time) {
