core/gossip: a pause keeps entries without making their records younger; own pauses are no failures

Found while reading the change again: the grace after a pause was given by moving the time of the record, so it was passed on as younger than it is and, with one pause after the other, for ever; and an exchange that ran out while this process was paused counted as a failure of the other entry. The grace has a field of its own; TestRepeatedPausesDoNotKeepEntriesThatAreGone fails without it (the record is passed on with 3 s). Also the rank for a trial is computed only once a trial may be due.

--- a/app/gateway/crashes.go
+++ b/app/gateway/crashes.go
@@ -22,7 +22,11 @@
 // isTrialDue reports whether a request that is known to crash targets is sent to one all the same, to
 // learn whether it was only beside the one that does. Gateway.mu must be held.
 func (h *requestHandler) isTrialDue(now time.Time) bool {
-	return !h.partCrashesTargets(now) && h.g.ledger.IsTrialDue(h.fingerprint, h.g.entryList.Rank("trial/"+h.fingerprint.String(), now), now)
+	l := h.g.ledger
+	if h.partCrashesTargets(now) || !l.IsTrialDue(h.fingerprint, 0, now) {
+		return false
+	}
+	return l.IsTrialDue(h.fingerprint, h.g.entryList.Rank("trial/"+h.fingerprint.String(), now), now)
 }
 
 // beginTrial marks an attempt as a trial. The handler's mu and Gateway.mu must be held.
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -111,7 +111,7 @@
 	received, err := g.pool.Exchange(ctx, addr, update)
 	if err != nil {
 		g.metrics.Count("exchange_failures", 1)
-		g.recordExchangeFailure(ctx, addr)
+		g.recordExchangeFailure(ctx, addr, now)
 		return
 	}
 	g.mu.Lock()
@@ -124,14 +124,15 @@
 	g.handOn(ctx, addr, received)
 }
 
-// recordExchangeFailure records that an entry did not answer, unless this process has stopped waiting.
-func (g *Gateway) recordExchangeFailure(ctx context.Context, addr string) {
-	if ctx.Err() != nil {
-		return
-	}
+// recordExchangeFailure records that an entry did not answer an exchange that began at startedAt, unless
+// this process was paused or stops.
+func (g *Gateway) recordExchangeFailure(ctx context.Context, addr string, startedAt time.Time) {
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.entryList.RecordFailure(addr, g.now())
+	if ctx.Err() == nil && !g.pauseDetector.PausedSince(startedAt, now) {
+		g.entryList.RecordFailure(addr, now)
+	}
 }
 
 // divideBudgets divides the allowance of retries by the number of entries. The number doesn't
--- a/core/gossip/list.go
+++ b/core/gossip/list.go
@@ -64,6 +64,9 @@
 	Record
 	sentAt   time.Time // at the latest
 	failedAt time.Time // of the last failed exchange with the entry
+	// keptUntil is until when the entry counts as live although its record is older, after a pause
+	// of this process.
+	keptUntil time.Time
 }
 
 // List is the list kept by one entry. It is not safe for concurrent use.
@@ -106,7 +109,7 @@
 			if old.sentAt.After(m.sentAt) {
 				m.sentAt = old.sentAt
 			}
-			m.failedAt = old.failedAt
+			m.failedAt, m.keptUntil = old.failedAt, old.keptUntil
 		}
 		l.members[r.Instance] = m
 	}
@@ -171,7 +174,7 @@
 func (m *member) hasFailed() bool { return !m.failedAt.IsZero() && !m.sentAt.After(m.failedAt) }
 
 func (l *List) isLive(m *member, now time.Time) bool {
-	return now.Sub(m.sentAt) <= l.settings.Lease && !m.Leaving
+	return !m.Leaving && (now.Sub(m.sentAt) <= l.settings.Lease || now.Before(m.keptUntil))
 }
 
 // Position returns this entry's position among the live entries of its zone, and their
@@ -248,8 +251,8 @@
 func (l *List) Resumed(pausedAt, now time.Time) {
 	l.resumedAt, l.pause = now, now.Sub(pausedAt)
 	for _, m := range l.members {
-		if until := now.Add(l.settings.ResumeGrace - l.settings.Lease); l.isLive(m, pausedAt) && m.sentAt.Before(until) {
-			m.sentAt = until
+		if pausedAt.Sub(m.sentAt) <= l.settings.Lease {
+			m.keptUntil = now.Add(l.settings.ResumeGrace)
 		}
 	}
 }
--- a/core/gossip/list_test.go
+++ b/core/gossip/list_test.go
@@ -156,6 +156,25 @@
 	}
 }
 
+// This process is paused for half a second every second. An entry that was live at the first pause
+// counts as live for a while, is not offered to callers with an old record, and is gone then. Its
+// record is not passed on as a younger one.
+func TestRepeatedPausesDoNotKeepEntriesThatAreGone(t *testing.T) {
+	l := gossip.New(gossip.DefaultSettings, record(0))
+	l.Merge([]gossip.Record{record(1)}, t0)
+	now := t0.Add(4 * time.Second)
+	for range 8 {
+		l.Resumed(now, now.Add(500*time.Millisecond))
+		now = now.Add(500 * time.Millisecond)
+		assert.Equal(t, len(l.Offered(now)), 0)
+		for _, r := range l.Records(now) {
+			assert.Assert(t, r.Instance == record(0).Instance || r.Age == now.Sub(t0))
+		}
+		now = now.Add(500 * time.Millisecond)
+	}
+	assert.Equal(t, len(l.Live(now)), 0)
+}
+
 // fleetOfLists is entries that exchange their records as the daemons do.
 type fleetOfLists struct {
 	now    time.Time
