--- a/core/crashblame/crashblame.go
+++ b/core/crashblame/crashblame.go
@@ -47,6 +47,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -194,7 +195,7 @@
 	if !ok {
 		return false
 	}
-	backoffs := int(r.blame()) - l.settings.MaxCrashedTargets
+	backoffs := int(math.Round(r.blame())) - l.settings.MaxCrashedTargets
 	last := time.Time{}
 	for _, u := range r.units {
 		if u.isTrial {
--- a/core/crashblame/crashblame_test.go
+++ b/core/crashblame/crashblame_test.go
@@ -207,6 +207,22 @@
 	}
 }
 
+// A trial that shows nothing, since its caller left, is not followed by another one soon, also if some of
+// the blame is shared.
+func TestTrialWithoutResultIsFollowedLater(t *testing.T) {
+	for _, last := range []float64{1, 0.75} {
+		l := NewLedger(plainSettings)
+		l.RecordCrash(crashOf(0), []fleet.Fingerprint{1}, now)
+		l.RecordCrash(crashOf(1), []fleet.Fingerprint{1}, now)
+		l.RecordShare(crashOf(2), 1, last, now)
+		assert.Equal(t, l.Restriction(1, now), Refuse)
+		at := now.Add(plainSettings.TrialDelay)
+		assert.Assert(t, !l.IsTrialDue(1, 0, at.Add(-1)) && l.IsTrialDue(1, 0, at) && !l.IsTrialDue(1, 1, at))
+		l.RecordTrial(1, at)
+		assert.Assert(t, !l.IsTrialDue(1, 0, at.Add(4*plainSettings.TrialDelay)))
+	}
+}
+
 // Nobody uses the blame any more. Entries that tell each other of it must not keep it.
 func TestBlameEndsAlthoughEntriesTellEachOther(t *testing.T) {
 	const entries, delay = 8, 700 * time.Millisecond
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -20,7 +20,8 @@
 // ExchangeMessage is one message of an exchange between entries.
 type ExchangeMessage struct {
 	Records []gossip.Record
-	Blamed  []crashblame.Blame
+	// Blamed are the crashes for which requests are blamed, or have been cleared.
+	Blamed []crashblame.Blame
 	// StorePosition is the latest position of the store that the sender knows.
 	StorePosition mirror.Position
 	// ConfigVersion is the version of the configuration in force at the sender.
