--- a/app/gateway/crash_evidence_test.go
+++ b/app/gateway/crash_evidence_test.go
@@ -14,16 +14,11 @@
 
 	"gotest.tools/v3/assert"
 
-	"amaranthturn/app/settings"
-	"amaranthturn/app/telemetry"
 	"amaranthturn/core/crashblame"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/forward"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routeconfig"
-	"amaranthturn/io/peer"
-	"amaranthturn/io/target"
-	"amaranthturn/platform"
 	"amaranthturn/platform/platformtest"
 )
 
@@ -80,15 +75,7 @@
 
 // addEntry starts an entry that knows nothing but the configuration and the targets.
 func (f *crashFleet) addEntry() *Gateway {
-	name := fleet.InstanceID(fmt.Sprintf("e%d", len(f.entries)))
-	m := telemetry.NewMetrics("entry")
-	f.t.Cleanup(func() { _ = m.Close() })
-	cfg := &platform.Settings{
-		Instance: name, Zone: "z", Region: "r", PeersAddress: string(name) + ":1", CallersAddress: string(name) + ":2",
-		Bounds: platform.Bounds{VersionChangeLimit: 8 * time.Second, StablePeriod: 3 * time.Second, RetryShare: 0.2, RetryExtra: 1e6, RetryWindow: time.Millisecond},
-	}
-	g := New(cfg, f.clock, telemetry.NewLogs(io.Discard, settings.Log{}, string(name)), m, peer.NewPool(peer.DialOptions{}), nil, platform.NewTargetClient(target.NewPool()), 1)
-	g.startedAt = g.startedAt.Add(-time.Minute)
+	g := newServingGateway(f.t, fleet.InstanceID(fmt.Sprintf("e%d", len(f.entries))), f.clock)
 	g.doc.Store(routeconfig.New(1, []routeconfig.Route{{
 		Name: "r", Host: "h", Prefix: "/", Kind: routeconfig.KindIdempotent, Services: []routeconfig.WeightedService{{Service: crashService, Weight: 1}},
 		Timeout: 4 * time.Second, LatencyObjective: time.Second, MaxAttempts: 1, Public: true,
--- a/app/gateway/race_test.go
+++ b/app/gateway/race_test.go
@@ -337,17 +337,24 @@
 	return p
 }
 
-// newReplayGateway returns an entry before the targets of all replays.
-func newReplayGateway(t *testing.T, replays []*replay) *Gateway {
+// newServingGateway returns an entry that is ready to serve before targets, with as many retries as it
+// wants.
+func newServingGateway(t *testing.T, name fleet.InstanceID, c clock.Clock) *Gateway {
 	m := telemetry.NewMetrics("entry")
 	t.Cleanup(func() { _ = m.Close() })
 	cfg := &platform.Settings{
-		Instance: "e1", Zone: "z", Region: "r", PeersAddress: "10.0.0.1:1", CallersAddress: "10.0.0.1:2",
+		Instance: name, Zone: "z", Region: "r", PeersAddress: string(name) + ":1", CallersAddress: string(name) + ":2",
 		Bounds: platform.Bounds{VersionChangeLimit: 8 * time.Second, StablePeriod: 3 * time.Second, RetryShare: 0.2, RetryExtra: 1e6, RetryWindow: time.Millisecond},
 	}
-	g := New(cfg, clock.System{}, telemetry.NewLogs(io.Discard, settings.Log{}, "e1"), m, peer.NewPool(peer.DialOptions{}), nil, platform.NewTargetClient(target.NewPool()), 1)
-	g.stall = stallTimes{timeout: replayedStall, checkInterval: replayedStall / 8}
+	g := New(cfg, c, telemetry.NewLogs(io.Discard, settings.Log{}, string(name)), m, peer.NewPool(peer.DialOptions{}), nil, platform.NewTargetClient(target.NewPool()), 1)
 	g.startedAt = g.startedAt.Add(-time.Minute)
+	return g
+}
+
+// newReplayGateway returns an entry before the targets of all replays.
+func newReplayGateway(t *testing.T, replays []*replay) *Gateway {
+	g := newServingGateway(t, "e1", clock.System{})
+	g.stall = stallTimes{timeout: replayedStall, checkInterval: replayedStall / 8}
 	var routes []routeconfig.Route
 	var services []routeconfig.Service
 	for _, p := range replays {
