--- a/app/entry/crashes.go
+++ b/app/entry/crashes.go
@@ -20,10 +20,10 @@
 	if !refused {
 		return false
 	}
-	rank := e.trialRank(h.gen.Fingerprint)
+	position := e.trialRank(h.gen.Fingerprint)
 	e.reqMu.Lock()
 	defer e.reqMu.Unlock()
-	return !e.ledger.IsTrialDue(h.gen.Fingerprint, rank, e.now())
+	return !e.ledger.IsTrialDue(h.gen.Fingerprint, position, e.now())
 }
 
 // trialRank returns the position of this entry among all entries for trials of a request.
