--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 	"digests": spoiltDigests,
 	"bodies":  largeBodies,
 	"paths":   doubleSlash,
+	"foreign": foreignEntries,
 }
 
 func main() {
@@ -59,9 +60,11 @@
 	if draftsAsked == 0 || ordersAsked == 0 {
 		cannotRun("no requests were sent")
 	}
-	kind := float64(draftsServed) / float64(draftsAsked)
+	draft := float64(draftsServed) / float64(draftsAsked)
+	order := float64(ordersServed) / float64(ordersAsked)
 	all := float64(draftsServed+ordersServed) / float64(draftsAsked+ordersAsked)
-	return verdict{kind < all/4, fmt.Sprintf("streams served %d of %d (%.3f), orders %d of %d, all %.3f", draftsServed, draftsAsked, kind, ordersServed, ordersAsked, all)}
+	return verdict{min(draft, order) < all/4, fmt.Sprintf("streams served %d of %d (%.3f), orders %d of %d (%.3f), all %.3f",
+		draftsServed, draftsAsked, draft, ordersServed, ordersAsked, order, all)}
 }
 
 // declare names a version of the weights.
@@ -72,15 +75,15 @@
 }
 
 // mixedTraffic sends streams and orders for a time.
-func (f *fleet) mixedTraffic(d time.Duration) (wait func() (drafts, orders *tally)) {
+func (f *fleet) mixedTraffic(d time.Duration, draftsPerSecond, ordersPerSecond float64) (wait func() (drafts, orders *tally)) {
 	drafts, orders := &tally{}, &tally{}
 	stop, done := make(chan struct{}), make(chan struct{}, 2)
 	go func() {
-		f.traffic(5, stop, func() { f.draft(drafts) })
+		f.traffic(draftsPerSecond, stop, func() { f.draft(drafts) })
 		done <- struct{}{}
 	}()
 	go func() {
-		f.traffic(15, stop, func() { f.order(orders) })
+		f.traffic(ordersPerSecond, stop, func() { f.order(orders) })
 		done <- struct{}{}
 	}()
 	time.AfterFunc(d, func() { close(stop) })
@@ -105,7 +108,7 @@
 	f.startAgents()
 	f.awaitReady()
 	time.Sleep(8 * time.Second)
-	wait := f.mixedTraffic(90 * time.Second)
+	wait := f.mixedTraffic(90*time.Second, 5, 15)
 	time.Sleep(time.Second)
 	f.declare(2)
 	if trouble {
@@ -123,7 +126,7 @@
 	f.startAgents()
 	f.awaitReady()
 	time.Sleep(8 * time.Second)
-	wait := f.mixedTraffic(90 * time.Second)
+	wait := f.mixedTraffic(90*time.Second, 5, 15)
 	time.Sleep(time.Second)
 	if trouble {
 		f.weights.spoilDigests(2)
@@ -131,3 +134,25 @@
 	f.declare(2)
 	return starved(wait())
 }
+
+// foreignEntries lets another writer put entries of a service that is not configured beside those of
+// the order runners, with the same addresses.
+func foreignEntries(f *fleet, trouble bool) verdict {
+	f.configure()
+	f.addOrderRunners(3, 60*time.Millisecond)
+	f.addModelRunners(2, nil)
+	f.startEntries(2)
+	f.startAgents()
+	f.awaitReady()
+	time.Sleep(8 * time.Second)
+	wait := f.mixedTraffic(60*time.Second, 15, 5)
+	time.Sleep(time.Second)
+	if trouble {
+		for i, o := range f.orders {
+			f.st.putJSON(fmt.Sprintf("%sx-%d", names["serverKey"], i), map[string]any{"Service": "host-inventory", "Address": o.address, "Zone": "ms-delta-a", "Version": "v1",
+				"Slots": 1, "State": "ready", "ColdLeftMs": 0, "Sequence": 1, "born": time.Now().UnixMilli()})
+			f.rec.add("another writer puts an entry of the service host-inventory with the address %s", o.address)
+		}
+	}
+	return starved(wait())
+}
