review/1: the case breaks a rule in capitals, with a route that is added later

The outage after silent connections is measured by CONFIG: a route that was added later is served less than a quarter as often as the first one.

--- a/review/standin/bodies.go
+++ b/review/standin/bodies.go
@@ -44,7 +44,7 @@
 
 // largeBodies lets clients send bodies of the largest allowed size.
 func largeBodies(f *fleet, trouble bool) verdict {
-	f.configure()
+	f.configure(1, orderRoute)
 	f.addOrderRunners(3, 60*time.Millisecond)
 	f.startEntries(2)
 	f.awaitReady()
@@ -96,7 +96,7 @@
 						time.Sleep(10 * time.Millisecond)
 						continue
 					}
-					t.add(f.upload(p, l))
+					t.add(time.Now(), f.upload(p, l))
 				}
 			}()
 		}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -15,23 +15,29 @@
 	"time"
 )
 
-// tally counts what a client got for the requests of one kind.
+// tally counts what clients got for the requests of one kind.
 type tally struct {
-	mu                                sync.Mutex // guards all fields below
-	asked, served, refused, otherwise int
+	mu            sync.Mutex // guards all fields below
+	from          time.Time  // requests that were sent before do not count
+	asked, served int
 }
 
-func (t *tally) add(outcome string) {
+// begin lets the requests count that are sent from now on.
+func (t *tally) begin() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.from, t.asked, t.served = time.Now(), 0, 0
+}
+
+func (t *tally) add(sentAt time.Time, outcome string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if sentAt.Before(t.from) {
+		return
+	}
 	t.asked++
-	switch outcome {
-	case "served":
+	if outcome == "served" {
 		t.served++
-	case "refused":
-		t.refused++
-	default:
-		t.otherwise++
 	}
 }
 
@@ -147,13 +153,13 @@
 }
 
 func (f *fleet) draft(t *tally) {
-	t.add(f.request("draft", "model.example", "/draft/2f", 6*time.Second, []byte("a prompt"), map[string]string{
+	t.add(time.Now(), f.request("draft", "model.example", "/draft/2f", 6*time.Second, []byte("a prompt"), map[string]string{
 		names["model"]: modelName, names["tokenCount"]: "790,100", names["parts"]: "5c1e07a2:40,e4402b7d:750",
 	}))
 }
 
 func (f *fleet) order(t *tally) {
-	t.add(f.request("order", "orders.example", "/place/2f", 3*time.Second, []byte("one bale"), nil))
+	t.add(time.Now(), f.request("order", "orders.example", "/place/2f", 3*time.Second, []byte("one bale"), nil))
 }
 
 // link limits the bytes that clients send to one entry.
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -3,12 +3,14 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -86,9 +88,18 @@
 func (f *fleet) agentIP(i int) string   { return f.ip(50 + i) }
 func (f *fleet) orderAddr(i int) string { return f.ip(150+i) + ":8001" }
 
-// configure writes the first configuration.
-func (f *fleet) configure() {
-	f.st.put(names["configKey"], []byte(template("config.json", "@ORIGIN@", f.originAddress())))
+// configure writes a configuration with some of the routes.
+func (f *fleet) configure(version int, routes ...string) {
+	var doc map[string]any
+	if err := json.Unmarshal([]byte(template("config.json", "@ORIGIN@", f.originAddress())), &doc); err != nil {
+		cannotRun(err.Error())
+	}
+	doc["Version"] = version
+	doc["Routes"] = slices.DeleteFunc(doc["Routes"].([]any), func(r any) bool {
+		return !slices.Contains(routes, r.(map[string]any)["Name"].(string))
+	})
+	f.st.putJSON(names["configKey"], doc)
+	f.rec.add("configuration %d with the routes %v", version, routes)
 }
 
 func (f *fleet) addOrderRunners(n int, work time.Duration) {
--- a/review/standin/paths.go
+++ b/review/standin/paths.go
@@ -19,7 +19,7 @@
 	if trouble {
 		path = "//place/2f?copy=1"
 	}
-	f.configure()
+	f.configure(1, orderRoute)
 	f.addOrderRunners(2, 60*time.Millisecond)
 	var mu sync.Mutex
 	ran, changed := 0, 0
--- a/review/standin/servers.go
+++ b/review/standin/servers.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -36,15 +37,18 @@
 	mu     sync.Mutex // one answer at a time
 	newest atomic.Int64
 	rec    *record
-	// spoil, if set, may change the body of an answer. It gets the path and a count of the answers
-	// so far.
-	spoil  func(path string, body []byte) []byte
-	counts sync.Map
+	// spoil, if set, may change the body of an answer.
+	spoil func(path string, body []byte) []byte
+	// isDown lets the origin close each connection without an answer.
+	isDown atomic.Bool
 }
 
 const originBytesPerSecond = 9.9e6 / 8
 
 func (o *origin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if o.isDown.Load() {
+		panic(http.ErrAbortHandler)
+	}
 	version, err := strconv.Atoi(r.URL.Query().Get("Version"))
 	if err != nil {
 		version = int(o.newest.Load())
@@ -88,8 +92,12 @@
 	born        int64
 	slots       int
 	stageDelay  time.Duration // of each staging call
-	st          *store
-	rec         *record
+	firstDelay  time.Duration // until the first event
+	keepsOn     bool          // does not drop a request whose connection is closed
+	// begins, if set, is called when a request begins to run on a version.
+	begins func(id string, version int)
+	st     *store
+	rec    *record
 	// onStage, if set, is called for each staging call.
 	onStage func(path string)
 
@@ -259,6 +267,19 @@
 	eventInterval = 40 * time.Millisecond
 )
 
+// awaitFirst waits for the first event and reports whether the request goes on.
+func (m *modelRunner) awaitFirst(ctx context.Context) bool {
+	if m.keepsOn {
+		ctx = context.Background()
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(m.firstDelay):
+		return true
+	}
+}
+
 func (m *modelRunner) serveRequest(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	if want := r.Header.Get(names["expectRunner"]); want != "" && want != m.id {
@@ -272,13 +293,19 @@
 		return
 	}
 	defer m.release()
-	m.rec.add("runner %s runs %s on version %d", m.id, r.Header.Get(names["attempt"]), version)
+	m.rec.add("runner %s accepts %s on version %d", m.id, r.Header.Get(names["attempt"]), version)
 	h := w.Header()
 	h.Set(names["attempt"], r.Header.Get(names["attempt"]))
 	h.Set(names["seal"], "seal."+m.id)
 	h.Set(names["versions"], strconv.Itoa(version))
 	h.Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(r.Header.Get(names["lastEvent"]))
+	if !m.awaitFirst(r.Context()) {
+		return
+	}
+	if m.begins != nil {
+		m.begins(r.Header.Get(names["attempt"]), version)
+	}
 	for i := first + 1; i <= streamEvents; i++ {
 		time.Sleep(eventInterval)
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i, i); err != nil {
