review/1: pieces that turn bad while a version is staged are loaded

Case: 3 of 64 pieces at one of three runners turn bad while a version is staged there, with staging calls of 50 ms. The agent checks each piece once, in one pass of any length. Seen: the runner loads them 4.3 s later and makes tokens with them; callers get complete answers.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Runs the case once, after review/build.sh. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/standin silent review/1/record.txt
+exec target/review/standin rot review/1/record.txt
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 	"paths":   doubleSlash,
 	"foreign": foreignEntries,
 	"version": oldVersion,
+	"rot":     rottenPieces,
 }
 
 func main() {
@@ -224,3 +225,51 @@
 	defer mu.Unlock()
 	return verdict{late > 0, fmt.Sprintf("%d requests began, %d of them on version 1 more than %v after version 2; served %d of %d", begun, late, versionLimit, served, asked)}
 }
+
+// rottenPieces lets a few of the pieces that lie at one of three model runners turn bad while a version
+// is staged there.
+func rottenPieces(f *fleet, trouble bool) verdict {
+	f.configure(1, orderRoute, draftRoute)
+	f.addModelRunners(3, nil)
+	var mu sync.Mutex
+	begun, spoilt := 0, 0
+	var once sync.Once
+	for i, m := range f.models {
+		m.stageDelay = 50 * time.Millisecond
+		m.begins = func(id string, version int) {
+			mu.Lock()
+			defer mu.Unlock()
+			begun++
+			if m.hasSpoiltLayers() {
+				spoilt++
+				f.rec.add("runner %s makes the first token of %s with spoilt layers of version %d", m.id, id, version)
+			}
+		}
+		if i == 0 && trouble {
+			m.onStage = func(pieces int) {
+				if pieces == chunkCount/3+1 {
+					once.Do(func() { m.rot(0, chunkCount/3, 2*chunkCount/3) })
+				}
+			}
+		}
+	}
+	f.startEntries(2)
+	f.startAgents()
+	f.awaitReady()
+	time.Sleep(8 * time.Second)
+	drafts := &tally{}
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		f.traffic(15, stop, func() { f.draft(drafts) })
+		close(done)
+	}()
+	time.Sleep(2 * time.Second)
+	f.declare(2)
+	time.Sleep(25 * time.Second)
+	close(stop)
+	<-done
+	asked, served := drafts.get()
+	mu.Lock()
+	defer mu.Unlock()
+	return verdict{spoilt > 0, fmt.Sprintf("%d requests began, %d of them with layers that were taken with a piece bad for over %v; served %d of %d", begun, spoilt, rotLimit, served, asked)}
+}
--- a/review/standin/servers.go
+++ b/review/standin/servers.go
@@ -98,12 +98,15 @@
 	begins func(id string, version int)
 	st     *store
 	rec    *record
-	// onStage, if set, is called for each staging call.
-	onStage func(path string)
+	// onStage, if set, is called with the number of pieces that have been staged since the start.
+	onStage func(pieces int)
 
 	mu       sync.Mutex // guards all fields below
 	staged   map[int][]byte
-	version  int // 0: holds no layers
+	puts     int               // pieces that were staged since the start
+	badSince map[int]time.Time // of the staged pieces that have turned bad
+	spoilt   bool              // the layers were taken with a piece that had been bad for over rotLimit
+	version  int               // 0: holds no layers
 	busy     bool
 	sequence int
 	running  int
@@ -111,7 +114,7 @@
 }
 
 func newModelRunner(id, address string, st *store, rec *record) *modelRunner {
-	m := &modelRunner{id: id, address: address, born: time.Now().UnixMilli(), slots: 16, st: st, rec: rec, staged: map[int][]byte{}, version: 1}
+	m := &modelRunner{id: id, address: address, born: time.Now().UnixMilli(), slots: 16, st: st, rec: rec, staged: map[int][]byte{}, badSince: map[int]time.Time{}, version: 1}
 	for i := range chunkCount {
 		m.staged[i] = chunk(1, i)
 	}
@@ -180,9 +183,6 @@
 }
 
 func (m *modelRunner) serveStage(w http.ResponseWriter, r *http.Request) {
-	if m.onStage != nil {
-		m.onStage(r.URL.Path)
-	}
 	time.Sleep(m.stageDelay)
 	index, _ := strconv.Atoi(r.URL.Query().Get("Quantity"))
 	if strings.HasPrefix(r.URL.Path, names["stagePut"]) {
@@ -192,7 +192,13 @@
 		}
 		m.mu.Lock()
 		m.staged[index] = body
+		m.puts++
+		puts := m.puts
+		delete(m.badSince, index)
 		m.mu.Unlock()
+		if m.onStage != nil {
+			m.onStage(puts)
+		}
 		return
 	}
 	m.mu.Lock()
@@ -225,10 +231,15 @@
 	case m.version == o.Version:
 		return
 	}
-	whole := true
+	whole, longBad := true, 0
 	for i := range chunkCount {
 		whole = whole && bytes.Equal(m.staged[i], chunk(o.Version, i))
+		if since, ok := m.badSince[i]; ok && time.Since(since) > rotLimit {
+			longBad++
+			m.rec.add("piece %d at runner %s has been bad for %.3f s", i, m.id, time.Since(since).Seconds())
+		}
 	}
+	m.spoilt = longBad > 0
 	m.sequence++
 	m.busy = true
 	m.rec.add("runner %s begins to load version %d, staged pieces whole: %v", m.id, o.Version, whole)
@@ -385,3 +396,26 @@
 		return body
 	}
 }
+
+// rotLimit is how long before the layers are taken a piece may turn bad without breaking the rule.
+const rotLimit = 3 * time.Second
+
+// rot lets some of the pieces that lie at the runner turn bad.
+func (m *modelRunner) rot(pieces ...int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, i := range pieces {
+		bad := bytes.Clone(m.staged[i])
+		bad[0] ^= 1
+		m.staged[i] = bad
+		m.badSince[i] = time.Now()
+	}
+	m.rec.add("pieces %v at runner %s turn bad", pieces, m.id)
+}
+
+// hasSpoiltLayers reports whether the runner holds layers that break the rule.
+func (m *modelRunner) hasSpoiltLayers() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.spoilt && !m.busy
+}
