--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"strconv"
@@ -25,20 +24,20 @@
 	// reportInterval is how often the engine is polled. It runs on the same machine, so a
 	// report is current and costs little.
 	reportInterval = 100 * time.Millisecond
-	// callTimeout limits a call to the engine on the same machine.
+	// callTimeout limits a report of the engine on the same machine.
 	callTimeout = time.Second
 	// pauseThreshold is the gap between two polls above which the process counts as paused.
 	pauseThreshold = 2 * time.Second
 )
 
-// engineDriver polls the engine, notifies the entries of its load, and sends load commands.
-type engineDriver struct {
+// enginePoller polls the engine and notifies the entries of its load.
+type enginePoller struct {
 	s             *Sidecar
 	pauseDetector *clock.PauseDetector
 }
 
 // Run implements daemon.Runner.
-func (c *engineDriver) Run(ctx context.Context) {
+func (c *enginePoller) Run(ctx context.Context) {
 	for daemon.Sleep(ctx, reportInterval) {
 		if c.pauseDetector.Observe(c.s.now()) {
 			c.s.log.process.Warn().Msg(trace.MessageAgentPaused)
@@ -47,14 +46,14 @@
 			continue
 		}
 		c.pollEngine(ctx)
-		c.loadIfDue(ctx)
 	}
 }
 
-func (c *engineDriver) pollEngine(ctx context.Context) {
+func (c *enginePoller) pollEngine(ctx context.Context) {
 	s := c.s
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	startedAt := s.now()
 	r, err := s.engine.Report(ctx)
 	if err != nil && s.MayCall() != nil {
 		return // the engine asks this instance for a pause, which says nothing about its load
@@ -69,77 +68,25 @@
 		s.log.engine.Info().Uint64("born", uint64(r.Incarnation)).Uint64("before", uint64(s.report.Incarnation)).Msg("engine started")
 	}
 	changed := up != s.isEngineUp || !equalReports(s.report, r)
-	s.isEngineUp, s.report = up, r
+	s.isEngineUp, s.report, s.reportStartedAt = up, r, startedAt
+	if up && startedAt.After(s.commandAt) {
+		s.recordProofReport()
+	}
 	if changed {
 		s.notifyListeners()
 		s.checkVersions()
 	}
 }
 
-func equalReports(a, b platform.Report) bool {
-	return a.Running == b.Running && a.Queued == b.Queued && a.Busy == b.Busy && a.Incarnation == b.Incarnation && a.Leaving == b.Leaving && slices.Equal(a.Loaded, b.Loaded)
-}
-
-// loadIfDue sends a load command when the engine's scheduled time has come.
-func (c *engineDriver) loadIfDue(ctx context.Context) {
-	s := c.s
-	now := s.now()
-	s.mu.Lock()
-	m, e, ok := s.model()
-	if !ok || !s.isEngineUp {
-		s.mu.Unlock()
-		return
-	}
-	serving := s.servingVersion(m.Name, e)
-	newest := s.newestComplete()
-	in := upgrade.Input{Serving: serving, Busy: s.report.Busy, Staged: newest != nil, DeclaredAt: s.declarationsOf(m.Name).NewerDeclaredAt(serving), Schedule: s.schedule(e)}
-	if newest != nil && newest.version > serving {
-		in.Wanted, in.Position = newest.version, s.positions(s.group(), newest.version)[s.settings.TargetAddress]
-	}
-	sequence := s.report.CommandSequence
-	s.mu.Unlock()
-	if upgrade.Decide(in, now) != upgrade.ActionLoad {
-		return
-	}
-	if !c.verifyStaged(ctx, m.Name, newest) {
-		return
-	}
-	c.sendLoadCommand(ctx, m.Name, newest.version, sequence)
-}
-
-func (c *engineDriver) sendLoadCommand(ctx context.Context, m fleet.Model, version, sequence uint64) {
-	s := c.s
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := s.engine.Load(ctx, m, version, sequence)
-	s.metrics.Count("engine_orders", 1)
-	ev := s.log.engine.Info()
-	if err != nil {
-		ev = s.log.engine.Warn().Err(err)
-	}
-	ev.Str("model", string(m)).Uint64("version", version).Uint64("after_orders", sequence).Msg("load command sent")
-	if errors.Is(err, platform.ErrConflict) {
-		daemon.Sleep(ctx, reportInterval) // the next poll returns the state that conflicted with the command
+// recordProofReport applies the last report to the proof of the last load. mu must be held.
+func (s *Sidecar) recordProofReport() {
+	if m, e, ok := s.model(); ok {
+		s.proof.RecordReport(engineReport(s.report, s.servingVersion(m.Name, e)))
 	}
 }
 
-// verifyStaged reads every staged chunk again immediately before the load command, because
-// staged chunks may become corrupt, and stages the corrupt ones again.
-func (c *engineDriver) verifyStaged(ctx context.Context, m fleet.Model, w *versionWeights) bool {
-	ok, replaced := true, 0
-	for i := range w.manifest.Chunks {
-		data, err := c.s.engine.StagedChunk(ctx, m, i, w.manifest.Chunks[i].Size)
-		if err == nil && w.manifest.Verify(i, data) {
-			continue
-		}
-		replaced++
-		if err := c.s.engine.StageChunk(ctx, m, i, w.chunk(i)); err != nil {
-			c.s.log.weights.Warn().Int("piece", i).Err(err).Msg("chunk cannot be staged")
-			ok = false
-		}
-	}
-	c.s.log.weights.Info().Uint64("version", w.version).Int("replaced", replaced).Bool("whole", ok).Msg("staged chunks verified")
-	return ok
+func equalReports(a, b platform.Report) bool {
+	return a.Running == b.Running && a.Queued == b.Queued && a.Busy == b.Busy && a.Incarnation == b.Incarnation && a.Leaving == b.Leaving && slices.Equal(a.Loaded, b.Loaded)
 }
 
 // newestComplete returns the newest complete version, or nil if there is none. mu must be
--- a/app/sidecar/load.go
+++ b/app/sidecar/load.go
@@ -94,6 +94,6 @@
 		l.Model, l.Version = m.Name, s.servingVersion(m.Name, e)
 	}
 	l.Leaving = s.isEngineUp && (r.Leaving || s.notices.IsLeaving(s.engineTarget()))
-	l.Accepting = s.isEngineUp && !r.Busy && l.Version != 0
+	l.Accepting = s.isEngineUp && !r.Busy && l.Version != 0 && !s.proof.Withholds(l.Version)
 	return l
 }
--- a/app/sidecar/module.go
+++ b/app/sidecar/module.go
@@ -77,7 +77,7 @@
 	srv.metrics = metrics
 	srv.peers.Start()
 	srv.metrics.Start()
-	for _, r := range []daemon.Runner{&initialStoreReader{srv.s}, &entryExchanger{srv.s}, &follower{srv.s}, &engineDriver{s: srv.s, pauseDetector: clock.NewPauseDetector(pauseThreshold)}, &versionManager{srv.s}} {
+	for _, r := range []daemon.Runner{&initialStoreReader{srv.s}, &entryExchanger{srv.s}, &follower{srv.s}, &enginePoller{s: srv.s, pauseDetector: clock.NewPauseDetector(pauseThreshold)}, &loader{srv.s}, &versionManager{srv.s}} {
 		srv.loops.Go(r)
 	}
 	srv.s.log.process.Info().Str("peers", srv.s.settings.PeersAddress).Str("engine", srv.s.settings.TargetAddress).Msg("sidecar started")
--- a/app/sidecar/notices_test.go
+++ b/app/sidecar/notices_test.go
@@ -75,7 +75,7 @@
 	s := newSidecarOf(t, e)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
-	driver := &engineDriver{s: s, pauseDetector: clock.NewPauseDetector(pauseThreshold)}
+	driver := &enginePoller{s: s, pauseDetector: clock.NewPauseDetector(pauseThreshold)}
 	driver.Run(ctx)
 	assert.Equal(t, e.callsBetween(0, 1500*time.Millisecond), 0)
 	assert.Assert(t, e.callsBetween(1500*time.Millisecond, time.Minute) > 0)
@@ -174,7 +174,7 @@
 	e := &fakeEngine{answer: refuseWithPause}
 	s := newSidecarOf(t, e)
 	s.isEngineUp = true
-	(&engineDriver{s: s}).pollEngine(t.Context())
+	(&enginePoller{s: s}).pollEngine(t.Context())
 	assert.ErrorIs(t, s.MayCall(), errEnginePaused)
 	assert.Assert(t, s.isEngineUp)
 }
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -61,7 +61,10 @@
 	notices         *notice.Ledger // kept for entries that restart
 	pausedEngine    notice.Target  // that asked for a pause last
 	report          platform.Report
-	isEngineUp      bool // the last poll of the engine succeeded
+	reportStartedAt time.Time // when the request for the report was sent
+	isEngineUp      bool      // the last poll of the engine succeeded
+	commandAt       time.Time // when the last load command was answered or given up
+	proof           upgrade.Proof
 	listeners       map[*loadListener]struct{}
 	versionsChanged chan struct{}              // the versions to keep may have changed
 	weights         map[uint64]*versionWeights // by version
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -64,6 +64,7 @@
 	fetchCancels  map[swarm.Fetch]context.CancelFunc
 	chunkWatches  map[fleet.InstanceID]context.CancelFunc
 	changed       chan struct{} // closed and replaced when a chunk is added
+	staged        bool          // chunks of this version are staged on the engine
 }
 
 // versionName returns the name of a version in messages between agents.
@@ -282,6 +283,7 @@
 			}
 			continue
 		}
+		w.setStaged(true)
 		w.addChunk(i, data)
 	}
 	return true
@@ -308,6 +310,18 @@
 	return w.chunks[i]
 }
 
+func (w *versionWeights) isStaged() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.staged
+}
+
+func (w *versionWeights) setStaged(staged bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.staged = staged
+}
+
 // wake triggers the next planning step without waiting for the tick.
 func (w *versionWeights) wake() {
 	select {
--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -25,6 +25,12 @@
 // Now implements Clock.
 func (System) Now() time.Time { return time.Now() }
 
+// Elapsed returns the time between two readings of the system clock. It compares wall time as
+// well as monotonic time, because the monotonic clock is paused while a machine is suspended.
+func Elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
 // PauseDetector detects that more time passed between two polls than a running process needs,
 // which means that the process was paused. The zero PauseDetector is not usable.
 type PauseDetector struct {
@@ -40,15 +46,14 @@
 }
 
 // Observe records now and reports whether the gap since the previous poll exceeds the
-// limit. It compares wall time as well as monotonic time, because the monotonic clock
-// is paused while a machine is suspended.
+// limit.
 func (d *PauseDetector) Observe(now time.Time) bool {
 	last := d.last
 	d.last = now
 	if last.IsZero() {
 		return false
 	}
-	if d.gap(last, now) <= d.limit {
+	if Elapsed(last, now) <= d.limit {
 		return false
 	}
 	d.pausedAt, d.resumedAt = last, now
@@ -61,9 +66,5 @@
 // PausedSince reports whether the process was paused at any time between since and now. It
 // also notices a pause that has just ended and that no poll has observed yet.
 func (d *PauseDetector) PausedSince(since, now time.Time) bool {
-	return d.resumedAt.After(since) || !d.last.IsZero() && d.gap(d.last, now) > d.limit
-}
-
-func (d *PauseDetector) gap(last, now time.Time) time.Duration {
-	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+	return d.resumedAt.After(since) || !d.last.IsZero() && Elapsed(d.last, now) > d.limit
 }
