--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -34,6 +34,9 @@
 	otherZonePeriodPerEntry = 80 * time.Millisecond
 	// loadWatchRetryDelay is the delay before a failed load watch is restarted.
 	loadWatchRetryDelay = 400 * time.Millisecond
+	// loadWatchTimeoutSlack is how much longer than its period a report may take. A sound agent may
+	// be silent for a second or so.
+	loadWatchTimeoutSlack = 3 * time.Second
 	// catchUpTimeout limits a read of another entry's copy of the store.
 	catchUpTimeout = 1500 * time.Millisecond
 )
@@ -362,7 +365,7 @@
 	addr := w.g.settings.AgentAddress(w.targetAddress)
 	for ctx.Err() == nil {
 		// The error only concerns the connection. Requests show whether the target works.
-		_ = w.g.pool.WatchLoad(ctx, addr, w.period, w.handleLoad)
+		_ = w.g.pool.WatchLoad(ctx, addr, w.period, w.period+loadWatchTimeoutSlack, w.handleLoad)
 		if ctx.Err() == nil {
 			w.clearLoad() // not if another watch has replaced this one
 		}
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -56,6 +56,8 @@
 	originAddress string
 	cancel        context.CancelFunc
 	wakeup        chan struct{}
+	// stagedReadsFailed is used by run only.
+	stagedReadsFailed int
 
 	mu            sync.Mutex // guards all fields below; locked after Sidecar.mu
 	chunks        [][]byte
@@ -264,7 +266,7 @@
 }
 
 // readStaged adds the chunks of this version that are staged on the engine. It reports
-// whether the engine responded.
+// whether it is done with them, which it is not while the engine is down or does not answer.
 func (w *versionWeights) readStaged(ctx context.Context) bool {
 	w.s.mu.Lock()
 	up := w.s.isEngineUp
@@ -273,22 +275,31 @@
 		return false
 	}
 	for i := range w.manifest.Chunks {
-		data, err := w.s.engine.StagedChunk(ctx, w.model, i, w.manifest.Chunks[i].Size)
-		if errors.Is(err, platform.ErrNotStaged) && i == 0 {
-			return true // a new engine has no staged chunks
-		}
-		if err != nil || !w.manifest.Verify(i, data) {
-			if i == 0 {
-				return true // another version is staged
-			}
+		if w.chunk(i) != nil {
 			continue
 		}
-		w.setStaged(true)
-		w.addChunk(i, data)
+		data, err := w.s.engine.StagedChunk(ctx, w.model, i, w.manifest.Chunks[i].Size)
+		isOther := err == nil && !w.manifest.Verify(i, data) || errors.Is(err, platform.ErrNotStaged)
+		switch {
+		case isOther && i == 0:
+			return true // nothing or another version is staged
+		case isOther:
+		case err != nil:
+			w.s.log.weights.Warn().Int("piece", i).Err(err).Msg("staged chunk cannot be read")
+			w.stagedReadsFailed++
+			return w.stagedReadsFailed >= maxStagedReads
+		default:
+			w.setStaged(true)
+			w.addChunk(i, data)
+		}
 	}
 	return true
 }
 
+// maxStagedReads limits how often the staged chunks are read from an engine that does not answer. The
+// chunks can be fetched from other sources instead.
+const maxStagedReads = 2
+
 func (w *versionWeights) addChunk(i int, data []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -57,6 +57,9 @@
 // Unwrap returns the cause.
 func (e *FailedError) Unwrap() error { return e.Cause }
 
+// manifestTimeout limits the download of a manifest. The connection may be silent for good.
+const manifestTimeout = 30 * time.Second
+
 // Client downloads from one origin.
 type Client struct {
 	base string
@@ -71,6 +74,8 @@
 // Manifest returns the manifest body of a version. The caller must verify its digest.
 // Errors: *ThrottledError, *FailedError.
 func (c *Client) Manifest(ctx context.Context, v fleet.Version) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/manifests/"+string(v), nil)
 	if err != nil {
 		return nil, &FailedError{Version: v, Cause: err}
@@ -97,6 +102,7 @@
 }
 
 func (c *Client) do(req *http.Request, v fleet.Version, wantStatus int, limit int64) ([]byte, error) {
+	defer bounded.DropSilent(req.Context(), c.http)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, &FailedError{Version: v, Cause: err}
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -343,12 +343,15 @@
 
 // WatchLoad calls onLoad for every load report on the target of the agent at addr. The
 // agent sends a report at once when the target serves other weights or stops or resumes
-// accepting requests, else once per period.
-func (p *Pool) WatchLoad(ctx context.Context, addr string, period time.Duration, onLoad func(TargetLoad)) error {
+// accepting requests, else once per period. It returns when the stream ends, or when no report
+// arrives for idleTimeout. The connection is then closed, because it may be silent for good.
+func (p *Pool) WatchLoad(ctx context.Context, addr string, period, idleTimeout time.Duration, onLoad func(TargetLoad)) error {
 	c, err := p.conn(addr)
 	if err != nil {
 		return err
 	}
+	idleTimer := time.AfterFunc(idleTimeout, func() { p.Release(addr) })
+	defer idleTimer.Stop()
 	st, err := peerpb.NewBesideClient(c).WatchLoad(ctx, &peerpb.WatchLoadRequest{PeriodMs: uint32(period.Milliseconds())})
 	if err != nil {
 		return wrapError(addr, err)
@@ -358,6 +361,7 @@
 		if err != nil {
 			return wrapError(addr, err)
 		}
+		idleTimer.Reset(idleTimeout)
 		onLoad(targetLoadFromWire(m))
 	}
 }
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -171,6 +171,12 @@
 func (c *Client) get(ctx context.Context, path string, after fleet.Position, wait time.Duration, limit int64) (Version, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+requestMargin)
 	defer cancel()
+	v, body, err := c.read(ctx, path, after, wait, limit)
+	bounded.DropSilent(ctx, c.http)
+	return v, body, err
+}
+
+func (c *Client) read(ctx context.Context, path string, after fleet.Position, wait time.Duration, limit int64) (Version, []byte, error) {
 	q := url.Values{
 		"after": {strconv.FormatUint(uint64(after.Revision), 10)}, "era": {strconv.FormatUint(uint64(after.Era), 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
