--- a/app/sidecar/manifest.go
+++ b/app/sidecar/manifest.go
@@ -35,26 +35,44 @@
 	s.mu.Unlock()
 	first := order[:min(manifestOriginAgents, len(order))]
 	if !slices.ContainsFunc(first, func(t roster.Target) bool { return t.Address == s.settings.TargetAddress }) {
-		if manifest := s.manifestFromAgents(ctx, first, m, version); manifest != nil {
+		if manifest := s.manifestFromAgents(ctx, first, m, version, e); manifest != nil {
 			return manifest, nil
 		}
 	}
-	digests, err := s.origin.Manifest(ctx, origin, m, version)
+	manifest, err := s.manifestFromOrigin(ctx, origin, m, version, e)
 	if err == nil {
-		return newManifest(m, version, digests, e.ChunkBytes), nil
+		return manifest, nil
 	}
-	if manifest := s.manifestFromAgents(ctx, order, m, version); manifest != nil {
+	if manifest := s.manifestFromAgents(ctx, order, m, version, e); manifest != nil {
 		return manifest, nil
 	}
 	return nil, err
 }
 
+func (s *Sidecar) manifestFromOrigin(ctx context.Context, origin string, m fleet.Model, version uint64, e *routeconfig.Engine) (*swarm.Manifest, error) {
+	digests, err := s.origin.Manifest(ctx, origin, m, version)
+	if err != nil {
+		return nil, err
+	}
+	manifest := newManifest(m, version, digests, e.ChunkBytes)
+	return manifest, checkSize(manifest, e)
+}
+
+// checkSize returns a *swarm.BadManifestError for a manifest with another number of chunks than the
+// configuration states.
+func checkSize(manifest *swarm.Manifest, e *routeconfig.Engine) error {
+	if e.Chunks > 0 && len(manifest.Chunks) != e.Chunks {
+		return &swarm.BadManifestError{Version: manifest.Version, Text: fmt.Sprintf("%d chunks, want %d", len(manifest.Chunks), e.Chunks)}
+	}
+	return nil
+}
+
 // manifestPeerTimeout is how long an agent waits for the first agents to obtain a manifest.
 const manifestPeerTimeout = 400 * time.Millisecond
 
 // manifestFromAgents requests a manifest from other agents until one has it or
 // manifestPeerTimeout has passed.
-func (s *Sidecar) manifestFromAgents(ctx context.Context, agents []roster.Target, m fleet.Model, version uint64) *swarm.Manifest {
+func (s *Sidecar) manifestFromAgents(ctx context.Context, agents []roster.Target, m fleet.Model, version uint64, e *routeconfig.Engine) *swarm.Manifest {
 	ctx, cancel := context.WithTimeout(ctx, manifestPeerTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
@@ -67,6 +85,9 @@
 				continue // the next one may have it
 			}
 			manifest, err := decodeManifest(m, version, body)
+			if err == nil {
+				err = checkSize(manifest, e)
+			}
 			if err != nil {
 				s.log.weights.Warn().Err(err).Msg("invalid manifest from another agent")
 				continue
--- a/app/sidecar/staging.go
+++ b/app/sidecar/staging.go
@@ -111,7 +111,7 @@
 		data, err := p.s.engine.StagedChunk(ctx, w.model, i, w.manifest.Chunks[i].Size)
 		var tooLarge *bounded.TooLargeError
 		switch {
-		case err == nil && w.manifest.Verify(i, data):
+		case err == nil && w.verify(i, data):
 			return false, nil
 		case err == nil, errors.Is(err, platform.ErrNotStaged), errors.As(err, &tooLarge):
 		default:
--- a/app/sidecar/uploads.go
+++ b/app/sidecar/uploads.go
@@ -29,8 +29,8 @@
 		return nil, false
 	}
 	out := wireManifest{}
-	for _, c := range w.manifest.Chunks {
-		out.Digests = append(out.Digests, string(c.Digest))
+	for i, c := range w.manifest.Chunks {
+		out.Digests = append(out.Digests, string(w.digest(i)))
 		out.Bytes = int64(c.Size)
 	}
 	body, err := json.Marshal(out)
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -61,6 +61,9 @@
 
 	mu            sync.Mutex // guards all fields below; locked after Sidecar.mu
 	chunks        [][]byte
+	digests       *swarm.Digests
+	disputed      map[int][]byte // content of chunks that has none of the stated digests
+	review        manifestReview
 	planner       *swarm.Planner
 	peerAddresses map[fleet.InstanceID]string
 	fetchCancels  map[swarm.Fetch]context.CancelFunc
@@ -146,7 +149,7 @@
 	random := rand.New(rand.NewPCG(s.random.Uint64(), s.random.Uint64()))
 	w := &versionWeights{
 		s: s, model: model, version: version, name: manifest.Version, manifest: manifest, originAddress: originAddr, cancel: cancel,
-		wakeup: make(chan struct{}, 1), chunks: make([][]byte, len(manifest.Chunks)),
+		wakeup: make(chan struct{}, 1), chunks: make([][]byte, len(manifest.Chunks)), digests: swarm.NewDigests(manifest), disputed: map[int][]byte{},
 		planner:       swarm.NewPlanner(planSettings(self, s.settings.Region, originRegion), manifest, random, s.now()),
 		peerAddresses: map[fleet.InstanceID]string{}, fetchCancels: map[swarm.Fetch]context.CancelFunc{},
 		chunkWatches: map[fleet.InstanceID]context.CancelFunc{}, changed: make(chan struct{}),
@@ -279,7 +282,7 @@
 			continue
 		}
 		data, err := w.s.engine.StagedChunk(ctx, w.model, i, w.manifest.Chunks[i].Size)
-		isOther := err == nil && !w.manifest.Verify(i, data) || errors.Is(err, platform.ErrNotStaged)
+		isOther := err == nil && !w.verify(i, data) || errors.Is(err, platform.ErrNotStaged)
 		switch {
 		case isOther && i == 0:
 			return true // nothing or another version is staged
@@ -303,6 +306,12 @@
 func (w *versionWeights) addChunk(i int, data []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.holdChunk(i, data)
+}
+
+// holdChunk is addChunk with mu held.
+func (w *versionWeights) holdChunk(i int, data []byte) {
+	delete(w.disputed, i)
 	w.chunks[i] = data
 	w.planner.AddHeld(i, w.s.now())
 	close(w.changed)
@@ -465,10 +474,16 @@
 	w := c.w
 	data, err := c.download(ctx)
 	now := w.s.now()
-	if err == nil && !w.manifest.Verify(c.fetch.Chunk, data) {
+	if err == nil && !w.verify(c.fetch.Chunk, data) {
+		agreed := w.dispute(ctx, c.fetch.Chunk, data)
 		w.s.metrics.Count("pieces_corrupt", 1)
-		w.s.log.weights.Warn().Int("piece", c.fetch.Chunk).Str("source", c.fetch.Source.Kind.String()).Str("agent", string(c.fetch.Source.Peer)).Msg("corrupt chunk")
-		c.recordFailure(ctx, swarm.CauseCorrupt, now)
+		w.s.log.weights.Warn().Int("piece", c.fetch.Chunk).Str("source", c.fetch.Source.Kind.String()).Str("agent", string(c.fetch.Source.Peer)).
+			Bool("digest_agreed", agreed).Msg("corrupt chunk")
+		cause := swarm.CauseCorrupt
+		if !agreed && c.fetch.Source.Kind != swarm.SourceOrigin {
+			cause = swarm.CauseBusy // the digest may be wrong instead
+		}
+		c.recordFailure(ctx, cause, now)
 		return
 	}
 	switch {
@@ -504,7 +519,7 @@
 		return w.s.origin.Chunk(ctx, w.originAddress, w.model, w.version, c.fetch.Chunk, w.manifest.Chunks[c.fetch.Chunk].Size)
 	}
 	chunk := w.manifest.Chunks[c.fetch.Chunk]
-	return w.s.pool.Chunk(ctx, c.addr, peer.ChunkRef{Version: w.name, Index: c.fetch.Chunk, Digest: chunk.Digest, Size: chunk.Size}, func(int) {})
+	return w.s.pool.Chunk(ctx, c.addr, peer.ChunkRef{Version: w.name, Index: c.fetch.Chunk, Digest: w.digest(c.fetch.Chunk), Size: chunk.Size}, func(int) {})
 }
 
 func (c *chunkFetch) recordFailure(ctx context.Context, cause swarm.Cause, now time.Time) {
