--- a/app/gateway/deadline.go
+++ b/app/gateway/deadline.go
@@ -71,6 +71,7 @@
 // their routes in it. A request whose route is not in it keeps its limits. mu must be held.
 func (g *Gateway) putInForce(doc *routeconfig.Document) {
 	g.doc.Store(doc)
+	g.roster.SetServices(doc.ServiceNames())
 	successors := map[*routeconfig.Route]*routeconfig.Route{} // nil for a route that is gone
 	for h := range g.inProgress {
 		r, ok := successors[h.route]
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -329,6 +329,7 @@
 		switch {
 		case c.Document != nil && (s.doc == nil || c.Document.Version > s.doc.Version):
 			s.doc = c.Document
+			s.roster.SetServices(s.doc.ServiceNames())
 			s.checkVersions()
 			s.log.config.Info().Uint64("version", c.Document.Version).Msg("configuration known")
 		case c.Declared != nil:
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -32,6 +32,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -140,6 +141,8 @@
 	reads            *Reads
 	// checkedReads is the version of the reads for which the missing records were last looked at.
 	checkedReads uint64
+	// services are those whose records count, nil for all.
+	services map[fleet.Service]bool
 	// latest and usable are derived from the records when they are needed. They are nil after a
 	// change of the view.
 	latest map[string]*record // by address, the target that started last
@@ -180,6 +183,23 @@
 	r.changed()
 }
 
+// SetServices sets the services that are configured. A record of another one may come from another
+// writer; it names no target and hides none that has the same address.
+func (r *Roster) SetServices(names []fleet.Service) {
+	services := make(map[fleet.Service]bool, len(names))
+	for _, n := range names {
+		services[n] = true
+	}
+	if r.services != nil && maps.Equal(services, r.services) {
+		return
+	}
+	r.services = services
+	r.changed()
+}
+
+// counts reports whether a record is of a configured service.
+func (r *Roster) counts(rec *record) bool { return r.services == nil || r.services[rec.Service] }
+
 // Version returns a number that increases with each change of the view.
 func (r *Roster) Version() uint64 { return r.version }
 
@@ -304,7 +324,7 @@
 		r.usable = map[fleet.Service][]Target{}
 		latest := r.latestByAddress()
 		for _, rec := range r.records {
-			if rec.State == StateReady && rec.Incarnation >= latest[rec.Address].Incarnation {
+			if r.counts(rec) && rec.State == StateReady && rec.Incarnation >= latest[rec.Address].Incarnation {
 				r.usable[rec.Service] = append(r.usable[rec.Service], rec.Target)
 			}
 		}
@@ -320,7 +340,7 @@
 	if r.latest == nil {
 		r.latest = make(map[string]*record, len(r.records))
 		for _, rec := range r.records {
-			if l, ok := r.latest[rec.Address]; !ok || rec.Incarnation > l.Incarnation {
+			if l, ok := r.latest[rec.Address]; r.counts(rec) && (!ok || rec.Incarnation > l.Incarnation) {
 				r.latest[rec.Address] = rec
 			}
 		}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -143,3 +143,19 @@
 	assert.Equal(t, len(r.Usable("s")), 300)
 	assert.Equal(t, testing.AllocsPerRun(10, func() { r.Usable("s"); r.At("10.0.0.7:1"); r.Expire(t0) }), 0.0)
 }
+
+// Another writer put records of a service that no configuration names, with the addresses of targets: all
+// requests of the targets' service were refused.
+func TestRecordOfUnknownServiceHidesNoTarget(t *testing.T) {
+	r := roster.New(roster.DefaultSettings)
+	r.Update(roster.Target{ID: "a", Service: "s", Address: "10.0.0.1:1", State: roster.StateReady, Incarnation: 1})
+	r.Update(roster.Target{ID: "x", Service: "other", Address: "10.0.0.1:1", State: roster.StateReady, Incarnation: 2})
+	r.SetServices([]fleet.Service{"s"})
+	assert.Equal(t, len(r.Usable("s")), 1)
+	at, ok := r.At("10.0.0.1:1")
+	assert.Assert(t, ok)
+	assert.Equal(t, at.ID, fleet.InstanceID("a"))
+	r.SetServices([]fleet.Service{"s", "other"})
+	assert.Equal(t, len(r.Usable("s")), 0, "the address belongs to the target that started last")
+	assert.Equal(t, len(r.Usable("other")), 1)
+}
--- a/core/routeconfig/routeconfig.go
+++ b/core/routeconfig/routeconfig.go
@@ -13,6 +13,7 @@
 package routeconfig
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -205,6 +206,9 @@
 	return out
 }
 
+// ServiceNames returns the names of all services in no particular order.
+func (d *Document) ServiceNames() []fleet.Service { return slices.Collect(maps.Keys(d.services)) }
+
 // Origin returns the service that distributes weights.
 func (d *Document) Origin() (*Service, bool) {
 	for _, s := range d.services {
