--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -245,7 +245,11 @@
 	defer h.g.mu.Unlock()
 	a.responseStarted = true
 	delete(h.g.unstarted, a)
-	if now := h.g.now(); a.headerReceived && h.g.parts.RecordBegun(h.call.SharedParts, now) {
+	now := h.g.now()
+	if a.headerReceived {
+		h.g.startTimes.Record(now.Sub(a.startedAt), now)
+	}
+	if a.headerReceived && h.g.parts.RecordBegun(h.call.SharedParts, now) {
 		h.g.crashesChanged(now)
 	}
 	a.service.balancer.RecordFirstEvent(a.target.ID, a.prefillTokens)
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -281,3 +281,21 @@
 	other.mergeFrom(g, c.t)
 	assert.Assert(t, other.notices.IsLeaving(noticeTarget(target)))
 }
+
+// A target that doesn't drop a request whose connection is closed began it on older weights after the
+// limit: requests were sent to older weights until half a second before it, however late responses began.
+func TestOlderWeightsGetNoRequestThatBeginsTooLate(t *testing.T) {
+	g, c := newTestGateway(t)
+	g.initialReadDone = true
+	d := &declaredVersions{}
+	g.declared["m"] = d
+	d.Add(2, c.t, c.t)
+	target := roster.Target{ID: "a", Loaded: []roster.LoadedVersion{{Model: "m", Version: 1}}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at := func(d time.Duration) time.Time { return c.t.Add(d) }
+	assert.Assert(t, g.canServe(target, at(7400*time.Millisecond)))
+	g.startTimes.Record(time.Second, c.t)
+	assert.Assert(t, g.canServe(target, at(6700*time.Millisecond)))
+	assert.Assert(t, !g.canServe(target, at(6800*time.Millisecond)))
+}
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -451,9 +451,11 @@
 // use, to allow for the propagation delay of the declaration and of the request.
 const versionChangeMargin = 500 * time.Millisecond
 
-// oldVersionServeTime returns how long after a declaration older weights may serve requests.
+// oldVersionServeTime returns how long after a declaration older weights may serve requests. Some
+// targets begin a request whose connection this entry has closed, so it has to be sent in time to begin.
+// mu must be held.
 func (g *Gateway) oldVersionServeTime() time.Duration {
-	return g.settings.Bounds.VersionChangeLimit - versionChangeMargin
+	return g.settings.Bounds.VersionChangeLimit - max(versionChangeMargin, responseStartMargin+g.startTimes.Longest(g.now()))
 }
 
 // responseStartMargin is subtracted from the time after which older weights may not start a
