--- a/io/target/fuzz_test.go
+++ b/io/target/fuzz_test.go
@@ -32,7 +32,11 @@
 		return MatchOther
 	}}
 	resp := &Response{conn: c}
-	if err := resp.readHeader(newHTTPRequest(r), r); err != nil {
+	hr, err := newHTTPRequest(r)
+	if err != nil {
+		return "", false, err
+	}
+	if err := resp.readHeader(hr, r); err != nil {
 		return "", false, err
 	}
 	b, err := io.ReadAll(resp.Body)
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -228,6 +228,10 @@
 // Do sends a request and returns when the header of its response has arrived. When ctx ends,
 // the connection is closed, which makes the target stop processing the request.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
+	hr, err := newHTTPRequest(r)
+	if err != nil {
+		return nil, &NotSentError{Address: addr, Cause: err}
+	}
 	c, err := p.take(ctx, addr, r.NewConnection)
 	if err != nil {
 		return nil, &NotSentError{Address: addr, Cause: err}
@@ -240,7 +244,6 @@
 	}
 	resp := &Response{pool: p, conn: c, written: make(chan error, 1)}
 	resp.stop = context.AfterFunc(ctx, func() { _ = c.Close() }) // unblocks reads and writes
-	hr := newHTTPRequest(r)
 	if len(r.Body) <= maxSyncBodyBytes {
 		resp.written <- hr.Write(c)
 	} else {
@@ -267,13 +270,17 @@
 
 func (w *bodyWriter) run() { w.done <- w.req.Write(w.conn) }
 
-func newHTTPRequest(r *Request) *http.Request {
+func newHTTPRequest(r *Request) (*http.Request, error) {
+	u, err := requestURL(r)
+	if err != nil {
+		return nil, err
+	}
 	h := r.Header.Clone()
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // prevents net/http from adding its own
 	}
 	hr := &http.Request{
-		Method: r.Method, URL: &url.URL{Scheme: "http", Host: r.Host, Opaque: r.URI}, Host: r.Host, Header: h,
+		Method: r.Method, URL: u, Host: r.Host, Header: h,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(r.Body)),
 	}
 	if len(r.Body) > 0 {
@@ -281,7 +288,27 @@
 	} else if r.Method != http.MethodGet && r.Method != http.MethodHead {
 		hr.Body = http.NoBody
 	}
-	return hr
+	return hr, nil
+}
+
+// errUnsendableURI reports a URI that net/http would change.
+var errUnsendableURI = errors.New("the path begins with two slashes and has characters that are not encoded")
+
+// requestURL returns the URL for which net/http sends the request's URI unchanged. It takes an opaque
+// one that begins with two slashes for an authority and a path, and sends that with a scheme.
+func requestURL(r *Request) (*url.URL, error) {
+	if !strings.HasPrefix(r.URI, "//") {
+		return &url.URL{Scheme: "http", Host: r.Host, Opaque: r.URI}, nil
+	}
+	u, err := url.ParseRequestURI(r.URI)
+	if err != nil {
+		return nil, err
+	}
+	u.Scheme, u.Host = "http", r.Host
+	if u.RequestURI() != r.URI {
+		return nil, errUnsendableURI
+	}
+	return u, nil
 }
 
 // readHeader reads responses until the one to this request. It skips interim (1xx) responses
