sidecar: a notice of leaving counts for the incarnation that stated it only

What callers saw: nothing that was measured. A sound engine that had left and started again under its id could get no requests for good, if its agent's list lagged behind its report.

Cause: the statement of the listed incarnation was sent with the incarnation of the engine's report.

Change: it is sent only if both are the same or the report names none.

Failed before: TestEngineThatStartedAgainIsNotReportedAsLeaving ("s.currentLoad().Leaving is true").

--- a/app/sidecar/load.go
+++ b/app/sidecar/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"amaranthturn/core/fleet"
 	"amaranthturn/io/peer"
 )
 
@@ -93,7 +94,14 @@
 	if m, e, ok := s.model(); ok {
 		l.Model, l.Version = m.Name, s.servingVersion(m.Name, e)
 	}
-	l.Leaving = s.isEngineUp && (r.Leaving || s.notices.IsLeaving(s.engineTarget()))
+	l.Leaving = s.isEngineUp && (r.Leaving || s.hasLeavingNotice(r.Incarnation))
 	l.Accepting = s.isEngineUp && !r.Busy && l.Version != 0 && !s.proof.Withholds(l.Version)
 	return l
 }
+
+// hasLeavingNotice reports whether the incarnation of the engine that reports has stated that it leaves.
+// The list may still have an earlier one, whose statement says nothing about it. mu must be held.
+func (s *Sidecar) hasLeavingNotice(reported fleet.Incarnation) bool {
+	t := s.engineTarget()
+	return (reported == 0 || reported == t.Incarnation) && s.notices.IsLeaving(t)
+}
--- a/app/sidecar/notices_test.go
+++ b/app/sidecar/notices_test.go
@@ -178,3 +178,16 @@
 	assert.ErrorIs(t, s.MayCall(), errEnginePaused)
 	assert.Assert(t, s.isEngineUp)
 }
+
+// An engine left and started again under its ID. While the agent's list still had the incarnation that left,
+// the agent reported the new one as leaving, and entries kept away from it for good.
+func TestEngineThatStartedAgainIsNotReportedAsLeaving(t *testing.T) {
+	s := newSidecarOf(t, &fakeEngine{})
+	s.isEngineUp, s.report.Incarnation = true, 5
+	s.RecordNotices(forward.Notices{Leaving: true})
+	assert.Assert(t, s.currentLoad().Leaving)
+	s.report.Incarnation = 6
+	assert.Assert(t, !s.currentLoad().Leaving)
+	s.report.Incarnation, s.report.Leaving = 6, true
+	assert.Assert(t, s.currentLoad().Leaving, "it states so itself")
+}
