platform: bodies of callers are bounded in sum (Fault, memory over the limit)

What callers saw: entries killed for their memory, 7 and 10 times in 81 s, with everything that they held, where 24 callers an entry send 4 MiB each.

Cause: bodies are read whole before admission and only each had a limit. Each attempt copied the body once more.

Attempts share the body.

--- a/io/bounded/bounded.go
+++ b/io/bounded/bounded.go
@@ -16,11 +16,13 @@
 package bounded
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"slices"
 	"sync/atomic"
+	"time"
 )
 
 // MaxHeaderBytes is the maximum size of the headers of a response to a call of our own.
@@ -136,5 +138,38 @@
 	return nil
 }
 
+// holdInterval is the time between two attempts of HoldWithin.
+const holdInterval = 10 * time.Millisecond
+
+// HoldWithin is like Hold for a reader that holds nothing yet, but waits until the other shares leave
+// enough. If ctx ends before, it returns a *TooLargeError and the reader still holds nothing.
+func (s *Share) HoldWithin(ctx context.Context, n int64) error {
+	tick := time.NewTicker(holdInterval)
+	defer tick.Stop()
+	for !s.tryHold(n) {
+		select {
+		case <-ctx.Done():
+			return &TooLargeError{Part: s.budget.part, Limit: s.budget.limit}
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+// tryHold holds n bytes if the other shares leave enough, and nothing otherwise.
+func (s *Share) tryHold(n int64) bool {
+	counted := max(0, n-s.budget.free)
+	for {
+		held := s.budget.held.Load()
+		if counted > 0 && held+counted > s.budget.limit {
+			return false
+		}
+		if s.budget.held.CompareAndSwap(held, held+counted) {
+			s.counted = counted
+			return true
+		}
+	}
+}
+
 // Release returns what the reader holds.
 func (s *Share) Release() { _ = s.Hold(0) }
--- a/io/bounded/bounded_test.go
+++ b/io/bounded/bounded_test.go
@@ -1,9 +1,11 @@
 package bounded_test
 
 import (
+	"context"
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -33,3 +35,18 @@
 		assert.Error(t, err, "header exceeds 2 bytes")
 	}
 }
+
+// A reader that waits for the others holds nothing meanwhile, and goes on when one of them is done.
+func TestShareWaitsForTheOthers(t *testing.T) {
+	b := bounded.NewBudget(bounded.PartAllBodies, 100, 10)
+	first, second, small := b.NewShare(), b.NewShare(), b.NewShare()
+	assert.NilError(t, first.HoldWithin(t.Context(), 70))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	var tooLarge *bounded.TooLargeError
+	assert.Assert(t, errors.As(second.HoldWithin(ended, 60), &tooLarge))
+	assert.NilError(t, small.HoldWithin(ended, 10), "what is free is never refused")
+	assert.NilError(t, b.NewShare().Hold(50), "the share that waited holds nothing")
+	time.AfterFunc(20*time.Millisecond, first.Release)
+	assert.NilError(t, second.HoldWithin(t.Context(), 60))
+}
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -30,6 +30,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -284,7 +285,7 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(r.Body)),
 	}
 	if len(r.Body) > 0 {
-		hr.Body = io.NopCloser(strings.NewReader(string(r.Body)))
+		hr.Body = io.NopCloser(bytes.NewReader(r.Body))
 	} else if r.Method != http.MethodGet && r.Method != http.MethodHead {
 		hr.Body = http.NoBody
 	}
