sidecar: names and small corrections from a reading of the change

A report that arrives while the load command is being answered no longer makes the check before it count as old (TestReportBeforeTheAnswerLeavesTheCheckRecent; before, the engine was withheld until the check after the load). After eight spoilt digests of a chunk the oldest one makes room (TestSoundDigestIsKeptAfterManySpoiltOnes). Listeners are told at once when a load is withheld or proven. manifestRecheck is what was manifestReview.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -248,9 +248,9 @@
 	now := h.g.now()
 	if a.headerReceived {
 		h.g.startTimes.Record(now.Sub(a.startedAt), now)
-	}
-	if a.headerReceived && h.g.parts.RecordBegun(h.call.SharedParts, now) {
-		h.g.crashesChanged(now)
+		if h.g.parts.RecordBegun(h.call.SharedParts, now) {
+			h.g.crashesChanged(now)
+		}
 	}
 	a.service.balancer.RecordFirstEvent(a.target.ID, a.prefillTokens)
 	a.prefillTokens = 0
--- a/app/sidecar/dispute.go
+++ b/app/sidecar/dispute.go
@@ -9,26 +9,26 @@
 
 // Delays between two manifests that are requested because content differs from the digests.
 const (
-	minReviewDelay = 250 * time.Millisecond
-	maxReviewDelay = 4 * time.Second
+	minRecheckDelay = 250 * time.Millisecond
+	maxRecheckDelay = 4 * time.Second
 )
 
 // maxDisputed limits the chunks whose content is kept until it is known whether their digest is wrong.
 const maxDisputed = 4
 
-// manifestReview is when a version's manifest is requested again. versionWeights.mu guards it.
-type manifestReview struct {
+// manifestRecheck is when a version's manifest is requested again. versionWeights.mu guards it.
+type manifestRecheck struct {
 	isRunning bool
 	delay     time.Duration
 	notBefore time.Time
 }
 
 // begin reports whether a request is due now, and plans the next one.
-func (r *manifestReview) begin(now time.Time) bool {
+func (r *manifestRecheck) begin(now time.Time) bool {
 	if r.isRunning || now.Before(r.notBefore) {
 		return false
 	}
-	r.delay = min(max(minReviewDelay, 2*r.delay), maxReviewDelay)
+	r.delay = min(max(minRecheckDelay, 2*r.delay), maxRecheckDelay)
 	r.isRunning, r.notBefore = true, now.Add(r.delay)
 	return true
 }
@@ -56,7 +56,7 @@
 	if _, ok := w.disputed[i]; ok || len(w.disputed) < maxDisputed {
 		w.disputed[i] = data
 	}
-	if w.review.begin(w.s.now()) {
+	if w.recheck.begin(w.s.now()) {
 		d := &manifestDispute{w: w}
 		go d.run(context.WithoutCancel(ctx))
 	}
@@ -104,5 +104,5 @@
 func (d *manifestDispute) end() {
 	d.w.mu.Lock()
 	defer d.w.mu.Unlock()
-	d.w.review.isRunning = false
+	d.w.recheck.isRunning = false
 }
--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -24,7 +24,7 @@
 	// reportInterval is how often the engine is polled. It runs on the same machine, so a
 	// report is current and costs little.
 	reportInterval = 100 * time.Millisecond
-	// callTimeout limits a report of the engine on the same machine.
+	// callTimeout limits a report and a load command of the engine on the same machine.
 	callTimeout = time.Second
 	// pauseThreshold is the gap between two polls above which the process counts as paused.
 	pauseThreshold = 2 * time.Second
--- a/app/sidecar/loader.go
+++ b/app/sidecar/loader.go
@@ -97,6 +97,7 @@
 	case errors.Is(err, platform.ErrConflict) || errors.As(err, &rejected):
 		s.proof.RecordRejected()
 	}
+	s.notifyListeners()
 	s.mu.Unlock()
 	s.metrics.Count("engine_orders", 1)
 	ev := s.log.engine.Info()
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -63,7 +63,7 @@
 	chunks        [][]byte
 	digests       *swarm.Digests
 	disputed      map[int][]byte // content of chunks that has none of the stated digests
-	review        manifestReview
+	recheck       manifestRecheck
 	planner       *swarm.Planner
 	peerAddresses map[fleet.InstanceID]string
 	fetchCancels  map[swarm.Fetch]context.CancelFunc
--- a/core/swarm/digests.go
+++ b/core/swarm/digests.go
@@ -11,9 +11,9 @@
 
 // Digests holds the digests that sources have stated of a version's chunks, for manifests that nothing
 // authenticates. A manifest may have been spoilt on its way, as a chunk may. Content is accepted if it
-// has any digest that was stated of its chunk: neither spoils the other to match, so a match shows that
-// both are sound, whoever stated the digest. Content that has none of them leaves open which of the two
-// is wrong until further manifests agree.
+// has any digest that was stated of its chunk: accidents don't make the one match the other, so a match
+// shows that both are sound, whoever stated the digest. Content that has none of them leaves open which
+// of the two is wrong, and further manifests have to show it.
 //
 // It is not safe for concurrent use.
 type Digests struct {
@@ -48,10 +48,11 @@
 		switch {
 		case x.isAgreed && x.stated[0] == c.Digest:
 		case !slices.Contains(x.stated, c.Digest):
-			if len(x.stated) < maxStatements {
-				x.stated = append(x.stated, c.Digest)
-				isNew = true
+			if len(x.stated) == maxStatements {
+				x.stated = slices.Delete(x.stated, 1, 2) // the oldest that is not believed
 			}
+			x.stated = append(x.stated, c.Digest)
+			isNew = true
 		case independent && !x.isAgreed:
 			x.believe(c.Digest)
 		}
--- a/core/swarm/digests_test.go
+++ b/core/swarm/digests_test.go
@@ -1,6 +1,7 @@
 package swarm
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -45,6 +46,17 @@
 	assert.Assert(t, d.Verify(0, []byte("a")))
 }
 
+// Spoilt answers, however many, leave room for the sound one.
+func TestSoundDigestIsKeptAfterManySpoiltOnes(t *testing.T) {
+	d := NewDigests(manifestOf("spoilt"))
+	for i := range 3 * maxStatements {
+		assert.Assert(t, d.Add(manifestOf(fmt.Sprint("spoilt ", i)), true))
+	}
+	d.Add(manifestOf("a"), true)
+	assert.Assert(t, d.Verify(0, []byte("a")))
+	assert.Assert(t, len(d.chunks[0].stated) <= maxStatements)
+}
+
 func TestManifestOfAnotherSizeIsIgnored(t *testing.T) {
 	d := NewDigests(manifestOf("a", "b"))
 	assert.Assert(t, !d.Add(manifestOf("a"), true))
--- a/core/upgrade/proof.go
+++ b/core/upgrade/proof.go
@@ -73,7 +73,7 @@
 
 // RecordAccepted records that the engine has stated that it accepted the command.
 func (p *Proof) RecordAccepted(now time.Time) {
-	if p.state == proofSent {
+	if p.state == proofSent || p.state == proofAccepted { // a report may have shown it before
 		p.accept()
 		p.isRecent = clock.Elapsed(p.command.CheckedAt, now) <= MaxCheckAge
 	}
--- a/core/upgrade/proof_test.go
+++ b/core/upgrade/proof_test.go
@@ -26,6 +26,15 @@
 	assert.Assert(t, !p.NeedsCheck(loaded))
 }
 
+// A report that the engine gave while the command was being answered does not make its check old.
+func TestReportBeforeTheAnswerLeavesTheCheckRecent(t *testing.T) {
+	var p Proof
+	p.RecordSent(commandOf(2))
+	p.RecordReport(EngineReport{Incarnation: 1, Sequence: 5, Busy: true})
+	p.RecordAccepted(proofStart)
+	assert.Assert(t, !p.Withholds(2))
+}
+
 // A load whose chunks were checked too long before the acceptance, or whose acceptance is known from a
 // report only, is withheld until a later check.
 func TestLoadWithAnOldCheckIsWithheld(t *testing.T) {
