gateway: the margin before a version's limit follows the average start time

Cause: the longest recent start time closed older weights up to 2 s sooner where engines are full, when every slot is needed.

Change: the average instead of the longest.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -247,7 +247,7 @@
 	delete(h.g.unstarted, a)
 	now := h.g.now()
 	if a.headerReceived {
-		h.g.startTimes.Record(now.Sub(a.startedAt), now)
+		h.g.startTime.Record(now.Sub(a.startedAt))
 		if h.g.parts.RecordBegun(h.call.SharedParts, now) {
 			h.g.crashesChanged(now)
 		}
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -93,8 +93,8 @@
 	zones              map[fleet.Zone]*zoneState            // other zones that have targets
 	zoneChanged        chan struct{}                        // closed and replaced when a target of this zone changes
 	services           map[fleet.Service]*service
-	startTimes         upgrade.StartTimes // of streams
-	appliedShare       entryShare         // that the balancers were last updated for
+	startTime          upgrade.StartTime // of streams
+	appliedShare       entryShare        // that the balancers were last updated for
 	waiters            map[admit.RequestID]chan admit.Verdict
 	unstarted          map[*targetAttempt]struct{} // sent to a target, no response yet
 	inProgress         map[*requestHandler]struct{}
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -295,7 +295,7 @@
 	defer g.mu.Unlock()
 	at := func(d time.Duration) time.Time { return c.t.Add(d) }
 	assert.Assert(t, g.canServe(target, at(7400*time.Millisecond)))
-	g.startTimes.Record(time.Second, c.t)
+	g.startTime.Record(time.Second)
 	assert.Assert(t, g.canServe(target, at(6700*time.Millisecond)))
 	assert.Assert(t, !g.canServe(target, at(6800*time.Millisecond)))
 }
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -455,7 +455,7 @@
 // targets begin a request whose connection this entry has closed, so it has to be sent in time to begin.
 // mu must be held.
 func (g *Gateway) oldVersionServeTime() time.Duration {
-	return g.settings.Bounds.VersionChangeLimit - max(versionChangeMargin, responseStartMargin+g.startTimes.Longest(g.now()))
+	return g.settings.Bounds.VersionChangeLimit - max(versionChangeMargin, responseStartMargin+g.startTime.Average())
 }
 
 // responseStartMargin is subtracted from the time after which older weights may not start a
