gateway tests: what has arrived at a replayed target is read under its lock

Traced: the test reads the number of arrivals without the lock (race_header_test.go:96), while a replacement that the entry has given up arrives at the stand-in (race_test.go:156). The product has no part in it.

The assertions stay; the counts are read through arrived and runs, which lock.

--- a/app/gateway/race_budget_test.go
+++ b/app/gateway/race_budget_test.go
@@ -58,7 +58,7 @@
 	p.serve(g)
 	assert.NilError(t, p.err)
 	assert.Equal(t, p.received(), wholeStream())
-	assert.Equal(t, p.arrivals, 2)
+	assert.Equal(t, p.arrived(), 2)
 	g.update(func() { assert.Assert(t, !g.budgets.Allow(p.name, g.now())) }, nil)
 }
 
--- a/app/gateway/race_cases_test.go
+++ b/app/gateway/race_cases_test.go
@@ -52,7 +52,7 @@
 	p.serve(g)
 	assert.NilError(t, p.err)
 	assert.Equal(t, p.received(), wholeStream())
-	assert.Equal(t, p.arrivals, 1)
+	assert.Equal(t, p.arrived(), 1)
 }
 
 // Two targets are silent, and the third answers.
@@ -63,7 +63,7 @@
 		p.serve(g)
 		assert.NilError(t, p.err)
 		assert.Equal(t, p.received(), wholeStream())
-		assert.Equal(t, p.arrivals, 3)
+		assert.Equal(t, p.arrived(), 3)
 		assert.Assert(t, p.took < replayedTimeout/2, "%v", p.took)
 	}
 }
@@ -77,8 +77,8 @@
 	p.serve(g)
 	assert.NilError(t, p.err)
 	assert.Equal(t, p.received(), wholeStream())
-	assert.Equal(t, p.arrivals, 5)
-	assert.Equal(t, p.ran, 2)
+	assert.Equal(t, p.arrived(), 5)
+	assert.Equal(t, p.runs(), 2)
 }
 
 // The same before the first event: after two refusals the silent target's request was not sent to another
@@ -92,8 +92,8 @@
 		p.serve(g)
 		assert.NilError(t, p.err)
 		assert.Equal(t, p.received(), wholeStream(), name)
-		assert.Equal(t, p.arrivals, 5, name)
-		assert.Equal(t, p.ran, 2, name)
+		assert.Equal(t, p.arrived(), 5, name)
+		assert.Equal(t, p.runs(), 2, name)
 	}
 }
 
@@ -116,7 +116,7 @@
 	p.serve(g)
 	assert.NilError(t, p.err)
 	assert.Equal(t, p.received(), wholeStream())
-	assert.Equal(t, p.arrivals, 2)
+	assert.Equal(t, p.arrived(), 2)
 	assert.Assert(t, p.took < replayedTimeout/2, "%v", p.took)
 }
 
@@ -128,7 +128,7 @@
 	p.serve(g)
 	assert.Assert(t, errors.Is(p.err, errTruncated), "%v", p.err)
 	assert.Assert(t, p.took < p.leaves+300*time.Millisecond, "%v", p.took)
-	assert.Equal(t, p.arrivals, 3)
+	assert.Equal(t, p.arrived(), 3)
 	assert.Assert(t, p.idle())
 }
 
@@ -177,7 +177,7 @@
 		p.serve(g)
 		assert.NilError(t, p.err)
 		assert.Equal(t, p.received(), wholeStream())
-		assert.Equal(t, p.arrivals, 1)
+		assert.Equal(t, p.arrived(), 1)
 	}
 }
 
@@ -200,8 +200,8 @@
 	wg.Wait()
 	most := 0
 	for _, p := range replays {
-		most = max(most, p.arrivals)
-		assert.Assert(t, p.arrivals <= 1+allowance, "seed %d: %d arrivals", p.seed, p.arrivals)
+		most = max(most, p.arrived())
+		assert.Assert(t, p.arrived() <= 1+allowance, "seed %d: %d arrivals", p.seed, p.arrived())
 	}
 	assert.Equal(t, most, 1+allowance)
 }
@@ -270,7 +270,7 @@
 	p.serve(g)
 	assert.NilError(t, p.err)
 	assert.Equal(t, p.received(), wholeStream())
-	assert.Equal(t, p.arrivals, 1)
+	assert.Equal(t, p.arrived(), 1)
 }
 
 // While several attempts are in progress, a part of the prompt becomes known to crash targets. All
@@ -291,7 +291,7 @@
 	p.serve(g)
 	assert.NilError(t, p.err)
 	assert.Equal(t, p.recorder.status, http.StatusServiceUnavailable)
-	assert.Equal(t, p.arrivals, 3, "targets")
+	assert.Equal(t, p.arrived(), 3, "targets")
 	assert.Assert(t, p.took < 15*replayedStall+500*time.Millisecond, "%v", p.took)
 	assert.Assert(t, p.idle())
 }
--- a/app/gateway/race_header_test.go
+++ b/app/gateway/race_header_test.go
@@ -93,7 +93,7 @@
 		assert.Equal(t, p.received(), wholeStream())
 		assert.Equal(t, reply.Header.Get(platformtest.HeaderSeal), c.want)
 		assert.Assert(t, !reply.Unframed)
-		assert.Assert(t, p.arrivals >= 2, "no replacement")
+		assert.Assert(t, p.arrived() >= 2, "no replacement")
 	}
 }
 
@@ -105,7 +105,7 @@
 	assert.NilError(t, p.err)
 	whole := wholeStream()
 	assert.Equal(t, p.received(), whole[strings.Index(whole, "id: 4"):])
-	assert.Assert(t, p.arrivals >= 2, "no replacement")
+	assert.Assert(t, p.arrived() >= 2, "no replacement")
 }
 
 // The end of a body without a framing completes no framed stream, also beside another attempt.
@@ -136,5 +136,5 @@
 	p.resume(t, g, "")
 	assert.NilError(t, p.err)
 	assert.Equal(t, p.received(), wholeStream())
-	assert.Assert(t, p.arrivals >= 2, "no replacement")
+	assert.Assert(t, p.arrived() >= 2, "no replacement")
 }
--- a/app/gateway/race_storm_test.go
+++ b/app/gateway/race_storm_test.go
@@ -54,5 +54,5 @@
 		}
 	}
 	assert.Equal(t, complete, count)
-	assert.Equal(t, p.arrivals, 2*count)
+	assert.Equal(t, p.arrived(), 2*count)
 }
--- a/app/gateway/race_test.go
+++ b/app/gateway/race_test.go
@@ -158,6 +158,20 @@
 	return p
 }
 
+// arrived returns how many requests have arrived. Others may still do so after the response has ended.
+func (s *replayService) arrived() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals
+}
+
+// runs returns how many of the requests were run.
+func (s *replayService) runs() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ran
+}
+
 func (s *replayService) finish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -408,13 +422,13 @@
 	assert.Assert(t, isPrefix, "seed %d: events are not those of one version in order: %q", p.seed, body)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	assert.Assert(t, p.ran <= p.attempts, "seed %d: %d attempts may run, %d did", p.seed, p.attempts, p.ran)
-	assert.Assert(t, p.arrivals <= p.attempts+20+int(p.took/replayedStall), "seed %d: %d arrivals", p.seed, p.arrivals)
+	assert.Assert(t, p.runs() <= p.attempts, "seed %d: %d attempts may run, %d did", p.seed, p.attempts, p.runs())
+	assert.Assert(t, p.arrived() <= p.attempts+20+int(p.took/replayedStall), "seed %d: %d arrivals", p.seed, p.arrived())
 	assert.Assert(t, p.took < replayedTimeout+time.Second, "seed %d: %v", p.seed, p.took)
 	isKept := p.recorder.status == http.StatusConflict && p.took > 2*replayedStall // the complete answer of another target
 	if p.isSound && !isKept {
-		assert.NilError(t, p.err, "seed %d: %q after %v, %d arrivals", p.seed, body, p.took, p.arrivals)
-		assert.Assert(t, body == wholes[0] || body == wholes[1], "seed %d: status %d, %q after %v, %d arrivals, plays %+v", p.seed, p.recorder.status, body, p.took, p.arrivals, p.plays[:3])
+		assert.NilError(t, p.err, "seed %d: %q after %v, %d arrivals", p.seed, body, p.took, p.arrived())
+		assert.Assert(t, body == wholes[0] || body == wholes[1], "seed %d: status %d, %q after %v, %d arrivals, plays %+v", p.seed, p.recorder.status, body, p.took, p.arrived(), p.plays[:3])
 	}
 }
 
