--- a/app/gateway/race_test.go
+++ b/app/gateway/race_test.go
@@ -420,8 +420,6 @@
 		isPrefix = isPrefix || strings.HasPrefix(wholes[v], body)
 	}
 	assert.Assert(t, isPrefix, "seed %d: events are not those of one version in order: %q", p.seed, body)
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	assert.Assert(t, p.runs() <= p.attempts, "seed %d: %d attempts may run, %d did", p.seed, p.attempts, p.runs())
 	assert.Assert(t, p.arrived() <= p.attempts+20+int(p.took/replayedStall), "seed %d: %d arrivals", p.seed, p.arrived())
 	assert.Assert(t, p.took < replayedTimeout+time.Second, "seed %d: %v", p.seed, p.took)
