gateway: a cancellation for old weights and a wrong version are told apart in the logs

Cause: the logs of entries did not distinguish the hypotheses of the incident: a request that is sent too close to a version's limit, an entry that takes a declaration for too young, and a target that serves older weights than the entry believes. What callers saw: nothing, this is observability only. Change: the line of a cancellation has versions and ages. The version that a response states is compared with the one that the entry believed and with the limit; two metrics and two lines.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"amaranthturn/app/daemon"
 	"amaranthturn/core/dispatch"
 	"amaranthturn/core/fleet"
@@ -235,8 +237,9 @@
 	return !a.canceled.Load()
 }
 
-// recordResponseStart records the first event of the target's response.
-func (a *targetAttempt) recordResponseStart() {
+// recordResponseStart records the first event of the target's response, which states the version of its
+// weights or 0.
+func (a *targetAttempt) recordResponseStart(version uint64) {
 	h := a.handler
 	if a.responseStarted {
 		return
@@ -247,6 +250,7 @@
 	delete(h.g.unstarted, a)
 	now := h.g.now()
 	if a.headerReceived {
+		a.recordStartVersion(version, now)
 		h.g.startTime.Record(now.Sub(a.startedAt))
 		if h.g.parts.RecordBegun(h.call.SharedParts, now) {
 			h.g.crashesChanged(now)
@@ -282,8 +286,46 @@
 		delete(g.unstarted, a)
 		a.canceled.Store(true)
 		a.cancel()
-		g.log.requests.Info().Str("request", string(a.handler.call.ID)).Str("target", string(a.target.ID)).
-			Dur("took", now.Sub(a.handler.startedAt)).Msg("attempt canceled: weights are too old")
+		a.logWeights(g.log.requests.Info(), now).Msg("attempt canceled: weights are too old")
+	}
+}
+
+// logWeights adds to a log line what the entry knows of the weights of the attempt's target. mu of the
+// gateway must be held.
+func (a *targetAttempt) logWeights(ev *zerolog.Event, now time.Time) *zerolog.Event {
+	g := a.handler.g
+	for _, loaded := range a.startVersions {
+		ev.Str("model", string(loaded.Model)).Uint64("version", loaded.Version)
+		if d, ok := g.declared[loaded.Model]; ok {
+			ev.Uint64("newest", d.Newest())
+			if at := d.NewerDeclaredAt(loaded.Version); !at.IsZero() {
+				ev.Dur("declared_ago", now.Sub(at))
+			}
+		}
+	}
+	if w, ok := g.loadWatches[a.target.Address]; ok && w.hasReported {
+		ev.Dur("report_age", now.Sub(w.reportedAt))
+	}
+	return ev.Str("request", string(a.handler.call.ID)).Str("target", string(a.target.ID)).Dur("sent_ago", now.Sub(a.startedAt)).Dur("took", now.Sub(a.handler.startedAt))
+}
+
+// recordStartVersion reports a response that its target states to have begun on weights which are older
+// than the entry knew, or which may not start a response any more. mu of the gateway must be held.
+func (a *targetAttempt) recordStartVersion(stated uint64, now time.Time) {
+	g := a.handler.g
+	if stated == 0 {
+		return
+	}
+	for _, loaded := range a.startVersions {
+		d, ok := g.declared[loaded.Model]
+		switch {
+		case ok && stated < d.MinVersion(g.settings.Bounds.VersionChangeLimit, now):
+			g.metrics.Count("responses_begun_late_on_old_weights", 1)
+			a.logWeights(g.log.requests.Warn(), now).Uint64("stated", stated).Msg("response began on weights that are too old")
+		case stated < loaded.Version:
+			g.metrics.Count("versions_misreported", 1)
+			a.logWeights(g.log.requests.Warn(), now).Uint64("stated", stated).Msg("response began on older weights than reported")
+		}
 	}
 }
 
--- a/app/gateway/race.go
+++ b/app/gateway/race.go
@@ -138,7 +138,7 @@
 		h.stream.Begin(r)
 	}
 	h.beginResponse(a)
-	a.recordResponseStart()
+	a.recordResponseStart(r.Version)
 	// The index is only a count, because the IDs were checked above.
 	_ = h.state.Token(dispatch.TokenEvent{Version: pinnedVersion, Index: h.state.Sent(), CanResume: h.route.Resumable})
 	a.writing = true
@@ -192,7 +192,7 @@
 	}
 	a.writing = true
 	h.beginResponse(a)
-	a.recordResponseStart()
+	a.recordResponseStart(r.Version)
 	return true
 }
 
