Older weights get no request that a paused engine could begin after the limit (VERSION)

What callers saw: nothing; their requests ran on the older version after its limit. Cause: entries sent requests to older weights until 0.5 s before the limit, and closed the connections of those that had not begun 0.25 s before it. A sound engine may fall silent for a second or so, and not all engines drop what is closed. The times of a version change stood in two packages, so that a larger margin alone closed engines that were about to load. Change: upgrade.Timeline owns these times. An engine that cannot load a newer version in time gets no requests in the last 1.25 s and the usual start time before the limit; its agent reports which version it can load (held, or expected by the rate of its fetch). Others are used as before.

--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -54,8 +54,8 @@
 	// pauseThreshold is the gap between two ticks above which the process counts as paused.
 	pauseThreshold = time.Second
 	// copyPauseThreshold is the gap between two ticks above which what was received meanwhile
-	// does not show that the copy of the store is current. It is less than
-	// versionChangeMargin, which allows for shorter gaps.
+	// does not show that the copy of the store is current. It is at most the propagation delay that the
+	// timeline of a version change allows for.
 	copyPauseThreshold = 250 * time.Millisecond
 )
 
@@ -115,8 +115,9 @@
 // declaredVersions holds the versions of a model's weights that the operator has declared.
 type declaredVersions struct {
 	upgrade.Declarations
-	// appliedMinVersion is the minimum version that the balancers were last updated for.
-	appliedMinVersion uint64
+	// appliedMinVersion and appliedSafeVersion are the minimum versions in service, and in service or
+	// loadable, that the balancers were last updated for.
+	appliedMinVersion, appliedSafeVersion uint64
 }
 
 type logs struct {
@@ -329,6 +330,25 @@
 	g.refreshBalancers(now)
 }
 
+// closeOldVersions updates the balancers when engines with older weights become ineligible by time alone,
+// without an update. mu must be held.
+func (g *Gateway) closeOldVersions(now time.Time) {
+	timeline, startTime := g.versionTimeline(), g.startTime.Average()
+	for _, d := range g.declared {
+		safe := d.MinVersion(timeline.LastSafeSend(startTime), now)
+		if safe > d.appliedSafeVersion {
+			d.appliedSafeVersion = safe
+			g.log.members.Info().Uint64("version", safe).Msg(trace.MessageNoNewerWeights)
+			g.refreshBalancers(now)
+		}
+		if v := d.MinVersion(timeline.LastSend(startTime), now); v > d.appliedMinVersion {
+			d.appliedMinVersion = v
+			g.log.members.Info().Uint64("version", v).Msg(trace.MessageWeightsTooOld)
+			g.refreshBalancers(now)
+		}
+	}
+}
+
 func (g *Gateway) tick() {
 	now := g.now()
 	g.mu.Lock()
@@ -347,14 +367,7 @@
 		g.noticesForgottenAt = now
 		g.forgetNotices(now)
 	}
-	for _, d := range g.declared {
-		// Engines with older weights become ineligible by time alone, without an update.
-		if v := d.MinVersion(g.oldVersionServeTime(), now); v > d.appliedMinVersion {
-			d.appliedMinVersion = v
-			g.log.members.Info().Uint64("version", v).Msg(trace.MessageWeightsTooOld)
-			g.refreshBalancers(now)
-		}
-	}
+	g.closeOldVersions(now)
 	g.cancelOutdatedAttempts(now)
 	for _, s := range g.services {
 		g.notifyWaiters(s.queue.Tick(now))
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -294,8 +294,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	at := func(d time.Duration) time.Time { return c.t.Add(d) }
-	assert.Assert(t, g.canServe(target, at(7400*time.Millisecond)))
+	assert.Assert(t, g.canServe(target, at(6400*time.Millisecond)))
+	assert.Assert(t, !g.canServe(target, at(6600*time.Millisecond)), "the target may pause and begin the request after the limit")
+	g.loads[target.ID] = peer.TargetLoad{Model: "m", Version: 1, Loadable: 2, Accepting: true}
+	assert.Assert(t, g.canServe(target, at(7400*time.Millisecond)), "the target loads in time")
+	assert.Assert(t, !g.canServe(target, at(7600*time.Millisecond)))
 	g.startTime.Record(time.Second)
 	assert.Assert(t, g.canServe(target, at(6700*time.Millisecond)))
 	assert.Assert(t, !g.canServe(target, at(6800*time.Millisecond)))
+	delete(g.loads, target.ID)
+	assert.Assert(t, g.canServe(target, at(5700*time.Millisecond)))
+	assert.Assert(t, !g.canServe(target, at(5800*time.Millisecond)))
 }
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -404,8 +404,8 @@
 	old, known := g.loads[t.ID]
 	l.Incarnation = t.Incarnation
 	g.loads[t.ID] = l
-	if !known || old.Version != l.Version || old.Accepting != l.Accepting || old.Incarnation != l.Incarnation {
-		g.log.members.Info().Str("target", string(t.ID)).Uint64("serving", l.Version).Bool("accepting", l.Accepting).Msg(trace.MessageTargetChanged)
+	if !known || old.Version != l.Version || old.Accepting != l.Accepting || old.Loadable != l.Loadable || old.Incarnation != l.Incarnation {
+		g.log.members.Info().Str("target", string(t.ID)).Uint64("serving", l.Version).Uint64("loadable", l.Loadable).Bool("accepting", l.Accepting).Msg(trace.MessageTargetChanged)
 		g.service(t.Service).balancer.SetEngine(t.ID, g.engineState(t, now))
 		if t.Zone == g.settings.Zone {
 			g.notifyZoneWatches()
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"amaranthturn/app/daemon"
@@ -12,6 +13,7 @@
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routeconfig"
 	"amaranthturn/core/trace"
+	"amaranthturn/core/upgrade"
 	"amaranthturn/platform"
 )
 
@@ -447,21 +449,10 @@
 	}
 }
 
-// versionChangeMargin is subtracted from the time within which a new version has to be in
-// use, to allow for the propagation delay of the declaration and of the request.
-const versionChangeMargin = 500 * time.Millisecond
-
-// oldVersionServeTime returns how long after a declaration older weights may serve requests. Some
-// targets begin a request whose connection this entry has closed, so it has to be sent in time to begin.
-// mu must be held.
-func (g *Gateway) oldVersionServeTime() time.Duration {
-	return g.settings.Bounds.VersionChangeLimit - max(versionChangeMargin, responseStartMargin+g.startTime.Average())
+func (g *Gateway) versionTimeline() upgrade.Timeline {
+	return upgrade.Timeline{Limit: g.settings.Bounds.VersionChangeLimit}
 }
 
-// responseStartMargin is subtracted from the time after which older weights may not start a
-// response, to allow for the propagation delay of a cancellation.
-const responseStartMargin = 250 * time.Millisecond
-
 // loadedVersions returns the versions that a target serves, as reported by its agent or else
 // by its record in the store. mu must be held.
 func (g *Gateway) loadedVersions(t roster.Target) []roster.LoadedVersion {
@@ -477,14 +468,30 @@
 	if r, ok := g.loads[t.ID]; ok && r.Incarnation == t.Incarnation && !r.Accepting {
 		return false
 	}
-	for _, loaded := range g.loadedVersions(t) {
-		if loaded.Version == 0 {
-			continue
-		}
-		d, ok := g.declared[loaded.Model]
-		if !ok || loaded.Version >= d.MinVersion(g.oldVersionServeTime(), now) {
-			return true
-		}
+	return slices.ContainsFunc(g.loadedVersions(t), func(l roster.LoadedVersion) bool {
+		return l.Version > 0 && !g.isTooOldToSend(t, l, now)
+	})
+}
+
+// hasOldWeightsOnly reports whether the time limit for a version change allows no request to a target. mu
+// must be held.
+func (g *Gateway) hasOldWeightsOnly(t roster.Target, now time.Time) bool {
+	loaded := g.loadedVersions(t)
+	return len(loaded) > 0 && !slices.ContainsFunc(loaded, func(l roster.LoadedVersion) bool { return !g.isTooOldToSend(t, l, now) })
+}
+
+// isTooOldToSend reports whether a target may get no request for weights that it serves. mu must be held.
+func (g *Gateway) isTooOldToSend(t roster.Target, l roster.LoadedVersion, now time.Time) bool {
+	d, ok := g.declared[l.Model]
+	engine := upgrade.Engine{Serving: l.Version, Loadable: g.loadableVersion(t, l.Model)}
+	return ok && !g.versionTimeline().MaySend(d.Declarations, engine, g.startTime.Average(), now)
+}
+
+// loadableVersion returns the newest version of a model that a target's agent can load in time, or 0 if it
+// reports none. mu must be held.
+func (g *Gateway) loadableVersion(t roster.Target, m fleet.Model) uint64 {
+	if r, ok := g.loads[t.ID]; ok && r.Incarnation == t.Incarnation && r.Model == m {
+		return r.Loadable
 	}
-	return false
+	return 0
 }
--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -72,12 +72,41 @@
 	if up && startedAt.After(s.commandAt) {
 		s.recordProofReport()
 	}
-	if changed {
+	loadable := s.loadableVersion(s.now())
+	if changed || loadable != s.loadable {
+		s.loadable = loadable
 		s.notifyListeners()
+	}
+	if changed {
 		s.checkVersions()
 	}
 }
 
+// loadableHysteresis is how much later than planned a version may become complete that was expected in time
+// before.
+const loadableHysteresis = 250 * time.Millisecond
+
+// loadableVersion returns the newest version that the engine can be told to load in time, or 0. mu must be
+// held.
+func (s *Sidecar) loadableVersion(now time.Time) uint64 {
+	m, e, ok := s.model()
+	if !ok || !s.isEngineUp {
+		return 0
+	}
+	lastLoad := s.declarationsOf(m.Name).NewerDeclaredAt(s.servingVersion(m.Name, e)).Add(s.schedule(e).LastLoad())
+	newest := uint64(0)
+	for v, w := range s.weights {
+		due := lastLoad
+		if v == s.loadable {
+			due = due.Add(loadableHysteresis)
+		}
+		if at, ok := w.completeAt(now); v > newest && ok && (!at.After(now) || at.Before(due)) {
+			newest = v
+		}
+	}
+	return newest
+}
+
 // recordProofReport applies the last report to the proof of the last load. mu must be held.
 func (s *Sidecar) recordProofReport() {
 	if m, e, ok := s.model(); ok {
@@ -106,7 +135,8 @@
 func (s *Sidecar) schedule(e *routeconfig.Engine) upgrade.Schedule {
 	bytes := float64(e.Chunks) * float64(e.ChunkBytes)
 	return upgrade.Schedule{
-		Limit: s.settings.Bounds.VersionChangeLimit, FetchTime: time.Duration(fetchTimeFactor * bytes / s.settings.LinkBytesPerSecond * float64(time.Second)),
+		Timeline:  upgrade.Timeline{Limit: s.settings.Bounds.VersionChangeLimit},
+		FetchTime: time.Duration(fetchTimeFactor * bytes / s.settings.LinkBytesPerSecond * float64(time.Second)),
 	}
 }
 
--- a/app/sidecar/load.go
+++ b/app/sidecar/load.go
@@ -79,10 +79,10 @@
 const loadCheckInterval = time.Second
 
 // shouldSendLoad reports whether a load is sent to a listener whose previous message has the
-// given age. A load is sent at once when the target serves other weights or stops accepting
-// requests, and otherwise after the period that the listener requested.
+// given age. A load is sent at once when the target serves other weights, can load others or stops
+// accepting requests, and otherwise after the period that the listener requested.
 func shouldSendLoad(sent, l peer.TargetLoad, age, period time.Duration) bool {
-	return age >= period || sent.Incarnation != l.Incarnation || sent.Accepting != l.Accepting || sent.Leaving != l.Leaving || sent.Model != l.Model || sent.Version != l.Version
+	return age >= period || sent.Incarnation != l.Incarnation || sent.Accepting != l.Accepting || sent.Leaving != l.Leaving || sent.Model != l.Model || sent.Version != l.Version || sent.Loadable != l.Loadable
 }
 
 // currentLoad returns the load that is reported to the entries. mu must be held.
@@ -92,7 +92,7 @@
 		Incarnation: r.Incarnation, Running: r.Running, Queued: r.Queued, CacheUsed: r.CacheUsed, CacheTotal: r.CacheTotal, Pace: r.Pace,
 	}
 	if m, e, ok := s.model(); ok {
-		l.Model, l.Version = m.Name, s.servingVersion(m.Name, e)
+		l.Model, l.Version, l.Loadable = m.Name, s.servingVersion(m.Name, e), s.loadable
 	}
 	l.Leaving = s.isEngineUp && (r.Leaving || s.hasLeavingNotice(r.Incarnation))
 	l.Accepting = s.isEngineUp && !r.Busy && l.Version != 0 && !s.proof.Withholds(l.Version)
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -65,6 +65,7 @@
 	isEngineUp      bool      // the last poll of the engine succeeded
 	commandAt       time.Time // when the last load command was answered or given up
 	proof           upgrade.Proof
+	loadable        uint64 // newest version that can be loaded in time, as of the last poll
 	listeners       map[*loadListener]struct{}
 	versionsChanged chan struct{}              // the versions to keep may have changed
 	weights         map[uint64]*versionWeights // by version
--- a/app/sidecar/sidecar_test.go
+++ b/app/sidecar/sidecar_test.go
@@ -74,11 +74,11 @@
 func TestLoadIsSentAtOnceOnStateChange(t *testing.T) {
 	old := peer.TargetLoad{Incarnation: 1, Version: 1, Accepting: true, Running: 3}
 	const period = 3 * time.Second
-	busier, closed, newer, restarted, leaving := old, old, old, old, old
-	busier.Running, closed.Accepting, newer.Version, restarted.Incarnation, leaving.Leaving = 9, false, 2, 2, true
+	busier, closed, newer, restarted, leaving, loadable := old, old, old, old, old, old
+	busier.Running, closed.Accepting, newer.Version, restarted.Incarnation, leaving.Leaving, loadable.Loadable = 9, false, 2, 2, true, 2
 	assert.Assert(t, !shouldSendLoad(old, busier, period-1, period))
 	assert.Assert(t, shouldSendLoad(old, busier, period, period))
-	for _, l := range []peer.TargetLoad{closed, newer, restarted, leaving} {
+	for _, l := range []peer.TargetLoad{closed, newer, restarted, leaving, loadable} {
 		assert.Assert(t, shouldSendLoad(old, l, time.Millisecond, period))
 	}
 }
--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -14,6 +14,7 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/swarm"
+	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
@@ -70,6 +71,7 @@
 	chunkWatches  map[fleet.InstanceID]context.CancelFunc
 	changed       chan struct{} // closed and replaced when a chunk is added
 	staged        bool          // chunks of this version are staged on the engine
+	progress      upgrade.Progress
 }
 
 // versionName returns the name of a version in messages between agents.
@@ -318,6 +320,19 @@
 	w.changed = make(chan struct{})
 }
 
+func (w *versionWeights) recordProgress(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.progress.Record(now)
+}
+
+// completeAt returns when all chunks will be held, if that can be estimated.
+func (w *versionWeights) completeAt(now time.Time) (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.progress.CompleteAt(w.planner.Missing(), now)
+}
+
 func (w *versionWeights) isComplete() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -510,6 +525,7 @@
 	}
 	w.mu.Unlock()
 	w.addChunk(c.fetch.Chunk, data)
+	w.recordProgress(now)
 	w.wake()
 }
 
--- a/core/trace/messages.go
+++ b/core/trace/messages.go
@@ -18,6 +18,7 @@
 	MessageTargetsExpired      = "lapsed targets did not come back"
 	MessageTargetShownRemoved  = "target has left: entries read the store before its entry went"
 	MessageWeightsTooOld       = "older weights may not answer any more"
+	MessageNoNewerWeights      = "engines without newer weights get no more requests"
 	MessageAgentDetached       = "agent detached"
 	MessageEngine              = "engine"
 	MessageEngineCrashed       = "engine died"
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -205,7 +205,7 @@
 func stopsAccepting(l Line) bool {
 	accepting, ok := l.Fields["accepting"].(bool)
 	state := l.stringField("state")
-	return ok && !accepting || l.hasMessage(MessageTargetRemoved, MessageWeightsTooOld, MessageTargetsExpired, MessageTargetShownRemoved) ||
+	return ok && !accepting || l.hasMessage(MessageTargetRemoved, MessageWeightsTooOld, MessageNoNewerWeights, MessageTargetsExpired, MessageTargetShownRemoved) ||
 		l.hasMessage(MessageTarget) && state != "ready" || l.hasMessage(MessageEngineCrashed, MessageAgentDetached)
 }
 
--- a/core/upgrade/upgrade.go
+++ b/core/upgrade/upgrade.go
@@ -56,24 +56,17 @@
 
 // Schedule spreads the loads of a version switch over the time limit.
 type Schedule struct {
-	// Limit is the time from the declaration after which no request may begin on older
-	// weights.
-	Limit time.Duration
+	Timeline
 	// FetchTime is the time in which an engine receives the weights over its own link.
 	FetchTime time.Duration
 }
 
-const (
-	// propagationMargin is the part of the limit reserved for the propagation delays of the
-	// declaration and of the load command.
-	propagationMargin = 700 * time.Millisecond
-	// immediateFetchShare is the share of the engines that fetch at once. The others fetch
-	// from them later, so that the first engines have their links to themselves.
-	immediateFetchShare = 0.25
-)
+// immediateFetchShare is the share of the engines that fetch at once. The others fetch
+// from them later, so that the first engines have their links to themselves.
+const immediateFetchShare = 0.25
 
 // loadWindow returns the time from the first load to the last.
-func (s Schedule) loadWindow() time.Duration { return max(0, s.Limit-propagationMargin-s.FetchTime) }
+func (s Schedule) loadWindow() time.Duration { return max(0, s.LastLoad()-s.FetchTime) }
 
 // FetchAfter returns how long after the declaration an engine begins to fetch.
 func (s Schedule) FetchAfter(p Position) time.Duration {
--- a/core/upgrade/upgrade_test.go
+++ b/core/upgrade/upgrade_test.go
@@ -12,7 +12,7 @@
 
 var t0 = time.Unix(1_000_000, 0)
 
-var schedule = upgrade.Schedule{Limit: 8 * time.Second, FetchTime: 2650 * time.Millisecond}
+var schedule = upgrade.Schedule{Timeline: upgrade.Timeline{Limit: 8 * time.Second}, FetchTime: 2650 * time.Millisecond}
 
 // During a version switch of 24 engines at capacity, each engine is out of service while its
 // running requests end and the weights load. If all fetched and loaded at once, all 24 would
@@ -39,7 +39,7 @@
 		p := upgrade.Position{Count: rapid.IntRange(1, 300).Draw(t, "count")}
 		p.Index = rapid.IntRange(0, p.Count-1).Draw(t, "index")
 		s := upgrade.Schedule{
-			Limit:     time.Duration(rapid.IntRange(1, 20).Draw(t, "limit")) * time.Second,
+			Timeline:  upgrade.Timeline{Limit: time.Duration(rapid.IntRange(1, 20).Draw(t, "limit")) * time.Second},
 			FetchTime: time.Duration(rapid.IntRange(1, 900).Draw(t, "fetch")) * time.Millisecond,
 		}
 		assert.Assert(t, s.LoadAfter(p) < s.Limit)
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -64,6 +64,7 @@
 	CacheUsed, CacheTotal int
 	Model                 fleet.Model
 	Version               uint64 // version in service, 0 for none
+	Loadable              uint64 // newest version that the agent holds, or is about to hold in time to load it, 0 for none
 	Accepting             bool
 	Leaving               bool    // the target states that it leaves
 	Pace                  float64 // a value above 1 means that the target is slow
@@ -160,7 +161,7 @@
 	return &peerpb.TargetLoad{
 		Born: uint64(l.Incarnation), Running: uint32(l.Running), Queued: uint32(l.Queued),
 		CacheUsed: uint64(l.CacheUsed), CacheTotal: uint64(l.CacheTotal),
-		Model: string(l.Model), Version: l.Version, Accepting: l.Accepting, Leaving: l.Leaving, Pace: l.Pace,
+		Model: string(l.Model), Version: l.Version, Loadable: l.Loadable, Accepting: l.Accepting, Leaving: l.Leaving, Pace: l.Pace,
 	}
 }
 
@@ -168,7 +169,7 @@
 	return TargetLoad{
 		Incarnation: fleet.Incarnation(m.GetBorn()), Running: int(m.GetRunning()), Queued: int(m.GetQueued()),
 		CacheUsed: int(m.GetCacheUsed()), CacheTotal: int(m.GetCacheTotal()),
-		Model: fleet.Model(m.GetModel()), Version: m.GetVersion(), Accepting: m.GetAccepting(), Leaving: m.GetLeaving(), Pace: m.GetPace(),
+		Model: fleet.Model(m.GetModel()), Version: m.GetVersion(), Loadable: m.GetLoadable(), Accepting: m.GetAccepting(), Leaving: m.GetLeaving(), Pace: m.GetPace(),
 	}
 }
 
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -35,6 +35,14 @@
 	assert.DeepEqual(t, got, m)
 }
 
+// The same for what an agent reports of its target.
+func TestTargetLoadKeepsEveryFieldOnTheWire(t *testing.T) {
+	l := TargetLoad{
+		Incarnation: 1, Running: 2, Queued: 3, CacheUsed: 4, CacheTotal: 5, Model: "m", Version: 6, Loadable: 7, Accepting: true, Leaving: true, Pace: 1.5,
+	}
+	assert.Equal(t, targetLoadFromWire(targetLoadToWire(l)), l)
+}
+
 // A number of milliseconds that overflows a Duration would turn into a recent age.
 func TestHugeAgeStaysHuge(t *testing.T) {
 	m, err := exchangeFromWire(&peerpb.EntryRows{Declared: []*peerpb.DeclaredVersion{{Model: "m", Version: 2, KnownMs: 1 << 63}}})
