gateway: a restarted engine does not count with the weights of the one before

Cause: a report of another incarnation than the listed one was dropped, and the last report on the listed one stayed. Until the list showed a restart under the same ID (a renewal, or longer while the store does not answer this entry), the entry believed that the engine served what it had served before. A relay passed the old report on as new.

What callers saw: requests sent to an engine that has no weights yet, and, if the engine came back on older weights (its agent restarted too, and did not know the newest declaration), responses begun on these after the limit.

Change: a report of a later incarnation counts at once, with its versions and whether it accepts. One of an earlier incarnation is ignored as before.

TestRelayedLoadOfEarlierIncarnationIsIgnored used a report of incarnation 7 on a listed incarnation 1, which is a later one and not what its name says. It now lists incarnation 8, and asserts the same; the later one has a test of its own.

--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -392,17 +392,17 @@
 }
 
 // recordLoad applies what a report says of a target's state, and returns whether it is of the listed
-// incarnation. The caller records the number of requests and ticks the queue of the target's service.
-// mu must be held.
+// incarnation or a later one. The caller records the number of requests and ticks the queue of the
+// target's service. mu must be held.
 func (g *Gateway) recordLoad(t roster.Target, l peer.TargetLoad, now time.Time) bool {
-	if l.Incarnation != t.Incarnation && l.Incarnation != 0 {
+	if l.Incarnation < t.Incarnation && l.Incarnation != 0 {
 		return false
 	}
 	if l.Leaving && l.Incarnation != 0 {
-		g.mergeLeaving([]notice.Target{noticeTarget(t)}, now)
+		g.mergeLeaving([]notice.Target{{ID: t.ID, Incarnation: l.Incarnation}}, now)
 	}
 	old, known := g.loads[t.ID]
-	l.Incarnation = t.Incarnation
+	l.Incarnation = max(l.Incarnation, t.Incarnation)
 	g.loads[t.ID] = l
 	if !known || old.Version != l.Version || old.Accepting != l.Accepting || old.Incarnation != l.Incarnation {
 		g.log.members.Info().Str("target", string(t.ID)).Uint64("serving", l.Version).Bool("accepting", l.Accepting).Msg(trace.MessageTargetChanged)
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -12,6 +12,7 @@
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routeconfig"
 	"amaranthturn/core/trace"
+	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
 
@@ -462,10 +463,17 @@
 // response, to allow for the propagation delay of a cancellation.
 const responseStartMargin = 250 * time.Millisecond
 
+// lastReport returns the last report of a target's agent. It may be of a later incarnation than the
+// listed one, which has then ended. mu must be held.
+func (g *Gateway) lastReport(t roster.Target) (peer.TargetLoad, bool) {
+	r, ok := g.loads[t.ID]
+	return r, ok && r.Incarnation >= t.Incarnation
+}
+
 // loadedVersions returns the versions that a target serves, as reported by its agent or else
 // by its record in the store. mu must be held.
 func (g *Gateway) loadedVersions(t roster.Target) []roster.LoadedVersion {
-	if r, ok := g.loads[t.ID]; ok && r.Incarnation == t.Incarnation {
+	if r, ok := g.lastReport(t); ok {
 		return []roster.LoadedVersion{{Model: r.Model, Version: r.Version}}
 	}
 	return t.Loaded
@@ -474,7 +482,7 @@
 // canServe reports whether a model's target may receive requests. Its weights are loaded and
 // not older than the time limit for a version change allows. mu must be held.
 func (g *Gateway) canServe(t roster.Target, now time.Time) bool {
-	if r, ok := g.loads[t.ID]; ok && r.Incarnation == t.Incarnation && !r.Accepting {
+	if r, ok := g.lastReport(t); ok && !r.Accepting {
 		return false
 	}
 	for _, loaded := range g.loadedVersions(t) {
--- a/app/gateway/zone.go
+++ b/app/gateway/zone.go
@@ -279,7 +279,7 @@
 func (g *Gateway) applyLateLoads(z *zoneState, now time.Time) {
 	for addr, l := range z.loads {
 		t, ok := z.listedTarget(addr)
-		if old, known := g.loads[t.ID]; ok && (!known || old.Incarnation != t.Incarnation) {
+		if old, known := g.loads[t.ID]; ok && (!known || old.Incarnation < t.Incarnation) {
 			g.recordLoad(t, l, now)
 		}
 	}
--- a/app/gateway/zone_test.go
+++ b/app/gateway/zone_test.go
@@ -143,6 +143,9 @@
 func TestRelayedLoadOfEarlierIncarnationIsIgnored(t *testing.T) {
 	g, c, _ := newModelGateway(t, 1)
 	addresses := addZone(g, "z2", 1, c.t, "e9")
+	listed, _ := g.roster.At(addresses[0])
+	listed.Incarnation = 8
+	g.roster.Update(listed)
 	g.watchTargets(canceledContext())
 	old := accepting(2)
 	old.Incarnation = 7
@@ -151,6 +154,20 @@
 	assert.Assert(t, !known)
 }
 
+// The list lags behind the relay: the incarnation that it shows has ended.
+func TestRelayedLoadOfLaterIncarnationCounts(t *testing.T) {
+	g, c, _ := newModelGateway(t, 1)
+	addresses := addZone(g, "z2", 1, c.t, "e9")
+	listed, _ := g.roster.At(addresses[0])
+	g.watchTargets(canceledContext())
+	relay := g.zones["z2"].watch
+	relay.handleLoads([]peer.ZoneLoad{{Address: addresses[0], Load: accepting(2)}})
+	relay.handleLoads([]peer.ZoneLoad{{Address: addresses[0], Load: peer.TargetLoad{Incarnation: 7, Model: "m"}}})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	assert.Assert(t, !g.canServe(listed, c.t))
+}
+
 // The entries of the system use the relays of a zone evenly, and stay with one that lives.
 func TestRelaysAreChosenEvenlyAndKept(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
