gateway: a declaration in the first message of a stream counts from the copy before it

Cause: the entries that survive follow an entry that was killed. They get the declaration with the first message of a new stream, 0.6 s later, and took it for as old as its receipt, since their copy was less than a second old. Entries that have just started cannot correct them.

--- a/app/gateway/declared_since_test.go
+++ b/app/gateway/declared_since_test.go
@@ -99,3 +99,23 @@
 	margin := timeline.Limit - timeline.LastSafeSend(0)
 	assert.Assert(t, !g.canServe(target, startedAt.Add(g.settings.Bounds.StablePeriod-margin)))
 }
+
+// The entry that is followed was killed as a version was declared. The declaration came with the first
+// message of the stream from the next one, and was taken for as old as its receipt.
+func TestDeclarationInFirstMessageOfAStreamCountsFromTheCopyBefore(t *testing.T) {
+	for _, isFirst := range []bool{true, false} {
+		g, c := newTestGateway(t)
+		g.loadStore(mirror.Position{Revision: 5}, c.t)
+		currentAt := c.t
+		c.t = c.t.Add(755 * time.Millisecond)
+		declaration := mirror.Event{Key: platform.OperatorKeys + "version/m", Value: []byte(`{"Model":"m","Version":2}`), Revision: 6}
+		g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{Events: []mirror.Event{declaration}, At: mirror.Position{Revision: 6}}}, c.t, isFirst)
+		want := c.t
+		if isFirst {
+			want = currentAt
+		}
+		g.mu.Lock()
+		assert.Equal(t, g.declarationsOf("m").NewerDeclaredAt(1), want, "first message: %v", isFirst)
+		g.mu.Unlock()
+	}
+}
--- a/app/gateway/follow.go
+++ b/app/gateway/follow.go
@@ -123,10 +123,10 @@
 	g.mu.Lock()
 	at := g.mirror.Position()
 	g.mu.Unlock()
-	awaitedSince := g.now()
+	awaitedSince, isFirst := g.now(), true
 	err := g.pool.FollowWithReads(ctx, addr, at, followHeartbeatInterval, followTimeout, func(update peer.StoreChanges) bool {
-		ok := g.handleStoreUpdate(update, awaitedSince)
-		awaitedSince = g.now()
+		ok := g.handleStoreUpdate(update, awaitedSince, isFirst)
+		awaitedSince, isFirst = g.now(), false
 		return ok
 	})
 	g.metrics.Count("store_streams_ended", 1)
@@ -135,8 +135,9 @@
 
 // handleStoreUpdate applies an update from the entry that reads the store, and reports
 // whether to continue following it. After a pause the messages in the stream's buffer are of
-// unknown age, so a new stream is needed.
-func (g *Gateway) handleStoreUpdate(update peer.StoreChanges, awaitedSince time.Time) bool {
+// unknown age, so a new stream is needed. The first message of a stream has what was written since
+// this entry's copy was current.
+func (g *Gateway) handleStoreUpdate(update peer.StoreChanges, awaitedSince time.Time, isFirst bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
@@ -158,7 +159,7 @@
 	if !asOf.IsZero() {
 		g.mergeReads(update.Reads, now)
 	}
-	g.applyUpdate(update.Update, asOf)
+	g.apply(update.Update, receipt{asOf: asOf, wasMissed: isFirst})
 	g.recall(update.Retained)
 	return !update.StoreUnavailable && !asOf.IsZero() && !g.entryList.IsReader(now)
 }
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -39,7 +39,7 @@
 	g, c := newTestGateway(t)
 	g.roster.Update(roster.Target{ID: "a", Service: "s", Address: "x", State: roster.StateReady})
 	g.recordStoreResult(errors.New("store unreachable"))
-	g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, c.t)
+	g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, c.t, false)
 	c.t = c.t.Add(roster.DefaultSettings.ExpiryGrace + time.Second)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -51,7 +51,7 @@
 func TestStoreLossThroughAnotherEntry(t *testing.T) {
 	g, c := newTestGateway(t)
 	g.roster.Update(roster.Target{ID: "a", Service: "s", Address: "x", State: roster.StateReady})
-	g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}, StoreUnavailable: true}, c.t)
+	g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}, StoreUnavailable: true}, c.t, false)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	assert.Assert(t, !g.roster.Remove("a", c.t))
@@ -97,13 +97,13 @@
 		g, c := newTestGateway(t)
 		g.initialReadDone = true
 		g.tick()
-		g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, c.t)
+		g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, c.t, false)
 		frozenAt := c.t
 		c.t = c.t.Add(3 * time.Second)
 		if observed {
 			g.tick()
 		}
-		assert.Assert(t, !g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, frozenAt), "what follows in the buffer is outdated")
+		assert.Assert(t, !g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, frozenAt, false), "what follows in the buffer is outdated")
 		g.mu.Lock()
 		assert.Equal(t, g.declaredSince(g.mirror.CurrentAt(), c.t, c.t), frozenAt, "pause observed by a tick: %v", observed)
 		g.mu.Unlock()
@@ -115,7 +115,7 @@
 func TestFollowerOfFrozenReaderDoesNotExtendOldVersion(t *testing.T) {
 	g, c := newTestGateway(t)
 	g.initialReadDone = true
-	g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, c.t)
+	g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, c.t, false)
 	declaredAt := c.t
 	for range 45 {
 		c.t = c.t.Add(tickInterval)
@@ -135,7 +135,7 @@
 	running.clock = c
 	paused.initialReadDone, running.initialReadDone = true, true
 	paused.tick()
-	paused.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, c.t)
+	paused.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Revision: 5}}}, c.t, false)
 	frozenAt := c.t
 	c.t = c.t.Add(900 * time.Millisecond)
 	since := paused.declaredSince(frozenAt, c.t, c.t)
@@ -251,7 +251,7 @@
 	readAt := c.t
 	c.t = c.t.Add(time.Second)
 	update := peer.StoreChanges{Update: mirror.Update{At: mirror.Position{Era: 1, Revision: 20}}}
-	assert.Assert(t, !g.handleStoreUpdate(update, c.t))
+	assert.Assert(t, !g.handleStoreUpdate(update, c.t, false))
 	assert.Equal(t, g.mirror.CurrentAt(), readAt)
 }
 
--- a/app/gateway/missing_test.go
+++ b/app/gateway/missing_test.go
@@ -148,7 +148,7 @@
 	at := e.mirror.Position()
 	e.mu.Unlock()
 	err := other.Follow(e.t.Context(), at, time.Second, func(u peer.StoreChanges) error {
-		e.handleStoreUpdate(u, e.now())
+		e.handleStoreUpdate(u, e.now(), false)
 		return errTold
 	})
 	assert.Assert(e.t, errors.Is(err, errTold) || errors.Is(err, context.Canceled))
@@ -244,7 +244,7 @@
 	}
 	assert.Assert(t, follower.read() != nil)
 	update := peer.StoreChanges{Update: reader.mirror.ChangesSince(follower.mirror.Position())}
-	follower.handleStoreUpdate(update, s.clock.t) // of an earlier version, which tells nothing of reads
+	follower.handleStoreUpdate(update, s.clock.t, false) // of an earlier version, which tells nothing of reads
 	assert.Equal(t, follower.usable(), 2, "the record may have expired")
 	follower.mergeFrom(reader.Gateway, s.clock.t)
 	assert.Equal(t, follower.usable(), 1)
--- a/app/gateway/two_ways_test.go
+++ b/app/gateway/two_ways_test.go
@@ -140,7 +140,7 @@
 	u := w.stream[0]
 	w.stream = w.stream[1:]
 	w.expect(append(u.Events, u.Retained...))
-	w.entry.handleStoreUpdate(u, w.clock.t)
+	w.entry.handleStoreUpdate(u, w.clock.t, false)
 }
 
 // followAnew begins a new stream. What was under way in the earlier one is lost.
@@ -241,7 +241,7 @@
 			random := rand.New(rand.NewPCG(uint64(way), 41))
 			for v := 2; v <= versions; v += 1 + random.IntN(3) {
 				u := peer.StoreChanges{Update: mirror.Update{Events: []mirror.Event{event(v)}, At: mirror.Position{Era: 1, Revision: mirror.Revision(v)}}}
-				g.handleStoreUpdate(u, g.now())
+				g.handleStoreUpdate(u, g.now(), false)
 				time.Sleep(time.Duration(random.IntN(300)) * time.Microsecond)
 			}
 		})
