gateway: an entry tells its followers that it missed what it hands on

Cause: only the entry that reads knows that it was not waiting for a change when it was written. Change: the message of changes says so, and the follower counts from its copy before, too. An old build leaves the field out. Evidence: the case wasMissed of TestDeclarationInFirstMessageOfAStreamCountsFromTheCopyBefore and TestFollowersAreToldThatChangesWereMissed fail without it.

--- a/app/gateway/declared_since_test.go
+++ b/app/gateway/declared_since_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -103,19 +104,46 @@
 // The entry that is followed was killed as a version was declared. The declaration came with the first
 // message of the stream from the next one, and was taken for as old as its receipt.
 func TestDeclarationInFirstMessageOfAStreamCountsFromTheCopyBefore(t *testing.T) {
-	for _, isFirst := range []bool{true, false} {
+	for _, x := range []struct{ isFirst, wasMissed bool }{{isFirst: true}, {wasMissed: true}, {}} {
 		g, c := newTestGateway(t)
 		g.loadStore(mirror.Position{Revision: 5}, c.t)
-		currentAt := c.t
-		c.t = c.t.Add(755 * time.Millisecond)
-		declaration := mirror.Event{Key: platform.OperatorKeys + "version/m", Value: []byte(`{"Model":"m","Version":2}`), Revision: 6}
-		g.handleStoreUpdate(peer.StoreChanges{Update: mirror.Update{Events: []mirror.Event{declaration}, At: mirror.Position{Revision: 6}}}, c.t, isFirst)
 		want := c.t
-		if isFirst {
-			want = currentAt
+		c.t = c.t.Add(755 * time.Millisecond)
+		if !x.isFirst && !x.wasMissed {
+			want = c.t
 		}
+		declaration := mirror.Event{Key: platform.OperatorKeys + "version/m", Value: []byte(`{"Model":"m","Version":2}`), Revision: 6}
+		update := mirror.Update{Events: []mirror.Event{declaration}, At: mirror.Position{Revision: 6}}
+		g.handleStoreUpdate(peer.StoreChanges{Update: update, WasMissed: x.wasMissed}, c.t, x.isFirst)
 		g.mu.Lock()
-		assert.Equal(t, g.declarationsOf("m").NewerDeclaredAt(1), want, "first message: %v", isFirst)
+		assert.Equal(t, g.declarationsOf("m").NewerDeclaredAt(1), want, "%+v", x)
 		g.mu.Unlock()
 	}
 }
+
+// An entry handed on what it had missed as if it had been waiting for it.
+func TestFollowersAreToldThatChangesWereMissed(t *testing.T) {
+	g, c := newTestGateway(t)
+	g.loadStore(mirror.Position{Revision: 5}, c.t)
+	apply := func(rev mirror.Revision, wasMissed bool) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		e := mirror.Event{Key: platform.OperatorKeys + "version/m", Value: fmt.Appendf(nil, `{"Model":"m","Version":%d}`, rev), Revision: rev}
+		g.apply(mirror.Update{Events: []mirror.Event{e}, At: mirror.Position{Revision: rev}}, receipt{asOf: c.t, wasMissed: wasMissed})
+	}
+	errStop := errors.New("stop")
+	isMissedAfter := func(rev mirror.Revision) (missed bool) {
+		err := g.Follow(t.Context(), mirror.Position{Revision: rev}, time.Second, func(u peer.StoreChanges) error {
+			missed = u.WasMissed
+			return errStop
+		})
+		assert.Assert(t, errors.Is(err, errStop))
+		return missed
+	}
+	apply(6, false)
+	assert.Assert(t, !isMissedAfter(5))
+	apply(7, true)
+	apply(8, false)
+	assert.Assert(t, isMissedAfter(5) && isMissedAfter(6))
+	assert.Assert(t, !isMissedAfter(7))
+}
--- a/app/gateway/follow.go
+++ b/app/gateway/follow.go
@@ -28,7 +28,7 @@
 	recalls := 0
 	for {
 		g.mu.Lock()
-		update := peer.StoreChanges{Update: g.mirror.ChangesSince(after), Age: g.now().Sub(g.mirror.CurrentAt()), StoreUnavailable: g.storeUnavailable, Reads: g.roster.Reads().Reports(g.now())}
+		update := peer.StoreChanges{Update: g.mirror.ChangesSince(after), Age: g.now().Sub(g.mirror.CurrentAt()), StoreUnavailable: g.storeUnavailable, Reads: g.roster.Reads().Reports(g.now()), WasMissed: after.Before(g.missedUntil)}
 		if isFirst || update.Full || recalls != g.recalls {
 			update.Retained, recalls = g.mirror.Retained(), g.recalls
 		}
@@ -159,7 +159,7 @@
 	if !asOf.IsZero() {
 		g.mergeReads(update.Reads, now)
 	}
-	g.apply(update.Update, receipt{asOf: asOf, wasMissed: isFirst})
+	g.apply(update.Update, receipt{asOf: asOf, wasMissed: isFirst || update.WasMissed})
 	g.recall(update.Retained)
 	return !update.StoreUnavailable && !asOf.IsZero() && !g.entryList.IsReader(now)
 }
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -80,8 +80,11 @@
 	mirror           *mirror.Mirror
 	changed          chan struct{} // closed and replaced when the mirror changes
 	storeUnavailable bool
-	recalls          int  // how often states were recalled from other daemons
-	initialReadDone  bool // the complete store was read once
+	recalls          int // how often states were recalled from other daemons
+	// missedUntil is the position up to which changes may have been written while this entry was not waiting
+	// for them.
+	missedUntil     mirror.Position
+	initialReadDone bool // the complete store was read once
 	// readDirectlyUntil is until when this entry watches the store itself because the copy that it
 	// followed was outdated.
 	readDirectlyUntil  time.Time
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -145,6 +145,7 @@
 	for _, snapshot := range snapshots {
 		g.handleChanges(g.mirror.Load(snapshot, asOf, g.now()), receipt{previous: previous, asOf: asOf, wasMissed: true})
 	}
+	g.missedUntil = g.mirror.Position()
 	g.recordEra(before)
 	g.initialReadDone = true
 	return nil
@@ -240,6 +241,9 @@
 	before := g.mirror.Position()
 	r.previous = g.mirror.CurrentAt()
 	changes := g.mirror.Merge(u, r.asOf, g.now())
+	if r.wasMissed && len(changes) > 0 {
+		g.missedUntil = g.mirror.Position()
+	}
 	g.handleChanges(changes, r)
 	g.recordEra(before)
 	return len(changes)
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -53,6 +53,9 @@
 	Retained         []mirror.Event
 	Age              time.Duration // time since the sender's copy was known to be current
 	StoreUnavailable bool          // reports that the store is unavailable to the sender
+	// WasMissed reports that the sender may not have been waiting for some of the changes when they were
+	// written.
+	WasMissed bool
 	// Reads is when the store answered the sender and other entries.
 	Reads []roster.ReadReport
 }
@@ -325,12 +328,12 @@
 	return &peerpb.StoreChanges{
 		Events: values.eventsToWire(c.Events), Retained: values.eventsToWire(c.Retained),
 		Era: uint64(c.At.Era), At: uint64(c.At.Revision), EraBase: uint64(c.EraBase), Full: c.Full,
-		AgeMs: uint64(max(0, c.Age.Milliseconds())), Lost: c.StoreUnavailable, Reads: readsToWire(c.Reads),
+		AgeMs: uint64(max(0, c.Age.Milliseconds())), Lost: c.StoreUnavailable, Missed: c.WasMissed, Reads: readsToWire(c.Reads),
 	}
 }
 
 func changesFromWire(m *peerpb.StoreChanges) (StoreChanges, error) {
-	out := StoreChanges{Age: millis(m.GetAgeMs()), StoreUnavailable: m.GetLost(), Reads: readsFromWire(m.GetReads())}
+	out := StoreChanges{Age: millis(m.GetAgeMs()), StoreUnavailable: m.GetLost(), WasMissed: m.GetMissed(), Reads: readsFromWire(m.GetReads())}
 	out.At = mirror.Position{Era: mirror.Era(m.GetEra()), Revision: mirror.Revision(m.GetAt())}
 	out.EraBase, out.Full = mirror.Revision(m.GetEraBase()), m.GetFull()
 	var values valueDecompressor
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -59,7 +59,7 @@
 			At:     mirror.Position{Era: 2, Revision: 8}, EraBase: 6, Full: true,
 		},
 		Retained: []mirror.Event{{Key: "k", Value: []byte("old"), Era: 1, Revision: 12}}, Age: time.Second, StoreUnavailable: true,
-		Reads: statedReads,
+		WasMissed: true, Reads: statedReads,
 	}
 	got, err := changesFromWire(changesToWire(want, &valueCompressor{}))
 	assert.NilError(t, err)
