gateway: a declaration that no watch awaited counts from the copy before it

Cause: a declaration that was received within a second of the last answer of the store was taken for as old as its receipt. That holds only while a watch waits for it. After refused or failed reads, in the 150 ms after a batch of changes, and after a discarded history, it may be as old as the copy. All entries follow the readers, so a late reader made a region late.

What callers saw: requests sent to older weights until after the limit, begun there (VERSION).

Change: a watch that answers within 100 ms, and a full read, may return what was written before they began. Such a declaration counts from when the copy was last current, at most directReadAge ago, as it does after a longer gap. A reader tells other entries and agents the same. A declaration that a watch waited for counts from its receipt as before.

Cost: after a batch of changes, older weights are closed up to 0.25 s earlier than needed, on engines that have not loaded in their schedule, which moves with it; if the one reader that was late is not the only one, up to directReadAge earlier.

--- /dev/null
+++ b/app/gateway/declared_since_test.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/core/mirror"
+	"amaranthturn/io/peer"
+	"amaranthturn/platform"
+)
+
+// declaringStore answers reads of an entry that knows revision 5. Each call takes a time of the fake clock.
+type declaringStore struct {
+	clock     *fakeClock
+	took      time.Duration
+	compacted bool
+}
+
+// ServeHTTP implements http.Handler.
+func (s *declaringStore) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	declaration := fmt.Sprintf(`{"Key":"%sversion/m","Value":"eyJNb2RlbCI6Im0iLCJWZXJzaW9uIjoyfQ==","Revision":6}`, platform.OperatorKeys)
+	switch prefix := r.URL.Query().Get("Prefix"); {
+	case prefix == "" && s.compacted: // a watch
+		rw.WriteHeader(http.StatusGone)
+		return
+	case prefix == platform.TargetKeys:
+		_, _ = fmt.Fprint(rw, `{"Items":[],"At":6}`)
+		return
+	}
+	s.clock.t = s.clock.t.Add(s.took)
+	_, _ = fmt.Fprintf(rw, `{"events":[%s],"Items":[%s],"At":6}`, declaration, declaration)
+}
+
+// An entry that was not waiting for changes when a version was declared, since its reads failed, its last
+// watch had returned changes or the history was discarded, took the declaration for as old as its receipt.
+func TestDeclarationThatNoWatchAwaitedCountsFromTheCopyBefore(t *testing.T) {
+	for _, x := range []struct {
+		name      string
+		age       time.Duration // of the copy when the read begins
+		took      time.Duration
+		compacted bool
+		late      time.Duration // the earliest time at which the version may have been declared, before its receipt
+	}{
+		{name: "reads failed", age: 800 * time.Millisecond, took: 5 * time.Millisecond, late: 805 * time.Millisecond},
+		{name: "after a batch", age: batchDelay, took: 5 * time.Millisecond, late: batchDelay + 5*time.Millisecond},
+		{name: "long outage", age: 5 * time.Second, took: 5 * time.Millisecond, late: directReadAge},
+		{name: "no history", age: 300 * time.Millisecond, took: 200 * time.Millisecond, compacted: true, late: 500 * time.Millisecond},
+		{name: "awaited", age: 5 * time.Millisecond, took: 600 * time.Millisecond},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			g, c := newTestGateway(t)
+			st := &declaringStore{clock: c, took: x.took, compacted: x.compacted}
+			srv := httptest.NewServer(st)
+			defer srv.Close()
+			g.store = platform.NewStore(strings.TrimPrefix(srv.URL, "http://"), srv.Client())
+			g.loadStore(mirror.Position{Revision: 5}, c.t)
+			c.t = c.t.Add(x.age)
+			assert.NilError(t, (&storeReader{g: g}).read(context.Background()))
+			follower, _ := newTestGateway(t)
+			follower.clock = c
+			follower.initialReadDone = true
+			follower.declarationsOf("m").Add(2, c.t, c.t)
+			follower.Exchange(g.Exchange(peer.ExchangeMessage{}))
+			want := c.t.Add(-x.late)
+			assert.Equal(t, g.declared["m"].NewerDeclaredAt(1), want)
+			assert.Equal(t, follower.declared["m"].NewerDeclaredAt(1), want, "of an entry that follows it")
+		})
+	}
+}
--- a/app/gateway/follow.go
+++ b/app/gateway/follow.go
@@ -178,7 +178,7 @@
 			g.roster.Drop(id) // it has left, its record has not expired
 		}
 	}
-	g.handleChanges(recalled, g.mirror.CurrentAt(), now)
+	g.handleChanges(recalled, receipt{previous: g.mirror.CurrentAt(), asOf: now})
 	g.refreshBalancers(now)
 	g.notifyFollowers()
 }
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -341,7 +341,7 @@
 	g.copyPauses.Observe(now)
 	g.observePause(now)
 	// The records whose retention ends were deleted at an unknown time.
-	g.handleChanges(g.mirror.Tick(now), time.Time{}, now)
+	g.handleChanges(g.mirror.Tick(now), receipt{asOf: now})
 	g.removeMissing(now)
 	if now.Sub(g.noticesForgottenAt) > noticeForgetInterval {
 		g.noticesForgottenAt = now
--- a/app/gateway/gateway_test.go
+++ b/app/gateway/gateway_test.go
@@ -198,7 +198,7 @@
 func (g *Gateway) loadStore(at mirror.Position, now time.Time, items ...mirror.Event) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.handleChanges(g.mirror.Load(mirror.Snapshot{Items: items, At: at}, now, now), now, now)
+	g.handleChanges(g.mirror.Load(mirror.Snapshot{Items: items, At: at}, now, now), receipt{previous: now, asOf: now})
 	g.initialReadDone = true
 }
 
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -31,6 +31,9 @@
 	// batchDelay is the delay after a change, so that one call returns the changes that follow
 	// shortly after it.
 	batchDelay = 150 * time.Millisecond
+	// promptAnswer is the time up to which a watch may have returned changes that were written before it
+	// began.
+	promptAnswer = 100 * time.Millisecond
 	// minStoreBackoff and maxStoreBackoff limit the delay after a failed read.
 	minStoreBackoff = 100 * time.Millisecond
 	maxStoreBackoff = 800 * time.Millisecond
@@ -98,7 +101,8 @@
 	defer g.mu.Unlock()
 	g.recordRead(startedAt)
 	g.readOn()
-	s.hasChanges = g.applyUpdate(mirror.Update{Events: events, At: now, EraBase: now.Revision}, g.currentAsOf(startedAt, 0)) > 0
+	update := mirror.Update{Events: events, At: now, EraBase: now.Revision}
+	s.hasChanges = g.apply(update, receipt{asOf: g.currentAsOf(startedAt, 0), wasMissed: g.now().Sub(startedAt) <= promptAnswer}) > 0
 	if !s.hasChanges {
 		g.notifyFollowers() // the copy is known to be current
 	}
@@ -137,7 +141,7 @@
 	asOf := g.currentAsOf(startedAt, 0)
 	g.recordRead(startedAt)
 	for _, snapshot := range snapshots {
-		g.handleChanges(g.mirror.Load(snapshot, asOf, g.now()), previous, asOf)
+		g.handleChanges(g.mirror.Load(snapshot, asOf, g.now()), receipt{previous: previous, asOf: asOf, wasMissed: true})
 	}
 	g.recordEra(before)
 	g.initialReadDone = true
@@ -214,19 +218,33 @@
 	return d/2 + time.Duration(g.random.Float64()*float64(d))
 }
 
+// receipt is what is known of the time at which changes were written that are received now.
+type receipt struct {
+	previous time.Time // when the copy was last current before
+	asOf     time.Time // when it was current with the changes, or zero if unknown
+	// wasMissed reports that this entry has read the changes and may not have been waiting for them when they
+	// were written.
+	wasMissed bool
+}
+
 // applyUpdate applies an update that was current at currentAt, and returns the number of
 // changes. mu must be held.
 func (g *Gateway) applyUpdate(u mirror.Update, currentAt time.Time) int {
-	previous, before := g.mirror.CurrentAt(), g.mirror.Position()
-	changes := g.mirror.Merge(u, currentAt, g.now())
-	g.handleChanges(changes, previous, currentAt)
+	return g.apply(u, receipt{asOf: currentAt})
+}
+
+// apply applies an update and returns the number of changes. mu must be held.
+func (g *Gateway) apply(u mirror.Update, r receipt) int {
+	before := g.mirror.Position()
+	r.previous = g.mirror.CurrentAt()
+	changes := g.mirror.Merge(u, r.asOf, g.now())
+	g.handleChanges(changes, r)
 	g.recordEra(before)
 	return len(changes)
 }
 
-// handleChanges processes changes of the mirror, which was last current at previous before
-// them and is current as of asOf with them. mu must be held.
-func (g *Gateway) handleChanges(events []mirror.Event, previous, asOf time.Time) {
+// handleChanges processes changes of the mirror. mu must be held.
+func (g *Gateway) handleChanges(events []mirror.Event, r receipt) {
 	now := g.now()
 	needsRefresh := false
 	for _, e := range events {
@@ -247,10 +265,10 @@
 				Int("routes", c.Document.Routes()).Msg(trace.MessageConfiguration)
 			needsRefresh = true
 		case c.Declared != nil:
-			since := g.declaredSince(previous, asOf, now)
-			if g.declarationsOf(c.Declared.Model).Add(c.Declared.Version, since, g.knownSince(since, previous, now)) {
+			since, known := g.declarationTimes(r, now)
+			if g.declarationsOf(c.Declared.Model).Add(c.Declared.Version, since, known) {
 				g.log.config.Info().Str("model", string(c.Declared.Model)).Uint64("version", c.Declared.Version).Uint64("revision", uint64(e.Revision)).
-					Dur("copy_age", now.Sub(previous)).Dur("declared_ago", now.Sub(since)).Msg("weights version declared")
+					Dur("copy_age", now.Sub(r.previous)).Dur("declared_ago", now.Sub(since)).Msg("weights version declared")
 			}
 			needsRefresh = true
 		case c.Target != nil:
@@ -262,7 +280,7 @@
 				needsRefresh = true
 			}
 		case c.RemovedTarget != "":
-			g.removeTarget(c.RemovedTarget, roster.Deletion{After: previous, By: now}, now)
+			g.removeTarget(c.RemovedTarget, roster.Deletion{After: r.previous, By: now}, now)
 			needsRefresh = true
 		}
 	}
@@ -290,6 +308,21 @@
 	g.changed = make(chan struct{})
 }
 
+// declarationTimes returns the time from which VersionChangeLimit is counted for a version whose
+// declaration is received now, and the one from which other entries are told that it is known. A
+// declaration that no watch awaited may be as old as the copy before it. mu must be held.
+func (g *Gateway) declarationTimes(r receipt, now time.Time) (since, known time.Time) {
+	since = g.declaredSince(r.previous, r.asOf, now)
+	known = g.knownSince(since, r.previous, now)
+	if r.wasMissed && g.initialReadDone {
+		since = earlier(since, later(r.previous, now.Add(-directReadAge)))
+		if g.entryList.IsReader(now) { // the others know it through this entry
+			known = earlier(known, since)
+		}
+	}
+	return since, known
+}
+
 // declaredSince returns the time from which VersionChangeLimit is counted for a version whose
 // declaration is received now. The copy of the store was last current at previous, and is
 // current as of asOf with the declaration. If the declaration may be older than this process,
@@ -321,6 +354,13 @@
 	return now
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
