gateway: a late first read of the store does not extend the time of older weights

Cause: what an entry finds declared at its first read may be older than its process, so it serves older weights for the stable period only, in which the limit does not apply to it. That period was counted from the read, not from the start of the process.

Other entries correct it by exchange if one of them was there at the declaration.

Change: it counts from the start of the process, at most fullReadTimeout before the read: if a first read takes longer, the store was unavailable, and the limit allows for that. After a pause it counts from the read as before.

--- a/app/gateway/declared_since_test.go
+++ b/app/gateway/declared_since_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"amaranthturn/core/mirror"
+	"amaranthturn/core/roster"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
@@ -74,3 +75,24 @@
 		})
 	}
 }
+
+// An entry whose first read of the store is late served older weights for the stable period from that read
+// on. It is in touch, and the limit applies, when the stable period since its start has passed.
+func TestLateFirstReadDoesNotExtendOldVersion(t *testing.T) {
+	g, c := newTestGateway(t)
+	startedAt := c.t
+	g.tick()
+	for range 100 {
+		c.t = c.t.Add(tickInterval)
+		g.tick()
+	}
+	srv := httptest.NewServer(&declaringStore{clock: c})
+	defer srv.Close()
+	g.store = platform.NewStore(strings.TrimPrefix(srv.URL, "http://"), srv.Client())
+	assert.NilError(t, (&storeReader{g: g}).read(context.Background()))
+	target := roster.Target{ID: "a", Loaded: []roster.LoadedVersion{{Model: "m", Version: 1}}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	assert.Assert(t, g.canServe(target, c.t))
+	assert.Assert(t, !g.canServe(target, startedAt.Add(g.settings.Bounds.StablePeriod)))
+}
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -332,8 +332,12 @@
 // or stream has stalled, an update may be late by at most directReadAge, since an entry then
 // reads the store itself.
 func (g *Gateway) declaredSince(previous, asOf, now time.Time) time.Time {
-	beforeStart := now.Add(g.settings.Bounds.StablePeriod - g.settings.Bounds.VersionChangeLimit)
+	stable := g.settings.Bounds.StablePeriod - g.settings.Bounds.VersionChangeLimit
+	beforeStart := now.Add(stable)
 	switch {
+	case !g.initialReadDone && !g.copyPauses.PausedSince(g.startedAt, now):
+		// If the first read took longer than one call may, the store was unavailable.
+		return later(g.startedAt, now.Add(-fullReadTimeout)).Add(stable)
 	case !g.initialReadDone:
 		return beforeStart
 	case now.Sub(asOf) > copyPauseThreshold, g.copyPauses.PausedSince(previous, now):
