--- a/app/gateway/declared_since_test.go
+++ b/app/gateway/declared_since_test.go
@@ -27,13 +27,12 @@
 
 // ServeHTTP implements http.Handler.
 func (s *declaringStore) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	const declaration = `{"Key":"op/version/m","Value":"eyJNb2RlbCI6Im0iLCJWZXJzaW9uIjoyfQ==","Revision":6}`
-	isWatch := strings.HasSuffix(r.URL.Path, "/kv-watch")
-	switch {
-	case isWatch && s.compacted:
+	declaration := fmt.Sprintf(`{"Key":"%sversion/m","Value":"eyJNb2RlbCI6Im0iLCJWZXJzaW9uIjoyfQ==","Revision":6}`, platform.OperatorKeys)
+	switch prefix := r.URL.Query().Get("Prefix"); {
+	case prefix == "" && s.compacted: // a watch
 		rw.WriteHeader(http.StatusGone)
 		return
-	case !isWatch && r.URL.Query().Get("Prefix") == platform.TargetKeys:
+	case prefix == platform.TargetKeys:
 		_, _ = fmt.Fprint(rw, `{"Items":[],"At":6}`)
 		return
 	}
