target: a request that was given up resets its connection

Cause: when a caller leaves, or an attempt is canceled or superseded, the entry closed the connection to the target. After a close the kernel still sends what lies in the socket, and a target that doesn't read for a while, because it or its link pauses, gets the request whole seconds later. To a target that allows for half-closed connections the end is that of a caller who still waits.

What callers saw: nothing; targets worked for callers that had left.

Change: a connection whose response was not read to its end is closed with a reset, which drops what was not sent and is an error to the target. A complete response closes its connection as before.

On Linux a target can still read what it had received before the reset, so that the reset helps a real target only for what was still in the entry's socket, or if it looks for the end of the connection before it begins.

--- a/io/target/target.go
+++ b/io/target/target.go
@@ -208,6 +208,15 @@
 
 func (c *conn) endHeader() { c.head = nil }
 
+// abort closes the connection with a reset. What the socket has not sent yet is dropped, and the target
+// can't take the end for that of a request whose caller still waits.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = c.Close()
+}
+
 // Response is a response whose body is being read.
 type Response struct {
 	Status int
@@ -227,7 +236,7 @@
 }
 
 // Do sends a request and returns when the header of its response has arrived. When ctx ends,
-// the connection is closed, which makes the target stop processing the request.
+// the connection is reset, which makes the target stop processing the request.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
 	hr, err := newHTTPRequest(r)
 	if err != nil {
@@ -244,7 +253,7 @@
 		}
 	}
 	resp := &Response{pool: p, conn: c, written: make(chan error, 1)}
-	resp.stop = context.AfterFunc(ctx, func() { _ = c.Close() }) // unblocks reads and writes
+	resp.stop = context.AfterFunc(ctx, c.abort) // unblocks reads and writes
 	if len(r.Body) <= maxSyncBodyBytes {
 		resp.written <- hr.Write(c)
 	} else {
@@ -253,7 +262,7 @@
 	}
 	if err := resp.readHeader(hr, r); err != nil {
 		resp.stop()
-		_ = c.Close() // the connection cannot be reused
+		c.abort() // the target must not go on for nobody
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -417,6 +426,10 @@
 		sent = err == nil
 	default:
 	}
+	if !resp.bodyComplete {
+		resp.conn.abort()
+		return
+	}
 	if !stopped || !sent || !resp.isComplete() {
 		_ = resp.conn.Close() // remaining bytes belong to no request
 		return
