gateway: the time that connecting takes is not handed on to a target

Cause: Deadline-Ms was computed before the connection was made, which may take up to 0.7 s (dialTimeout) at a target or on a link that pauses. The target was told that much more than was left, also on each later attempt of a request. The bound (0.5 s more than the caller's) held only while targets accept connections as fast as usual.

What callers saw: nothing; targets worked for callers that had left.

Change: the header is set once there is a connection, where pauses of the target are checked, too. Time within the send itself (the target's socket) remains.

Ruled out: the project's own interface. Its entries send the deadline as a time of day (deadline_unix_ms), which a pause does not move (by reading: io/peer/convert.go, app/agent/gate.go).

Measured: TestTimeToConnectIsNotHandedOn, connecting takes 600 of 1,000 ms: the target was told 1000, now 400.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -65,7 +65,7 @@
 func (a *targetAttempt) send() (dispatch.Failure, bool) {
 	h := a.handler
 	sent, notices, err := h.g.targets.Send(a.ctx, forward.Attempt{
-		Call: h.call, Target: a.target.ID, Address: a.target.Address, Workspace: h.workspace, Remaining: h.deadline.Time().Sub(h.g.now()),
+		Call: h.call, Target: a.target.ID, Address: a.target.Address, Workspace: h.workspace, Remaining: h.remaining,
 		LastEventID: a.lastEventID, Version: a.version,
 		// On a connection that a target has answered the request on, a repetition of that
 		// answer could not be told from the answer to this attempt.
--- a/app/gateway/deadline.go
+++ b/app/gateway/deadline.go
@@ -45,6 +45,9 @@
 	return ctx
 }
 
+// remaining returns the time until the request's deadline.
+func (h *requestHandler) remaining() time.Duration { return h.deadline.Time().Sub(h.g.now()) }
+
 // onDeadlineTimer ends the request unless its deadline was raised since the timer was set.
 func (h *requestHandler) onDeadlineTimer() {
 	h.g.mu.Lock()
--- /dev/null
+++ b/app/gateway/slow_connect_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/core/dispatch"
+	"amaranthturn/core/forward"
+	"amaranthturn/core/roster"
+	"amaranthturn/core/routeconfig"
+	"amaranthturn/io/target"
+	"amaranthturn/platform"
+)
+
+// slowConnect is a context in which connecting takes a time: net.Dialer asks for its deadline.
+type slowConnect struct {
+	context.Context
+	clock *fakeClock
+	took  time.Duration
+}
+
+// Deadline implements context.Context.
+func (s *slowConnect) Deadline() (time.Time, bool) {
+	s.clock.t = s.clock.t.Add(s.took)
+	s.took = 0
+	return s.Context.Deadline()
+}
+
+// readRequest accepts one connection and returns the header of the request on it.
+func readRequest(l net.Listener, header chan<- http.Header) {
+	c, err := l.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+		header <- r.Header
+	}
+}
+
+// A target that takes long to accept the connection was told the time that was left before, so that it
+// worked for a caller that had left.
+func TestTimeToConnectIsNotHandedOn(t *testing.T) {
+	g, c := newTestGateway(t)
+	g.targets = platform.NewTargetClient(target.NewPool())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	header := make(chan http.Header, 1)
+	go readRequest(l, header)
+	h := &requestHandler{
+		g: g, call: &forward.Call{ID: "a1", Method: "GET", Host: "h", URI: "/", Header: http.Header{}}, route: &routeconfig.Route{Kind: routeconfig.KindIdempotent},
+		state: dispatch.NewRequest(dispatch.Settings{}, c.t.Add(time.Second)), stream: forward.NewStream(""), requestLimits: requestLimits{deadline: dispatch.NewDeadline(c.t, time.Second)},
+	}
+	a := h.newAttempt(&slowConnect{t.Context(), c, 600 * time.Millisecond}, nil, roster.Target{ID: "a", Service: "s", Address: l.Addr().String(), State: roster.StateReady})
+	a.send()
+	stated, err := strconv.Atoi((<-header).Get("Deadline-Ms"))
+	assert.NilError(t, err)
+	assert.Equal(t, stated, 400)
+}
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -56,11 +56,13 @@
 
 // Attempt is a request as it is sent to one target.
 type Attempt struct {
-	Call        *Call
-	Target      fleet.InstanceID
-	Address     string
-	Workspace   fleet.Workspace
-	Remaining   time.Duration // remaining time until the target must stop
+	Call      *Call
+	Target    fleet.InstanceID
+	Address   string
+	Workspace fleet.Workspace
+	// Remaining returns the time until the target must stop. It is asked once there is a connection, since
+	// connecting takes time.
+	Remaining   func() time.Duration
 	LastEventID string
 	// Version is the version of weights that must serve the request, 0 for any.
 	Version uint64
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -87,9 +87,9 @@
 	Body   []byte
 	// NewConnection requires a new connection, for requests that must not be repeated.
 	NewConnection bool
-	// BeforeSend, if set, is called once there is a connection. If it returns an error, nothing is
-	// sent.
-	BeforeSend func() error
+	// BeforeSend, if set, is called once there is a connection, and may change the header that is sent.
+	// If it returns an error, nothing is sent.
+	BeforeSend func(http.Header) error
 	// Match tells to which request a response with this status and header belongs.
 	Match func(status int, h http.Header) Match
 }
@@ -247,7 +247,7 @@
 		return nil, &NotSentError{Address: addr, Cause: err}
 	}
 	if r.BeforeSend != nil {
-		if err := r.BeforeSend(); err != nil {
+		if err := r.BeforeSend(hr.Header); err != nil {
 			_ = c.Close() // nothing was sent
 			return nil, &NotSentError{Address: addr, Cause: err}
 		}
