gateway: a target that is found to leave while connecting gets nothing

Cause: the target is chosen before the connection is made, which may take up to 0.7 s, and only a pause that it asked for meanwhile was checked before the request was sent. That the request arrives within DrainMs rested on fast connecting, and on a target that does not pause besides.

What callers saw: nothing that was recorded; the bound (2 s) was met by 1.3 s less the time until the entry knows. DRAIN is broken only if a pause of the target comes on top.

Change: the check before sending covers a target that has stated that it leaves, that is listed as draining or is no longer listed. The request goes to another target, as not sent. The test of a pause lists its target now, as every chosen one is.

Ruled out: requests that are sent later than DrainMs (the connect timeout is below it).

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -116,7 +116,7 @@
 	if a.isSuperseded() {
 		return errSuperseded
 	}
-	if err := a.checkPause(); err != nil {
+	if err := a.checkTarget(); err != nil {
 		return err
 	}
 	g := a.handler.g
@@ -360,7 +360,7 @@
 		return dispatch.Failure{Kind: dispatch.KindNotSent} // the next attempt returns the context's failure
 	case a.parent.Err() != nil:
 		return dispatch.Failure{Kind: daemon.FailureKind(a.parent)}
-	case errors.Is(err, errTargetPaused), a.isSuperseded() && isNotSent:
+	case errors.Is(err, errTargetPaused), errors.Is(err, errTargetLeaves), a.isSuperseded() && isNotSent:
 		return dispatch.Failure{Kind: dispatch.KindNotSent}
 	case a.isSuperseded():
 		return dispatch.Failure{Kind: dispatch.KindLost}
--- a/app/gateway/notices.go
+++ b/app/gateway/notices.go
@@ -43,16 +43,27 @@
 // errTargetPaused reports that a target asked for a pause after it was chosen.
 var errTargetPaused = errors.New("target has asked for a pause")
 
-// checkPause returns an error if the target of an attempt asked for a pause after it was chosen.
-func (a *targetAttempt) checkPause() error {
+// errTargetLeaves reports that a target was found to leave after it was chosen.
+var errTargetLeaves = errors.New("target leaves")
+
+// checkTarget returns an error if the target of an attempt asked for a pause or was found to leave after it
+// was chosen.
+func (a *targetAttempt) checkTarget() error {
 	g := a.handler.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.now().Before(g.notices.PausedUntil(noticeTarget(a.target))) {
-		g.metrics.Count("attempts_withdrawn", 1)
-		return errTargetPaused
+	var err error
+	listed, ok := g.roster.Get(a.target.ID)
+	switch {
+	case g.now().Before(g.notices.PausedUntil(noticeTarget(a.target))):
+		err = errTargetPaused
+	case !ok || listed.State != roster.StateReady || g.notices.IsLeaving(noticeTarget(a.target)):
+		err = errTargetLeaves
+	default:
+		return nil
 	}
-	return nil
+	g.metrics.Count("attempts_withdrawn", 1)
+	return err
 }
 
 // mergeLeaving applies which targets leave as another daemon knows it. mu must be held.
--- a/app/gateway/notices_test.go
+++ b/app/gateway/notices_test.go
@@ -49,6 +49,7 @@
 		t.Cleanup(func() { _ = l.Close() })
 		go l.run()
 		chosen := roster.Target{ID: "a", Service: "s", Address: l.Addr().String(), State: roster.StateReady, Incarnation: 5}
+		g.roster.Update(chosen)
 		h := &requestHandler{
 			g: g, call: &forward.Call{ID: "a1", Method: "GET", Host: "h", URI: "/", Header: http.Header{}}, route: &routeconfig.Route{Kind: routeconfig.KindIdempotent},
 			state: dispatch.NewRequest(dispatch.Settings{}, c.t.Add(time.Second)), stream: forward.NewStream(""), requestLimits: requestLimits{deadline: dispatch.NewDeadline(c.t, time.Second)},
--- a/app/gateway/slow_connect_test.go
+++ b/app/gateway/slow_connect_test.go
@@ -13,6 +13,7 @@
 
 	"amaranthturn/core/dispatch"
 	"amaranthturn/core/forward"
+	"amaranthturn/core/loadbalance"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routeconfig"
 	"amaranthturn/io/target"
@@ -59,9 +60,47 @@
 		g: g, call: &forward.Call{ID: "a1", Method: "GET", Host: "h", URI: "/", Header: http.Header{}}, route: &routeconfig.Route{Kind: routeconfig.KindIdempotent},
 		state: dispatch.NewRequest(dispatch.Settings{}, c.t.Add(time.Second)), stream: forward.NewStream(""), requestLimits: requestLimits{deadline: dispatch.NewDeadline(c.t, time.Second)},
 	}
-	a := h.newAttempt(&slowConnect{t.Context(), c, 600 * time.Millisecond}, nil, roster.Target{ID: "a", Service: "s", Address: l.Addr().String(), State: roster.StateReady})
+	chosen := roster.Target{ID: "a", Service: "s", Address: l.Addr().String(), State: roster.StateReady}
+	g.roster.Update(chosen)
+	a := h.newAttempt(&slowConnect{t.Context(), c, 600 * time.Millisecond}, nil, chosen)
 	a.send()
 	stated, err := strconv.Atoi((<-header).Get("Deadline-Ms"))
 	assert.NilError(t, err)
 	assert.Equal(t, stated, 400)
 }
+
+// A target that was found to leave while the connection to it was being made got the request up to the
+// connect timeout later, which left that much less until its DrainMs for a pause of the target.
+func TestAttemptThatWasDiallingWhenItsTargetLeft(t *testing.T) {
+	for name, leave := range map[string]func(*Gateway, roster.Target){
+		"stated in an answer": func(g *Gateway, chosen roster.Target) { g.recordNotices(chosen, "a0", forward.Notices{Leaving: true}) },
+		"listed as draining": func(g *Gateway, chosen roster.Target) {
+			chosen.State = roster.StateDraining
+			g.roster.Update(chosen)
+		},
+		"removed from the list": func(g *Gateway, chosen roster.Target) { g.roster.Drop(chosen.ID) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, c := newTestGateway(t)
+			g.targets = platform.NewTargetClient(target.NewPool())
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			l := &countingListener{Listener: tcp}
+			t.Cleanup(func() { _ = l.Close() })
+			go l.run()
+			chosen := roster.Target{ID: "a", Service: "s", Address: l.Addr().String(), State: roster.StateReady, Incarnation: 5}
+			g.roster.Update(chosen)
+			h := &requestHandler{
+				g: g, call: &forward.Call{ID: "a1", Method: "GET", Host: "h", URI: "/", Header: http.Header{}}, route: &routeconfig.Route{Kind: routeconfig.KindIdempotent},
+				state: dispatch.NewRequest(dispatch.Settings{}, c.t.Add(time.Second)), stream: forward.NewStream(""), requestLimits: requestLimits{deadline: dispatch.NewDeadline(c.t, time.Second)},
+			}
+			a := h.newAttempt(t.Context(), nil, chosen)
+			leave(g, chosen)
+			failure, done := a.send()
+			assert.Assert(t, !done)
+			assert.Equal(t, l.bytes.Load(), int64(0))
+			assert.Equal(t, failure.Kind, dispatch.KindNotSent)
+			assert.Equal(t, a.result, loadbalance.ResultUnknown, "the target has not failed")
+		})
+	}
+}
