--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -65,7 +65,7 @@
 func (a *targetAttempt) send() (dispatch.Failure, bool) {
 	h := a.handler
 	sent, notices, err := h.g.targets.Send(a.ctx, forward.Attempt{
-		Call: h.call, Target: a.target.ID, Address: a.target.Address, Workspace: h.workspace, Remaining: h.deadline.Time().Sub(h.g.now()),
+		Call: h.call, Target: a.target.ID, Address: a.target.Address, Workspace: h.workspace, Remaining: h.remaining,
 		LastEventID: a.lastEventID, Version: a.version,
 		// On a connection that a target has answered the request on, a repetition of that
 		// answer could not be told from the answer to this attempt.
@@ -118,7 +118,7 @@
 	if a.isSuperseded() {
 		return errSuperseded
 	}
-	if err := a.checkPause(); err != nil {
+	if err := a.checkTarget(); err != nil {
 		return err
 	}
 	g := a.handler.g
@@ -365,7 +365,7 @@
 		return dispatch.Failure{Kind: dispatch.KindNotSent} // the next attempt returns the context's failure
 	case a.parent.Err() != nil:
 		return dispatch.Failure{Kind: daemon.FailureKind(a.parent)}
-	case errors.Is(err, errTargetPaused), errors.Is(err, errWeightsTooOld), a.isSuperseded() && isNotSent:
+	case errors.Is(err, errTargetPaused), errors.Is(err, errTargetLeaves), errors.Is(err, errWeightsTooOld), a.isSuperseded() && isNotSent:
 		return dispatch.Failure{Kind: dispatch.KindNotSent}
 	case a.isSuperseded():
 		return dispatch.Failure{Kind: dispatch.KindLost}
