--- a/app/gateway/leaving_bound_test.go
+++ b/app/gateway/leaving_bound_test.go
@@ -62,12 +62,12 @@
 	s.changed = make(chan struct{})
 }
 
-// after returns what was written after a revision.
-func (s *liveStore) after(revision uint64) (items []storeItem, at uint64, changed chan struct{}) {
+// after returns what was written after a revision under keys with a prefix.
+func (s *liveStore) after(revision uint64, prefix string) (items []storeItem, at uint64, changed chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, item := range s.log {
-		if item.Revision > revision {
+		if item.Revision > revision && strings.HasPrefix(item.Key, prefix) {
 			items = append(items, item)
 		}
 	}
@@ -116,7 +116,7 @@
 		return nil, err
 	}
 	revision, _ := strconv.ParseUint(r.URL.Query().Get("After"), 10, 64)
-	items, at, changed := s.after(revision)
+	items, at, changed := s.after(revision, r.URL.Query().Get("Prefix"))
 	if wait, err := strconv.Atoi(r.URL.Query().Get("WaitMs")); err == nil && len(items) == 0 {
 		select {
 		case <-changed:
@@ -127,7 +127,7 @@
 		if err := a.cut(r.Context()); err != nil {
 			return nil, err
 		}
-		items, at, _ = s.after(revision)
+		items, at, _ = s.after(revision, r.URL.Query().Get("Prefix"))
 	}
 	body, err := json.Marshal(map[string]any{"At": at, "Items": items, "events": items})
 	if err != nil {
--- a/app/gateway/missing_test.go
+++ b/app/gateway/missing_test.go
@@ -91,7 +91,7 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("After"), 10, 64) // absent in a full read
 	var items []storeItem
 	for _, item := range s.log {
-		if item.Revision > after {
+		if item.Revision > after && strings.HasPrefix(item.Key, r.URL.Query().Get("Prefix")) {
 			items = append(items, item)
 		}
 	}
