io/platform: an answer that the platform repeats answers no later call

Cause: responses of the platform don't name their request, and calls kept connections. A repeated instance list was taken for a configuration.

Callers saw: the list is refused as a document, but its revision, which counts lists, is the last one read from then on. Configurations with a revision up to it are not read by that entry; it learns of them from others only.

Change: each call, a long poll, uses a new connection, as calls to engines do.

--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -21,6 +21,11 @@
 // restored from a copy. Revisions are then given out again, so a revision is meaningful only
 // with its era: if era is not that of the store, the current document is returned at once.
 // A response without a valid era counts as one of the era asked for.
+//
+// # Connections
+//
+// Responses do not name their request. Each call uses a new connection, so that a platform that
+// repeats a response cannot answer a later call with it.
 package platform
 
 import (
@@ -185,6 +190,7 @@
 	if err != nil {
 		return Version{}, nil, &UnreachableError{URL: c.base, Cause: err}
 	}
+	req.Close = true
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return Version{}, nil, &UnreachableError{URL: c.base, Cause: err}
