io/caller: the body of a request has as long as its caller waits

Cause: bodies were read without a time limit, on the project's own interface only. The time that the caller states began after the body.

Callers saw: a request whose body stalls, or comes a byte now and then, was never answered; each held a connection and a goroutine until the planned stop.

Change: the read ends when the caller's time does, with not_run and deadline_passed, as on the users' platform.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -28,6 +28,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -377,6 +378,7 @@
 
 func (h *handler) readBody(c *gin.Context) ([]byte, bool) {
 	ctl := http.NewResponseController(c.Writer)
+	_ = ctl.SetReadDeadline(time.Now().Add(bodyTime(c.Request.Header)))                           // only writers that are no connection return an error
 	stop := context.AfterFunc(h.svc.Ended(), func() { _ = ctl.SetReadDeadline(time.Unix(1, 0)) }) // ends the read
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes))
 	stop()
@@ -388,13 +390,27 @@
 	case err != nil && h.svc.Ended().Err() != nil:
 		refuse(c, fleet.NotRun(fleet.ReasonLeaving, retry.BaseDelay))
 		return nil, false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		refuse(c, fleet.NotRun(fleet.ReasonDeadlinePassed, 0))
+		return nil, false
 	case err != nil:
 		refuse(c, fleet.NotRun(fleet.ReasonBadRequest, 0))
 		return nil, false
 	}
+	// After a refusal the server reads on, so the deadline stays.
+	_ = ctl.SetReadDeadline(time.Time{})
 	return body, true
 }
 
+// bodyTime returns how long a body may take to arrive: as long as its caller waits.
+func bodyTime(h http.Header) time.Duration {
+	ms, err := strconv.ParseInt(h.Get(HeaderTimeout), 10, 64)
+	if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+		return defaultTimeout
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func requestID(c *gin.Context) string {
 	if id := c.GetHeader(HeaderRequestID); id != "" && len(id) <= maxNameLen {
 		return id
