platform: a caller that stops reading holds no slot after its deadline

Cause: writes to callers had no limit. The deadline closes the connection to the target, but the attempt waits in its write; it ends when the caller's system gives up, which it need not.

Callers saw: once as many callers had stopped reading as targets have slots, every request was refused (503), although the targets were idle.

--- a/app/gateway/race_test.go
+++ b/app/gateway/race_test.go
@@ -279,6 +279,9 @@
 	time.Sleep(r.slow)
 }
 
+// SetDeadline implements forward.Responder.
+func (r *recorder) SetDeadline(forward.Deadline) {}
+
 // WriteResponse implements forward.Responder.
 func (r *recorder) WriteResponse(reply forward.Reply, body []byte) {
 	r.enter()
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -83,6 +83,7 @@
 	h := &requestHandler{g: g, call: c, out: out, startedAt: g.now()}
 	refusal := h.prepare()
 	if refusal == nil {
+		out.SetDeadline(h.deadline)
 		ctx := h.startDeadline(ctx)
 		defer h.endDeadline()
 		refusal = h.admitAndRun(ctx)
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -106,9 +106,15 @@
 	n.Malformed = cmp.Or(n.Malformed, other.Malformed)
 }
 
+// Deadline is a time that may be raised.
+type Deadline interface{ Time() time.Time }
+
 // Responder sends the response to the caller. The response to an unframed reply is unframed too,
 // so that it does not claim to be complete.
 type Responder interface {
+	// SetDeadline sets until when the caller waits. Writes fail some time after it if the caller does
+	// not read.
+	SetDeadline(d Deadline)
 	// WriteResponse sends a reply with its body.
 	WriteResponse(r Reply, body []byte)
 	// WriteHeader sends the status and header of a reply whose body is streamed.
