io/caller: a stream ends if its caller stops reading

Cause, as on the users' platform: writes of events had no limit, so a caller that stops reading kept its stream, its entry's slot and its target's past the deadline.

Change: a write may take until the deadline and a second more.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -225,6 +225,7 @@
 func (h *handler) stream(ctx context.Context, c *gin.Context, g GenerateRequest) {
 	started := false
 	refusal := h.svc.Generate(ctx, g, func(t Token) error {
+		limitWrite(c, g.Deadline)
 		if !started {
 			started = true
 			c.Header("Content-Type", "text/event-stream")
@@ -245,6 +246,19 @@
 	}
 }
 
+// lateWriteTime is how long a write may take after the deadline. A token that is ready is delivered
+// even if it is late.
+const lateWriteTime = time.Second
+
+// limitWrite limits the next write of a stream, so that a caller that has stopped reading holds nothing
+// for good. The server ends the limit with the response.
+func limitWrite(c *gin.Context, deadline time.Time) {
+	if now := time.Now(); now.After(deadline) {
+		deadline = now
+	}
+	_ = http.NewResponseController(c.Writer).SetWriteDeadline(deadline.Add(lateWriteTime)) // only writers that are no connection return an error
+}
+
 func newCompletionChunk(g GenerateRequest, t Token) completion {
 	ch := choice{Delta: &message{Content: t.Text}}
 	if t.Done {
