agent: an order that outlasts its ticket is answered

Cause: the caller that waits for an order got its outcome from the table, which first drops tickets that have expired, also those of orders that have just ended.

Callers saw: unknown, although the service had answered, and although an order had certainly not reached its service.

Change: the run keeps its outcome for those that wait.

--- a/app/agent/agent.go
+++ b/app/agent/agent.go
@@ -106,7 +106,7 @@
 	a.pace = newPacing(fleet.Bytes(s.Weights.LinkBytesPerSecond))
 	a.cache = newWeightCache(a)
 	a.driver = newEngineDriver(a, now)
-	a.orders = &orders{a: a, table: ticket.NewTable(a.self.ID, a.incarnation, ticket.DefaultLimits), finished: map[ticket.ID]chan struct{}{}}
+	a.orders = &orders{a: a, table: ticket.NewTable(a.self.ID, a.incarnation, ticket.DefaultLimits), running: map[ticket.ID]*orderJob{}}
 	a.attach = newAttachments(a)
 	return a
 }
@@ -163,7 +163,7 @@
 }
 
 // isIdle reports whether no request and no order is in progress.
-func (a *Agent) isIdle() bool { return a.gate.count() == 0 && a.orders.running() == 0 }
+func (a *Agent) isIdle() bool { return a.gate.count() == 0 && a.orders.count() == 0 }
 
 // report builds the next heartbeat.
 func (a *Agent) report() membership.Report {
--- a/app/agent/orders.go
+++ b/app/agent/orders.go
@@ -19,10 +19,10 @@
 
 // orders runs orders under tickets, each at most once.
 type orders struct {
-	a        *Agent
-	mu       sync.Mutex // guards table and finished
-	table    *ticket.Table
-	finished map[ticket.ID]chan struct{} // for each running order, closed when it ends
+	a       *Agent
+	mu      sync.Mutex // guards table and running
+	table   *ticket.Table
+	running map[ticket.ID]*orderJob
 }
 
 func (o *orders) leave() {
@@ -31,7 +31,7 @@
 	o.table.Leave()
 }
 
-func (o *orders) running() int {
+func (o *orders) count() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.table.Running()
@@ -61,11 +61,10 @@
 func (o *orders) run(ctx context.Context, t ticket.Ticket, c peer.Call) (fleet.Outcome, peer.Reply) {
 	o.mu.Lock()
 	d := o.table.Begin(t, c.Deadline, o.a.now())
-	done := o.finished[t.ID]
+	job := o.running[t.ID]
 	if d.Verdict == ticket.VerdictRun {
-		done = make(chan struct{})
-		o.finished[t.ID] = done
-		job := &orderJob{orders: o, ticket: t, call: c, done: done}
+		job = &orderJob{orders: o, ticket: t, call: c, done: make(chan struct{})}
+		o.running[t.ID] = job
 		go job.run()
 	}
 	o.mu.Unlock()
@@ -73,13 +72,11 @@
 		return replyFromDecision(d)
 	}
 	select {
-	case <-done:
+	case <-job.done:
 	case <-ctx.Done():
 		return refusalReply(fleet.Unknown(fleet.ReasonStillRunning))
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return replyFromDecision(o.table.Stop(t, o.a.now()))
+	return replyFromDecision(job.result)
 }
 
 // orderJob is the single run of an order.
@@ -87,7 +84,9 @@
 	orders *orders
 	ticket ticket.Ticket
 	call   peer.Call
-	done   chan struct{}
+	done   chan struct{} // closed when the order has ended
+	// result is set before done is closed. The table forgets it when the ticket has expired.
+	result ticket.Decision
 }
 
 func (j *orderJob) run() {
@@ -107,7 +106,8 @@
 	default:
 		j.orders.table.Finish(j.ticket.ID, ticket.Result{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body, Unframed: reply.Unframed})
 	}
-	delete(j.orders.finished, j.ticket.ID)
+	j.result = j.orders.table.Result(j.ticket.ID)
+	delete(j.orders.running, j.ticket.ID)
 	close(j.done)
 }
 
--- a/core/ticket/table.go
+++ b/core/ticket/table.go
@@ -174,6 +174,15 @@
 	}
 }
 
+// Result returns the decision for further attempts with a ticket that received VerdictRun.
+func (t *Table) Result(id ID) Decision {
+	r, ok := t.records[id]
+	if !ok {
+		return refuse(fleet.OutcomeUnknown, ReasonResultUnknown)
+	}
+	return r.decision()
+}
+
 // Leave makes the table refuse every ticket whose order has not started.
 func (t *Table) Leave() { t.leaving = true }
 
