target: comments of a slow stream are no events

Cause: the reader returned whatever ended with an empty line, so a comment was an event without an ID, which is out of order.

Callers saw: a slow stream whose target sends comments was cut at the first of them: 502 after an attempt on each target that the route allows, and a truncated or resumed stream if it had begun. The targets counted as faulty.

Change: comments and empty lines come with the event that follows. They count towards its limit, and not as progress.

--- a/io/target/events.go
+++ b/io/target/events.go
@@ -12,7 +12,8 @@
 // maxEventBytes is the maximum size of an event.
 const maxEventBytes = 1 << 20
 
-// Event is a complete event of a stream, including the empty line that ends it.
+// Event is a complete event of a stream, including the empty line that ends it and the comments before
+// it.
 type Event struct {
 	Raw []byte
 	ID  string
@@ -39,12 +40,13 @@
 	return e.held.Hold(int64(n))
 }
 
-// Next returns the next event, which counts as held until the next call. It returns io.EOF if the stream ended after a complete event,
+// Next returns the next event, which counts as held until the next call. Comments, by which a slow server
+// shows that it is there, are no events. It returns io.EOF if the stream ended after a complete event or comment,
 // io.ErrUnexpectedEOF if it ended within one, *bounded.TooLargeError if the event is too
 // large, by itself or with those of the pool's other responses, and ErrMalformedEvent if one of its lines is no field.
 func (e *EventReader) Next() (Event, error) {
 	var ev Event
-	lineStart := 0
+	lineStart, blockStart, hasField := 0, 0, false
 	for {
 		part, err := e.rd.ReadSlice('\n')
 		ev.Raw = append(ev.Raw, part...)
@@ -56,7 +58,7 @@
 			return Event{}, &bounded.TooLargeError{Part: bounded.PartEvent, Limit: maxEventBytes}
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue // the line is longer than the buffer
-		case errors.Is(err, io.EOF) && len(ev.Raw) > 0:
+		case errors.Is(err, io.EOF) && len(ev.Raw) > blockStart:
 			return Event{}, io.ErrUnexpectedEOF
 		case err != nil:
 			return Event{}, err
@@ -64,11 +66,16 @@
 		line := bytes.TrimRight(ev.Raw[lineStart:], "\r\n")
 		lineStart = len(ev.Raw)
 		if len(line) == 0 {
-			return ev, nil
+			if hasField {
+				return ev, nil
+			}
+			blockStart = len(ev.Raw)
+			continue
 		}
 		if !isField(line) {
 			return Event{}, ErrMalformedEvent
 		}
+		hasField = hasField || line[0] != ':'
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			ev.ID = string(bytes.TrimSpace(id))
 		}
--- a/io/target/events_test.go
+++ b/io/target/events_test.go
@@ -67,3 +67,26 @@
 	}
 	return n, nil
 }
+
+// A slow server sends comments. They come with the event that follows, and none is an event itself.
+func TestCommentsAreNoEvents(t *testing.T) {
+	const first, second = ":\n\n\n: still there\r\n\r\n: a\nid: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"
+	for rest, want := range map[string]error{
+		"": io.EOF, ":\n\n": io.EOF, "\n": io.EOF, ":": io.ErrUnexpectedEOF, ":\n": io.ErrUnexpectedEOF, ":\n\nid: 3\n": io.ErrUnexpectedEOF,
+		"HTTP/1.1 200 OK\r\n\r\n": target.ErrMalformedEvent, ":\n\nHTTP/1.1 200 OK\r\n\r\n": target.ErrMalformedEvent,
+	} {
+		rd := target.NewEventReader(strings.NewReader(first + second + rest))
+		for i, raw := range []string{first, second} {
+			ev, err := rd.Next()
+			assert.NilError(t, err)
+			assert.Equal(t, string(ev.Raw), raw)
+			assert.Equal(t, ev.ID, []string{"1", "2"}[i])
+		}
+		_, err := rd.Next()
+		assert.Assert(t, errors.Is(err, want), "%q: %v", rest, err)
+	}
+	stream := &repeater{text: []byte(":\n\n"), left: maxEndlessBytes}
+	_, err := target.NewEventReader(stream).Next()
+	var tooLarge *bounded.TooLargeError
+	assert.Assert(t, errors.As(err, &tooLarge), "%v", err)
+}
