--- a/app/sidecar/load_test.go
+++ b/app/sidecar/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 	m := telemetry.NewMetrics("agent")
 	t.Cleanup(func() { _ = m.Close() })
 	cfg := &platform.Settings{Instance: "a1", Zone: "z", Region: "r", TargetAddress: "10.0.0.1:1", TargetService: "llm"}
-	s := New(cfg, c, telemetry.NewLogs(io.Discard, settings.Log{}, "a1"), m, peer.NewPool(peer.DialOptions{}), platform.NewEngine("10.0.0.1:1", nil), nil, nil, 1)
+	s := New(cfg, c, telemetry.NewLogs(io.Discard, settings.Log{}, "a1"), m, peer.NewPool(peer.DialOptions{}), platform.NewEngine("10.0.0.1:1", &http.Client{}), nil, nil, 1)
 	s.doc = routeconfig.New(1, nil, []routeconfig.Service{{Name: "llm", Engine: &routeconfig.Engine{Slots: 8, Models: []routeconfig.EngineModel{{Name: "m"}}}}}, routeconfig.Limits{}, nil)
 	s.isEngineUp, s.report = true, reportOf(0)
 	var listeners []*loadListener
