--- a/app/gateway/slow_connect_test.go
+++ b/app/gateway/slow_connect_test.go
@@ -18,6 +18,7 @@
 	"amaranthturn/core/routeconfig"
 	"amaranthturn/io/target"
 	"amaranthturn/platform"
+	"amaranthturn/platform/platformtest"
 )
 
 // slowConnect is a context in which connecting takes a time: net.Dialer asks for its deadline.
@@ -64,7 +65,7 @@
 	g.roster.Update(chosen)
 	a := h.newAttempt(&slowConnect{t.Context(), c, 600 * time.Millisecond}, nil, chosen)
 	a.send()
-	stated, err := strconv.Atoi((<-header).Get("Deadline-Ms"))
+	stated, err := strconv.Atoi((<-header).Get(platformtest.HeaderDeadline))
 	assert.NilError(t, err)
 	assert.Equal(t, stated, 400)
 }
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -28,6 +28,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -224,6 +225,7 @@
 func (h *handler) stream(ctx context.Context, c *gin.Context, g GenerateRequest) {
 	started := false
 	refusal := h.svc.Generate(ctx, g, func(t Token) error {
+		limitWrite(c, g.Deadline)
 		if !started {
 			started = true
 			c.Header("Content-Type", "text/event-stream")
@@ -244,6 +246,19 @@
 	}
 }
 
+// lateWriteTime is how long a write may take after the deadline. A token that is ready is delivered
+// even if it is late.
+const lateWriteTime = time.Second
+
+// limitWrite limits the next write of a stream, so that a caller that has stopped reading holds nothing
+// for good. The server ends the limit with the response.
+func limitWrite(c *gin.Context, deadline time.Time) {
+	if now := time.Now(); now.After(deadline) {
+		deadline = now
+	}
+	_ = http.NewResponseController(c.Writer).SetWriteDeadline(deadline.Add(lateWriteTime)) // only writers that are no connection return an error
+}
+
 func newCompletionChunk(g GenerateRequest, t Token) completion {
 	ch := choice{Delta: &message{Content: t.Text}}
 	if t.Done {
@@ -377,6 +392,7 @@
 
 func (h *handler) readBody(c *gin.Context) ([]byte, bool) {
 	ctl := http.NewResponseController(c.Writer)
+	_ = ctl.SetReadDeadline(time.Now().Add(bodyTime(c.Request.Header)))                           // only writers that are no connection return an error
 	stop := context.AfterFunc(h.svc.Ended(), func() { _ = ctl.SetReadDeadline(time.Unix(1, 0)) }) // ends the read
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes))
 	stop()
@@ -388,13 +404,27 @@
 	case err != nil && h.svc.Ended().Err() != nil:
 		refuse(c, fleet.NotRun(fleet.ReasonLeaving, retry.BaseDelay))
 		return nil, false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		refuse(c, fleet.NotRun(fleet.ReasonDeadlinePassed, 0))
+		return nil, false
 	case err != nil:
 		refuse(c, fleet.NotRun(fleet.ReasonBadRequest, 0))
 		return nil, false
 	}
+	// After a refusal the server reads on, so the deadline stays.
+	_ = ctl.SetReadDeadline(time.Time{})
 	return body, true
 }
 
+// bodyTime returns how long a body may take to arrive: as long as its caller waits.
+func bodyTime(h http.Header) time.Duration {
+	ms, err := strconv.ParseInt(h.Get(HeaderTimeout), 10, 64)
+	if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+		return defaultTimeout
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func requestID(c *gin.Context) string {
 	if id := c.GetHeader(HeaderRequestID); id != "" && len(id) <= maxNameLen {
 		return id
