gateway: a silent target before its first event is replaced by a full one

Cause: a target counts as silent after 2 s, and callers leave after 3.2 s. In between its request goes to another target only if that one has a free slot. The caller leaves, and the engine runs the request when it goes on. The bound (a caller's leaving ends the work for it within half a second) held only while targets react to the end of a connection at once.

What callers saw: no response within the time that they had, although other targets could have begun one.

Change: a response that has not begun goes to a full target if none has a free slot, and no target replaces another one while its agent's report is missing (0.4 s beyond the interval), unless the reports of all are. Streams that have begun wait for a slot as before.

TestSilentTargetIsReplacedByAFullOne failed before (no response until the timeout). TestTargetWithoutReportsReplacesNoOther is about a field of Query that is new.

--- a/app/gateway/race_cases_test.go
+++ b/app/gateway/race_cases_test.go
@@ -81,6 +81,30 @@
 	assert.Equal(t, p.runs(), 2)
 }
 
+// A target was silent before its first event and no other one had a free slot: the request waited for one
+// until its caller left, and ran when the target went on.
+func TestSilentTargetIsReplacedByAFullOne(t *testing.T) {
+	p := replayOf(t, "s", 2, play{version: 1, end: endHangs}, play{version: 1})
+	g := newReplayGateway(t, []*replay{p})
+	time.AfterFunc(replayedStall/2, func() { fillTargets(g, p.name) })
+	p.serve(g)
+	assert.NilError(t, p.err)
+	assert.Equal(t, p.received(), wholeStream())
+	assert.Equal(t, p.arrived(), 2)
+	assert.Assert(t, p.took < replayedTimeout/2, "%v", p.took)
+}
+
+// fillTargets takes all slots of a service's targets.
+func fillTargets(g *Gateway, name fleet.Service) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range g.roster.Usable(name) {
+		for range t.Slots {
+			g.service(name).balancer.RecordStart(t.ID, 0, g.now())
+		}
+	}
+}
+
 // The same before the first event: after two refusals the silent target's request was not sent to another
 // one any more, and its caller waited until the deadline or got an error when the target broke off.
 func TestRefusalsBesideSilentTargetAreNotItsLast(t *testing.T) {
--- a/app/gateway/stall.go
+++ b/app/gateway/stall.go
@@ -128,12 +128,19 @@
 }
 
 // chooseReplacement selects a target beside those in progress. Targets that failed the request are
-// used again if there is no other, like after a failed attempt. mu and Gateway.mu must be held.
+// used again if there is no other, like after a failed attempt. A response that has not begun waits at a
+// full target rather than at a silent one, of which nobody knows whether it goes on before the caller
+// leaves. mu and Gateway.mu must be held.
 func (h *requestHandler) chooseReplacement(now time.Time) (roster.Target, bool) {
 	inProgress := h.race.attempts.Targets()
-	id, ok := h.race.service.balancer.Choose(loadbalance.Query{Avoid: slices.Concat(inProgress, h.state.Avoid())}, now)
+	q := loadbalance.Query{Avoid: slices.Concat(inProgress, h.state.Avoid()), Reporting: true}
+	id, ok := h.race.service.balancer.Choose(q, now)
 	if !ok && h.race.failedReplacements > 0 {
-		id, ok = h.race.service.balancer.Choose(loadbalance.Query{Avoid: inProgress}, now)
+		id, ok = h.race.service.balancer.Choose(loadbalance.Query{Avoid: inProgress, Reporting: true}, now)
+	}
+	if !ok && h.state.Sent() == 0 {
+		q.AllowFull = true
+		id, ok = h.race.service.balancer.Choose(q, now)
 	}
 	if !ok {
 		return roster.Target{}, false
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -362,6 +362,26 @@
 // InFlight returns the number of this entry's requests in flight.
 func (b *Balancer) InFlight() int { return b.inFlight }
 
+// maxReportDelay is how long after its time a report counts as missing, and not as delayed by a busy
+// agent or link.
+const maxReportDelay = 400 * time.Millisecond
+
+// isSilent reports whether the next report on a target is missing. Its agent stands on the same instance,
+// so that the target has probably paused, too.
+func (s *targetState) isSilent(now time.Time) bool {
+	return s.ReportsLoad && !s.reportedAt.IsZero() && now.Sub(s.reportedAt) > s.ReportInterval+maxReportDelay
+}
+
+// areAllSilent reports whether the reports on all available targets are missing.
+func (b *Balancer) areAllSilent(now time.Time) bool {
+	for _, s := range b.ordered {
+		if b.isAvailable(s, now) && !s.isSilent(now) {
+			return false
+		}
+	}
+	return true
+}
+
 func (b *Balancer) isAvailable(s *targetState, now time.Time) bool {
 	return !s.Closed && !now.Before(s.pausedUntil) && !now.Before(s.NotBefore)
 }
@@ -388,6 +408,9 @@
 	Avoid []fleet.InstanceID
 	// AllowFull allows targets without free slots.
 	AllowFull bool
+	// Reporting excludes targets whose agents have stopped reporting, unless all have: then this process
+	// was paused or the reports are delayed.
+	Reporting bool
 }
 
 // Choose returns the available target with the lowest score, which prefers home targets and
@@ -395,10 +418,11 @@
 func (b *Balancer) Choose(q Query, now time.Time) (fleet.InstanceID, bool) {
 	best, ties := -1, 0
 	lowest := math.Inf(1)
+	reporting := q.Reporting && !b.areAllSilent(now)
 	for i, s := range b.ordered {
 		requests := b.estimatedRequests(s, now)
 		switch {
-		case !b.isAvailable(s, now) || slices.Contains(q.Avoid, s.ID):
+		case !b.isAvailable(s, now) || slices.Contains(q.Avoid, s.ID) || reporting && s.isSilent(now):
 			continue
 		case !q.AllowFull && requests > float64(s.Slots)-0.5:
 			continue
--- a/core/loadbalance/loadbalance_test.go
+++ b/core/loadbalance/loadbalance_test.go
@@ -238,3 +238,30 @@
 		assert.Assert(t, b.FreeSlots(t0.Add(loadbalance.DefaultSettings.ReportHold+10*time.Second)) >= max(1, slots-1), "%d slots", slots)
 	}
 }
+
+// A replacement was sent to a target that had paused like the one that it should replace.
+func TestTargetWithoutReportsReplacesNoOther(t *testing.T) {
+	const interval = 150 * time.Millisecond
+	b := loadbalance.NewBalancer(loadbalance.DefaultSettings, rand.New(rand.NewPCG(1, 2)))
+	engine := loadbalance.Engine{ReportsLoad: true, ReportInterval: interval}
+	b.SetTargets([]loadbalance.Target{{ID: id(0), Slots: 4, Engine: engine}, {ID: id(1), Slots: 4, Engine: engine}})
+	b.RecordReport(id(0), 0, 0, t0)
+	b.RecordReport(id(1), 4, 0, t0)
+	now := t0.Add(time.Second)
+	b.RecordReport(id(1), 4, 0, now)
+	q := loadbalance.Query{Reporting: true}
+	_, ok := b.Choose(q, now)
+	assert.Assert(t, !ok, "the target that reports is full")
+	q.AllowFull = true
+	got, ok := b.Choose(q, now)
+	assert.Assert(t, ok)
+	assert.Equal(t, got, id(1))
+
+	got, ok = b.Choose(q, now.Add(time.Second))
+	assert.Assert(t, ok, "this process was paused")
+	assert.Equal(t, got, id(0))
+	b.RecordReport(id(0), 0, 0, now.Add(time.Second))
+	got, ok = b.Choose(q, now.Add(time.Second))
+	assert.Assert(t, ok)
+	assert.Equal(t, got, id(0))
+}
