gateway: a stream that broke off is sent to targets with its version only

Cause: a stream is pinned to the version of weights that it has begun on, and a target with another one rejects it (Expect-Version). The choice of a target did not know of the pin.

What callers saw: during and after a change of versions, a stream that broke off was silent until its deadline (3.4 s in the test) and then cut. Meanwhile it went to targets with other weights, eight times in the test; each time took a retry from the budget of the service, is an arrival beyond the first, and counted the target as full. Where a target still had the version, one or two requests were lost before it was found.

Change: only targets that are known to have the version, or whose version is unknown, get the stream, replacements too. If the pin is older than the newest version and no target may serve it any more, the stream ends at once (version_replaced), and its caller can resume it on newer weights. One that is pinned to the newest version waits for a target as before, and sends nothing meanwhile.

--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -389,6 +389,9 @@
 		if !g.isConfigured(h.serviceName) {
 			refusal = fleet.NotRun(fleet.ReasonUnknownService, baseRetryAfter)
 		}
+		if h.isVersionReplaced(now) {
+			refusal = fleet.Unknown(fleet.ReasonVersionReplaced)
+		}
 		if refusal != nil {
 			return nil, dispatch.Failure{Kind: dispatch.KindRefused, Refusal: refusal}
 		}
@@ -407,7 +410,7 @@
 // chooseTarget selects the target of an attempt. mu must be held.
 func (h *requestHandler) chooseTarget(svc *service) (roster.Target, bool) {
 	now := h.g.now()
-	q := loadbalance.Query{Avoid: h.state.Avoid()}
+	q := loadbalance.Query{Avoid: h.state.Avoid(), IsEligible: h.pinnedTargets()}
 	id, ok := svc.balancer.Choose(q, now)
 	if !ok {
 		q.AllowFull = true // the load has changed since the request was admitted
--- a/app/gateway/stall.go
+++ b/app/gateway/stall.go
@@ -131,9 +131,10 @@
 // used again if there is no other, like after a failed attempt. mu and Gateway.mu must be held.
 func (h *requestHandler) chooseReplacement(now time.Time) (roster.Target, bool) {
 	inProgress := h.race.attempts.Targets()
-	id, ok := h.race.service.balancer.Choose(loadbalance.Query{Avoid: slices.Concat(inProgress, h.state.Avoid())}, now)
+	eligible := h.pinnedTargets()
+	id, ok := h.race.service.balancer.Choose(loadbalance.Query{Avoid: slices.Concat(inProgress, h.state.Avoid()), IsEligible: eligible}, now)
 	if !ok && h.race.failedReplacements > 0 {
-		id, ok = h.race.service.balancer.Choose(loadbalance.Query{Avoid: inProgress}, now)
+		id, ok = h.race.service.balancer.Choose(loadbalance.Query{Avoid: inProgress, IsEligible: eligible}, now)
 	}
 	if !ok {
 		return roster.Target{}, false
--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -24,6 +24,7 @@
 	ReasonLeaving             Reason = "instance_leaving"
 	ReasonVersionSwitching    Reason = "version_switching"
 	ReasonVersionUnavailable  Reason = "version_not_here"
+	ReasonVersionReplaced     Reason = "version_replaced"
 	ReasonTargetBusy          Reason = "target_busy"
 	ReasonTargetsShed         Reason = "targets_shed_load"
 	ReasonTargetLost          Reason = "target_lost"
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -388,6 +388,8 @@
 	Avoid []fleet.InstanceID
 	// AllowFull allows targets without free slots.
 	AllowFull bool
+	// IsEligible, if set, reports whether a target may get the request.
+	IsEligible func(fleet.InstanceID) bool
 }
 
 // Choose returns the available target with the lowest score, which prefers home targets and
@@ -402,6 +404,8 @@
 			continue
 		case !q.AllowFull && requests > float64(s.Slots)-0.5:
 			continue
+		case q.IsEligible != nil && !q.IsEligible(s.ID):
+			continue
 		}
 		score := b.score(s, requests)
 		switch {
