--- a/app/gateway/stall.go
+++ b/app/gateway/stall.go
@@ -133,10 +133,10 @@
 // leaves. mu and Gateway.mu must be held.
 func (h *requestHandler) chooseReplacement(now time.Time) (roster.Target, bool) {
 	inProgress := h.race.attempts.Targets()
-	q := loadbalance.Query{Avoid: slices.Concat(inProgress, h.state.Avoid()), Reporting: true}
+	q := loadbalance.Query{Avoid: slices.Concat(inProgress, h.state.Avoid()), Reporting: true, IsEligible: h.pinnedTargets()}
 	id, ok := h.race.service.balancer.Choose(q, now)
 	if !ok && h.race.failedReplacements > 0 {
-		id, ok = h.race.service.balancer.Choose(loadbalance.Query{Avoid: inProgress, Reporting: true}, now)
+		id, ok = h.race.service.balancer.Choose(loadbalance.Query{Avoid: inProgress, Reporting: true, IsEligible: q.IsEligible}, now)
 	}
 	if !ok && h.state.Sent() == 0 {
 		q.AllowFull = true
