gateway: nothing is sent to weights that became too old while the connection was made

Cause: whether a target's weights may still get requests was looked up when it was chosen. A new connection may take its time, and the request was then sent however late it was.

What callers saw: by a test with a clock, a request was sent to older weights after the time at which they get none, and begins there after the limit if its target doesn't drop it.

Change: it is looked up again when there is a connection. What is not sent goes to another target and costs no retry.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -107,6 +107,8 @@
 	errSuperseded = errors.New("another attempt has continued the response")
 	// errCanceled reports that this entry has canceled the attempt, which must not start the response.
 	errCanceled = errors.New("attempt was canceled")
+	// errWeightsTooOld reports that the target's weights became too old after it was chosen.
+	errWeightsTooOld = errors.New("weights of the target are too old")
 	// errUnexpectedEvent reports an event that is not the next one of the stream.
 	errUnexpectedEvent = errors.New("event is not the next one of the stream")
 )
@@ -122,6 +124,10 @@
 	g := a.handler.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.isTooOldToSend(a.target, g.now()) {
+		g.metrics.Count("attempts_withdrawn", 1)
+		return errWeightsTooOld
+	}
 	if a.hasUnusedRetry {
 		a.hasUnusedRetry = false
 		g.metrics.Count("retries", 1)
@@ -360,7 +366,7 @@
 		return dispatch.Failure{Kind: dispatch.KindNotSent} // the next attempt returns the context's failure
 	case a.parent.Err() != nil:
 		return dispatch.Failure{Kind: daemon.FailureKind(a.parent)}
-	case errors.Is(err, errTargetPaused), a.isSuperseded() && isNotSent:
+	case errors.Is(err, errTargetPaused), errors.Is(err, errWeightsTooOld), a.isSuperseded() && isNotSent:
 		return dispatch.Failure{Kind: dispatch.KindNotSent}
 	case a.isSuperseded():
 		return dispatch.Failure{Kind: dispatch.KindLost}
--- a/app/gateway/pinned.go
+++ b/app/gateway/versions.go
@@ -44,3 +44,13 @@
 	return version < d.MinVersion(g.oldVersionServeTime(), now) ||
 		!slices.ContainsFunc(g.roster.Usable(h.serviceName), func(t roster.Target) bool { return g.mayHaveVersion(t, version) })
 }
+
+// isTooOldToSend reports whether a target has only weights that may get no requests any more. mu must be
+// held.
+func (g *Gateway) isTooOldToSend(t roster.Target, now time.Time) bool {
+	loaded := g.loadedVersions(t)
+	return len(loaded) > 0 && !slices.ContainsFunc(loaded, func(l roster.LoadedVersion) bool {
+		d, ok := g.declared[l.Model]
+		return !ok || l.Version == 0 || l.Version >= d.MinVersion(g.oldVersionServeTime(), now)
+	})
+}
