--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"amaranthturn/app/daemon"
@@ -13,8 +12,6 @@
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routeconfig"
 	"amaranthturn/core/trace"
-	"amaranthturn/core/upgrade"
-	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
 
@@ -497,57 +494,3 @@
 		g.notifyWaiters(s.queue.Tick(now))
 	}
 }
-
-func (g *Gateway) versionTimeline() upgrade.Timeline {
-	return upgrade.Timeline{Limit: g.settings.Bounds.VersionChangeLimit}
-}
-
-// lastReport returns the last report of a target's agent. It may be of a later incarnation than the
-// listed one, which has then ended. mu must be held.
-func (g *Gateway) lastReport(t roster.Target) (peer.TargetLoad, bool) {
-	r, ok := g.loads[t.ID]
-	return r, ok && r.Incarnation >= t.Incarnation
-}
-
-// loadedVersions returns the versions that a target serves, as reported by its agent or else
-// by its record in the store. mu must be held.
-func (g *Gateway) loadedVersions(t roster.Target) []roster.LoadedVersion {
-	if r, ok := g.lastReport(t); ok {
-		return []roster.LoadedVersion{{Model: r.Model, Version: r.Version}}
-	}
-	return t.Loaded
-}
-
-// canServe reports whether a model's target may receive requests. Its weights are loaded and
-// not older than the time limit for a version change allows. mu must be held.
-func (g *Gateway) canServe(t roster.Target, now time.Time) bool {
-	if r, ok := g.lastReport(t); ok && !r.Accepting {
-		return false
-	}
-	return slices.ContainsFunc(g.loadedVersions(t), func(l roster.LoadedVersion) bool {
-		return l.Version > 0 && !g.isTooOldToSend(t, l, now)
-	})
-}
-
-// hasOldWeightsOnly reports whether the time limit for a version change allows no request to a target. mu
-// must be held.
-func (g *Gateway) hasOldWeightsOnly(t roster.Target, now time.Time) bool {
-	loaded := g.loadedVersions(t)
-	return len(loaded) > 0 && !slices.ContainsFunc(loaded, func(l roster.LoadedVersion) bool { return !g.isTooOldToSend(t, l, now) })
-}
-
-// isTooOldToSend reports whether a target may get no request for weights that it serves. mu must be held.
-func (g *Gateway) isTooOldToSend(t roster.Target, l roster.LoadedVersion, now time.Time) bool {
-	d, ok := g.declared[l.Model]
-	engine := upgrade.Engine{Serving: l.Version, Loadable: g.loadableVersion(t, l.Model)}
-	return ok && !g.versionTimeline().MaySend(d.Declarations, engine, g.startTime.Average(), now)
-}
-
-// loadableVersion returns the newest version of a model that a target's agent can load in time, or 0 if it
-// reports none. mu must be held.
-func (g *Gateway) loadableVersion(t roster.Target, m fleet.Model) uint64 {
-	if r, ok := g.lastReport(t); ok && r.Model == m {
-		return r.Loadable
-	}
-	return 0
-}
