gateway: targets with older weights are closed again after start times fell

Cause: when older weights get no more requests depends on the average start time. The balancers were updated once per version, when it first came into force. If responses then began faster, that time moved back, a refresh for another reason opened the targets again, and nothing closed them when the time came. The later one (half a second before the limit) had the same fault before.

What callers saw: requests were given to such a target and withdrawn once connected (errWeightsTooOld), with a new attempt after a wait, until the next refresh. Nothing began late, as the check before sending uses the current time.

Change: what the balancers were updated for follows the versions down too, and both are updated with one refresh.

--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -338,15 +338,19 @@
 func (g *Gateway) closeOldVersions(now time.Time) {
 	timeline, startTime := g.versionTimeline(), g.startTime.Average()
 	for _, d := range g.declared {
-		safe := d.MinVersion(timeline.LastSafeSend(startTime), now)
+		// The versions fall when responses begin faster than before. A refresh may then open engines again.
+		safe, oldest := d.MinVersion(timeline.LastSafeSend(startTime), now), d.MinVersion(timeline.LastSend(startTime), now)
+		hasRisen := false
 		if safe > d.appliedSafeVersion {
-			d.appliedSafeVersion = safe
+			hasRisen = true
 			g.log.members.Info().Uint64("version", safe).Msg(trace.MessageNoNewerWeights)
-			g.refreshBalancers(now)
 		}
-		if v := d.MinVersion(timeline.LastSend(startTime), now); v > d.appliedMinVersion {
-			d.appliedMinVersion = v
-			g.log.members.Info().Uint64("version", v).Msg(trace.MessageWeightsTooOld)
+		if oldest > d.appliedMinVersion {
+			hasRisen = true
+			g.log.members.Info().Uint64("version", oldest).Msg(trace.MessageWeightsTooOld)
+		}
+		d.appliedSafeVersion, d.appliedMinVersion = safe, oldest
+		if hasRisen {
 			g.refreshBalancers(now)
 		}
 	}
