sidecar: nothing is loadable in time after the time of the last load

Cause: complete weights counted as loadable in time whenever they were held, also after the time of the last load (0.7 s before the limit). An engine whose weights came later, whose staging was not finished or that refused the command then got requests until half a second before the limit, or again after it had been closed, although nothing told it to load in time. If it pauses, it begins them after the limit.

Change: after that time an agent reports no loadable version. Before, only versions that the engine lacks count, so that a declaration alone does not change the report. Where the agent does not know when the version was declared, it loads complete weights at once, and they count as before.

--- a/app/sidecar/engine.go
+++ b/app/sidecar/engine.go
@@ -86,21 +86,29 @@
 // before.
 const loadableHysteresis = 250 * time.Millisecond
 
-// loadableVersion returns the newest version that the engine can be told to load in time, or 0. mu must be
-// held.
+// loadableVersion returns the newest version that the engine lacks and can be told to load in time, or 0. mu
+// must be held.
 func (s *Sidecar) loadableVersion(now time.Time) uint64 {
 	m, e, ok := s.model()
 	if !ok || !s.isEngineUp {
 		return 0
 	}
-	lastLoad := s.declarationsOf(m.Name).NewerDeclaredAt(s.servingVersion(m.Name, e)).Add(s.schedule(e).LastLoad())
+	serving := s.servingVersion(m.Name, e)
+	declaredAt := s.declarationsOf(m.Name).NewerDeclaredAt(serving)
+	lastLoad := declaredAt.Add(s.schedule(e).LastLoad())
+	switch {
+	case declaredAt.IsZero():
+		lastLoad = now.Add(reportInterval) // what is complete is loaded at once
+	case !now.Before(lastLoad):
+		return 0 // an engine that was not told to load by then may serve older weights at the limit
+	}
 	newest := uint64(0)
 	for v, w := range s.weights {
 		due := lastLoad
 		if v == s.loadable {
 			due = due.Add(loadableHysteresis)
 		}
-		if at, ok := w.completeAt(now); v > newest && ok && (!at.After(now) || at.Before(due)) {
+		if at, ok := w.completeAt(now); v > max(serving, newest) && ok && at.Before(due) {
 			newest = v
 		}
 	}
