gateway: a slow answer after failed reads does not make a declaration younger

Cause: a watch that returned within 0.1 s counted as one that had not awaited its changes. After failed reads, the time of their retries included, a store or link that is slow again takes longer, and a declaration of up to a second before counted from its receipt.

By the test the limit began 0.95 s late, more than the half second that the last sending leaves for it. Whether the rule counts then depends on why the reads failed.

Watches that follow each other are judged as before.

--- a/app/gateway/declared_since_test.go
+++ b/app/gateway/declared_since_test.go
@@ -51,9 +51,12 @@
 		late      time.Duration // the earliest time at which the version may have been declared, before its receipt
 	}{
 		{name: "reads failed", age: 800 * time.Millisecond, took: 5 * time.Millisecond, late: 805 * time.Millisecond},
+		{name: "reads failed, slow answer", age: 800 * time.Millisecond, took: 150 * time.Millisecond, late: 950 * time.Millisecond},
 		{name: "after a batch", age: batchDelay, took: 5 * time.Millisecond, late: batchDelay + 5*time.Millisecond},
 		{name: "long outage", age: 5 * time.Second, took: 5 * time.Millisecond, late: directReadAge},
 		{name: "no history", age: 300 * time.Millisecond, took: 200 * time.Millisecond, compacted: true, late: 500 * time.Millisecond},
+		{name: "awaited after a batch", age: batchDelay, took: 300 * time.Millisecond},
+		{name: "awaited after failed reads", age: 400 * time.Millisecond, took: 590 * time.Millisecond},
 		{name: "awaited", age: 5 * time.Millisecond, took: 600 * time.Millisecond},
 	} {
 		t.Run(x.name, func(t *testing.T) {
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -36,6 +36,8 @@
 	// promptAnswer is the time up to which a watch may have returned changes that were written before it
 	// began.
 	promptAnswer = 100 * time.Millisecond
+	// slowAnswer is the same for a watch after failed reads, when the store or the link to it may be slow.
+	slowAnswer = watchTimeoutSlack
 	// minStoreBackoff and maxStoreBackoff limit the delay after a failed read.
 	minStoreBackoff = 100 * time.Millisecond
 	maxStoreBackoff = 800 * time.Millisecond
@@ -104,13 +106,23 @@
 	g.recordRead(startedAt)
 	g.readOn()
 	update := mirror.Update{Events: events, At: now, EraBase: now.Revision}
-	s.hasChanges = g.apply(update, receipt{asOf: g.currentAsOf(startedAt, 0), wasMissed: g.now().Sub(startedAt) <= promptAnswer}) > 0
+	s.hasChanges = g.apply(update, receipt{asOf: g.currentAsOf(startedAt, 0), wasMissed: g.mayHaveMissed(startedAt)}) > 0
 	if !s.hasChanges {
 		g.notifyFollowers() // the copy is known to be current
 	}
 	return nil
 }
 
+// mayHaveMissed reports whether changes that a watch returns now may have been written before it began.
+// mu must be held.
+func (g *Gateway) mayHaveMissed(startedAt time.Time) bool {
+	answer := promptAnswer
+	if startedAt.Sub(g.mirror.CurrentAt()) > 2*batchDelay {
+		answer = slowAnswer
+	}
+	return g.now().Sub(startedAt) <= answer
+}
+
 // reasonToReadAll returns the log message for an error of a watch after which the complete
 // store has to be read, or "".
 func reasonToReadAll(err error) string {
