gateway: one way to apply an update

Cause: applyUpdate was left for tests only after the receipt of changes became a type of its own. What callers saw: nothing. Change: it takes the receipt itself; the comment of wasMissed covers entries that are followed. No change of behaviour. Measured: the tests of app/gateway pass.

--- a/app/gateway/declared_since_test.go
+++ b/app/gateway/declared_since_test.go
@@ -131,7 +131,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		e := mirror.Event{Key: platform.OperatorKeys + "version/m", Value: fmt.Appendf(nil, `{"Model":"m","Version":%d}`, rev), Revision: rev}
-		g.apply(mirror.Update{Events: []mirror.Event{e}, At: mirror.Position{Revision: rev}}, receipt{asOf: c.t, wasMissed: wasMissed})
+		g.applyUpdate(mirror.Update{Events: []mirror.Event{e}, At: mirror.Position{Revision: rev}}, receipt{asOf: c.t, wasMissed: wasMissed})
 	}
 	errStop := errors.New("stop")
 	isMissedAfter := func(rev mirror.Revision) (missed bool) {
--- a/app/gateway/follow.go
+++ b/app/gateway/follow.go
@@ -159,7 +159,7 @@
 	if !asOf.IsZero() {
 		g.mergeReads(update.Reads, now)
 	}
-	g.apply(update.Update, receipt{asOf: asOf, wasMissed: isFirst || update.WasMissed})
+	g.applyUpdate(update.Update, receipt{asOf: asOf, wasMissed: isFirst || update.WasMissed})
 	g.recall(update.Retained)
 	return !update.StoreUnavailable && !asOf.IsZero() && !g.entryList.IsReader(now)
 }
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -209,7 +209,7 @@
 		if !asOf.IsZero() {
 			g.mergeReads(update.Reads, g.now())
 		}
-		if n := g.apply(update.Update, receipt{asOf: asOf, wasMissed: true}); n > 0 {
+		if n := g.applyUpdate(update.Update, receipt{asOf: asOf, wasMissed: true}); n > 0 {
 			g.metrics.Count("store_news_from_entries", int64(n))
 		}
 		if update.At.Era == g.mirror.Position().Era {
--- a/app/gateway/restored_store_test.go
+++ b/app/gateway/restored_store_test.go
@@ -45,7 +45,7 @@
 	old.mu.Lock()
 	old.applyUpdate(mirror.Update{
 		Events: []mirror.Event{targetEvent("a", "draining", 1, 1, 8), targetEvent("b", "ready", 1, 1, 9)}, At: mirror.Position{Era: 1, Revision: 9}, EraBase: 9,
-	}, c.t)
+	}, receipt{asOf: c.t})
 	old.mu.Unlock()
 	started, _ := newTestGateway(t)
 	for _, g := range []*Gateway{old, started} {
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -103,7 +103,7 @@
 	g.recordRead(startedAt)
 	g.readOn()
 	update := mirror.Update{Events: events, At: now, EraBase: now.Revision}
-	s.hasChanges = g.apply(update, receipt{asOf: g.currentAsOf(startedAt, 0), wasMissed: g.mayHaveMissed(startedAt)}) > 0
+	s.hasChanges = g.applyUpdate(update, receipt{asOf: g.currentAsOf(startedAt, 0), wasMissed: g.mayHaveMissed(startedAt)}) > 0
 	if !s.hasChanges {
 		g.notifyFollowers() // the copy is known to be current
 	}
@@ -234,19 +234,13 @@
 type receipt struct {
 	previous time.Time // when the copy was last current before
 	asOf     time.Time // when it was current with the changes, or zero if unknown
-	// wasMissed reports that this entry has read the changes and may not have been waiting for them when they
-	// were written.
+	// wasMissed reports that neither this entry nor the one that it follows may have been waiting for the
+	// changes when they were written.
 	wasMissed bool
 }
 
-// applyUpdate applies an update that was current at currentAt, and returns the number of
-// changes. mu must be held.
-func (g *Gateway) applyUpdate(u mirror.Update, currentAt time.Time) int {
-	return g.apply(u, receipt{asOf: currentAt})
-}
-
-// apply applies an update and returns the number of changes. mu must be held.
-func (g *Gateway) apply(u mirror.Update, r receipt) int {
+// applyUpdate applies an update and returns the number of changes. mu must be held.
+func (g *Gateway) applyUpdate(u mirror.Update, r receipt) int {
 	before := g.mirror.Position()
 	r.previous = g.mirror.CurrentAt()
 	changes := g.mirror.Merge(u, r.asOf, g.now())
--- a/app/gateway/two_ways_test.go
+++ b/app/gateway/two_ways_test.go
@@ -55,7 +55,7 @@
 	w.counts.documents++
 	w.reader.mu.Lock()
 	defer w.reader.mu.Unlock()
-	w.reader.applyUpdate(mirror.Update{Events: []mirror.Event{w.item}, At: w.at(), EraBase: w.revision}, w.clock.t)
+	w.reader.applyUpdate(mirror.Update{Events: []mirror.Event{w.item}, At: w.at(), EraBase: w.revision}, receipt{asOf: w.clock.t})
 }
 
 func (w *twoWays) at() mirror.Position { return mirror.Position{Era: w.era, Revision: w.revision} }
@@ -121,7 +121,7 @@
 	}
 	w.entry.mu.Lock()
 	defer w.entry.mu.Unlock()
-	w.entry.applyUpdate(u, w.clock.t)
+	w.entry.applyUpdate(u, receipt{asOf: w.clock.t})
 }
 
 // sendCopy makes the reader send what its stream lacks.
