clock: one Earlier and Later for all packages

What callers saw: nothing. Change: core/clock has them; app/gateway, core/crashblame, core/roster and core/upgrade call them. Measured: their tests pass under the race detector; the linter is clean.

--- a/app/gateway/declarations.go
+++ b/app/gateway/declarations.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthturn/core/clock"
 	"amaranthturn/core/fleet"
 )
 
@@ -23,9 +24,9 @@
 	since = g.declaredSince(r.previous, r.asOf, now)
 	known = g.knownSince(since, r.previous, now)
 	if r.wasMissed && g.initialReadDone {
-		since = earlier(since, later(r.previous, now.Add(-directReadAge)))
+		since = clock.Earlier(since, clock.Later(r.previous, now.Add(-directReadAge)))
 		if g.entryList.IsReader(now) { // the others know it through this entry
-			known = earlier(known, since)
+			known = clock.Earlier(known, since)
 		}
 	}
 	return since, known
@@ -45,15 +46,15 @@
 	switch {
 	case !g.initialReadDone && !g.copyPauses.PausedSince(g.startedAt, now):
 		// If the first read took longer than one call may, the store was unavailable.
-		return later(g.startedAt, now.Add(-fullReadTimeout)).Add(stable)
+		return clock.Later(g.startedAt, now.Add(-fullReadTimeout)).Add(stable)
 	case !g.initialReadDone:
 		return beforeStart
 	case now.Sub(asOf) > copyPauseThreshold, g.copyPauses.PausedSince(previous, now):
-		return later(previous, beforeStart)
+		return clock.Later(previous, beforeStart)
 	case now.Sub(previous) <= watchWait:
 		return now
 	}
-	return later(previous, now.Add(-directReadAge))
+	return clock.Later(previous, now.Add(-directReadAge))
 }
 
 // knownSince returns the time from which other entries are told that a declaration received now
@@ -61,21 +62,7 @@
 // may have been paused, but at most directReadAge ago: a longer pause concerns this entry only.
 func (g *Gateway) knownSince(since, previous, now time.Time) time.Time {
 	if g.initialReadDone && g.copyPauses.PausedSince(previous, now) {
-		return later(since, now.Add(-directReadAge))
+		return clock.Later(since, now.Add(-directReadAge))
 	}
 	return now
 }
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/core/crashblame/crashblame.go
+++ b/core/crashblame/crashblame.go
@@ -54,6 +54,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"amaranthturn/core/clock"
 	"amaranthturn/core/fleet"
 )
 
@@ -168,7 +169,7 @@
 	b := r.blame()
 	switch {
 	case l.isRefused(b):
-		r.usedAt = later(r.usedAt, now)
+		r.usedAt = clock.Later(r.usedAt, now)
 		return Refuse
 	case l.settings.ExclusiveThreshold > 0 && b >= l.settings.ExclusiveThreshold:
 		return Exclusive
@@ -202,7 +203,7 @@
 			backoffs++
 		}
 		if u.isTrial || u.share > 0 {
-			last = later(last, u.at)
+			last = clock.Later(last, u.at)
 		}
 	}
 	delay := l.settings.TrialDelay
@@ -353,7 +354,7 @@
 		return nil, false
 	}
 	for id, u := range r.units {
-		if u.share == 0 && !u.isTrial && now.Sub(later(u.at, r.changedAt)) >= clearedLifetime {
+		if u.share == 0 && !u.isTrial && now.Sub(clock.Later(u.at, r.changedAt)) >= clearedLifetime {
 			delete(r.units, id)
 		}
 	}
@@ -376,7 +377,7 @@
 	r, ok := l.live(f, now)
 	old, isKnown := unit{}, false
 	if ok {
-		r.usedAt = later(r.usedAt, usedAt)
+		r.usedAt = clock.Later(r.usedAt, usedAt)
 		old, isKnown = r.units[id]
 	}
 	if isKnown && old.share <= u.share || !isKnown && u.share == 0 && !u.isTrial && now.Sub(u.at) >= clearedLifetime {
--- a/core/crashblame/parts.go
+++ b/core/crashblame/parts.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"amaranthturn/core/clock"
 	"amaranthturn/core/fleet"
 )
 
@@ -97,7 +98,7 @@
 			continue
 		}
 		for _, r := range with {
-			r.usedAt = later(r.usedAt, now)
+			r.usedAt = clock.Later(r.usedAt, now)
 		}
 		return Refuse
 	}
@@ -159,7 +160,7 @@
 func (l *PartLedger) add(id ReportID, parts []fleet.Fingerprint, usedAt, now time.Time) bool {
 	l.removeExpired(now)
 	if i := slices.IndexFunc(l.reports, func(r *reportRecord) bool { return r.id == id }); i >= 0 {
-		l.reports[i].usedAt = later(l.reports[i].usedAt, usedAt)
+		l.reports[i].usedAt = clock.Later(l.reports[i].usedAt, usedAt)
 		return false
 	}
 	distinct := slices.Clone(parts)
--- a/core/crashblame/proofs.go
+++ b/core/crashblame/proofs.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"time"
 
+	"amaranthturn/core/clock"
 	"amaranthturn/core/fleet"
 )
 
@@ -28,7 +29,7 @@
 	if e, ok := p.elements[f]; ok {
 		wasValid := p.isValid(f, now)
 		record := e.Value.(*proofRecord)
-		record.provenAt = later(record.provenAt, provenAt)
+		record.provenAt = clock.Later(record.provenAt, provenAt)
 		p.order.MoveToBack(e)
 		return !wasValid
 	}
@@ -52,10 +53,3 @@
 	at, ok := p.at(f)
 	return ok && now.Sub(at) < ProofLifetime
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/core/roster/reads.go
+++ b/core/roster/reads.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"amaranthturn/core/clock"
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/mirror"
 )
@@ -92,7 +93,7 @@
 	// Between two reads the store was hardly away and back again.
 	if n := len(known.spans); n > 0 && from.Sub(known.end()) <= r.renewal/4 {
 		last := &known.spans[n-1]
-		last.from, last.to = earlier(last.from, from), later(last.to, to)
+		last.from, last.to = clock.Earlier(last.from, from), clock.Later(last.to, to)
 	} else {
 		known.spans = append(known.spans, span{from, to})
 	}
@@ -170,7 +171,7 @@
 		if n := len(known.spans); n > maxSpans {
 			known.spans = slices.Delete(known.spans, 0, n-maxSpans)
 		}
-		known.spans[0].from = later(known.spans[0].from, now.Add(-r.horizon()))
+		known.spans[0].from = clock.Later(known.spans[0].from, now.Add(-r.horizon()))
 	}
 }
 
@@ -212,7 +213,7 @@
 	var out []span
 	for _, s := range spans {
 		if n := len(out); n > 0 && !s.from.After(out[n-1].to) {
-			out[n-1].to = later(out[n-1].to, s.to)
+			out[n-1].to = clock.Later(out[n-1].to, s.to)
 			continue
 		}
 		out = append(out, s)
@@ -255,21 +256,7 @@
 func overlap(spans []span, a, b time.Time) time.Duration {
 	var sum time.Duration
 	for _, s := range spans {
-		sum += max(0, earlier(s.to, b).Sub(later(s.from, a)))
+		sum += max(0, clock.Earlier(s.to, b).Sub(clock.Later(s.from, a)))
 	}
 	return sum
 }
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
--- a/core/upgrade/declarations.go
+++ b/core/upgrade/declarations.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"amaranthturn/core/clock"
 )
 
 // Declaration is a version that the operator declared as wanted, and when.
@@ -35,7 +37,7 @@
 	i, ok := d.search(version)
 	if ok {
 		known := &(*d)[i]
-		known.DeclaredAt = earlier(known.DeclaredAt, declaredAt)
+		known.DeclaredAt = clock.Earlier(known.DeclaredAt, declaredAt)
 		return false
 	}
 	*d = slices.Insert(*d, i, Declaration{Version: version, DeclaredAt: declaredAt, KnownAt: knownAt})
@@ -67,19 +69,12 @@
 			continue
 		}
 		known := &(*d)[i]
-		known.KnownAt = earlier(known.KnownAt, knownAt)
-		known.DeclaredAt = earlier(known.DeclaredAt, knownAt)
+		known.KnownAt = clock.Earlier(known.KnownAt, knownAt)
+		known.DeclaredAt = clock.Earlier(known.DeclaredAt, knownAt)
 	}
 	return added
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // Ages returns the declarations that became known at most limit ago.
 func (d Declarations) Ages(limit time.Duration, now time.Time) []Age {
 	var out []Age
