gateway: an attempt is checked under one lock before it is sent

Cause: checkTarget and beforeSend each locked the gateway for each send, one right after the other; three tests built the same attempt. What callers saw: nothing. Change: checkTarget is called with the lock held; the tests share newPlainAttempt, their assertions are as before. Measured: the tests of app/gateway pass under the race detector; the linter is clean.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -118,12 +118,12 @@
 	if a.isSuperseded() {
 		return errSuperseded
 	}
-	if err := a.checkTarget(); err != nil {
-		return err
-	}
 	g := a.handler.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if err := a.checkTarget(); err != nil {
+		return err
+	}
 	if g.hasOldWeightsOnly(a.target, g.now()) {
 		return errWeightsTooOld
 	}
--- a/app/gateway/notices.go
+++ b/app/gateway/notices.go
@@ -47,11 +47,9 @@
 var errTargetLeaves = errors.New("target leaves")
 
 // checkTarget returns an error if the target of an attempt asked for a pause or was found to leave after it
-// was chosen.
+// was chosen. mu of the gateway must be held.
 func (a *targetAttempt) checkTarget() error {
 	g := a.handler.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	var err error
 	listed, ok := g.roster.Get(a.target.ID)
 	switch {
--- a/app/gateway/notices_test.go
+++ b/app/gateway/notices_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -37,26 +38,31 @@
 	}
 }
 
+// newPlainAttempt returns an attempt of a request, which has a second left, on a listed target.
+func newPlainAttempt(ctx context.Context, g *Gateway, c *fakeClock, addr string) *targetAttempt {
+	g.targets = platform.NewTargetClient(target.NewPool())
+	chosen := roster.Target{ID: "a", Service: "s", Address: addr, State: roster.StateReady, Incarnation: 5}
+	g.roster.Update(chosen)
+	h := &requestHandler{
+		g: g, call: &forward.Call{ID: "a1", Method: "GET", Host: "h", URI: "/", Header: http.Header{}}, route: &routeconfig.Route{Kind: routeconfig.KindIdempotent},
+		state: dispatch.NewRequest(dispatch.Settings{}, c.t.Add(time.Second)), stream: forward.NewStream(""), requestLimits: requestLimits{deadline: dispatch.NewDeadline(c.t, time.Second)},
+	}
+	return h.newAttempt(ctx, nil, chosen)
+}
+
 // A target asks for a pause while a connection to it is being made, which can take longer than the
 // half second after the answer in which requests may still arrive.
 func TestAttemptThatWasDiallingWhenThePauseBegan(t *testing.T) {
 	for _, paused := range []bool{true, false} {
 		g, c := newTestGateway(t)
-		g.targets = platform.NewTargetClient(target.NewPool())
 		tcp, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
 		l := &countingListener{Listener: tcp}
 		t.Cleanup(func() { _ = l.Close() })
 		go l.run()
-		chosen := roster.Target{ID: "a", Service: "s", Address: l.Addr().String(), State: roster.StateReady, Incarnation: 5}
-		g.roster.Update(chosen)
-		h := &requestHandler{
-			g: g, call: &forward.Call{ID: "a1", Method: "GET", Host: "h", URI: "/", Header: http.Header{}}, route: &routeconfig.Route{Kind: routeconfig.KindIdempotent},
-			state: dispatch.NewRequest(dispatch.Settings{}, c.t.Add(time.Second)), stream: forward.NewStream(""), requestLimits: requestLimits{deadline: dispatch.NewDeadline(c.t, time.Second)},
-		}
-		a := h.newAttempt(t.Context(), nil, chosen)
+		a := newPlainAttempt(t.Context(), g, c, l.Addr().String())
 		if paused {
-			g.recordNotices(chosen, "a0", forward.Notices{Pause: 2 * time.Second})
+			g.recordNotices(a.target, "a0", forward.Notices{Pause: 2 * time.Second})
 		}
 		failure, done := a.send()
 		assert.Assert(t, !done)
--- a/app/gateway/slow_connect_test.go
+++ b/app/gateway/slow_connect_test.go
@@ -15,9 +15,6 @@
 	"amaranthturn/core/forward"
 	"amaranthturn/core/loadbalance"
 	"amaranthturn/core/roster"
-	"amaranthturn/core/routeconfig"
-	"amaranthturn/io/target"
-	"amaranthturn/platform"
 	"amaranthturn/platform/platformtest"
 )
 
@@ -51,19 +48,12 @@
 // worked for a caller that had left.
 func TestTimeToConnectIsNotHandedOn(t *testing.T) {
 	g, c := newTestGateway(t)
-	g.targets = platform.NewTargetClient(target.NewPool())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	header := make(chan http.Header, 1)
 	go readRequest(l, header)
-	h := &requestHandler{
-		g: g, call: &forward.Call{ID: "a1", Method: "GET", Host: "h", URI: "/", Header: http.Header{}}, route: &routeconfig.Route{Kind: routeconfig.KindIdempotent},
-		state: dispatch.NewRequest(dispatch.Settings{}, c.t.Add(time.Second)), stream: forward.NewStream(""), requestLimits: requestLimits{deadline: dispatch.NewDeadline(c.t, time.Second)},
-	}
-	chosen := roster.Target{ID: "a", Service: "s", Address: l.Addr().String(), State: roster.StateReady}
-	g.roster.Update(chosen)
-	a := h.newAttempt(&slowConnect{t.Context(), c, 600 * time.Millisecond}, nil, chosen)
+	a := newPlainAttempt(&slowConnect{t.Context(), c, 600 * time.Millisecond}, g, c, l.Addr().String())
 	a.send()
 	stated, err := strconv.Atoi((<-header).Get(platformtest.HeaderDeadline))
 	assert.NilError(t, err)
@@ -83,20 +73,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g, c := newTestGateway(t)
-			g.targets = platform.NewTargetClient(target.NewPool())
 			tcp, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
 			l := &countingListener{Listener: tcp}
 			t.Cleanup(func() { _ = l.Close() })
 			go l.run()
-			chosen := roster.Target{ID: "a", Service: "s", Address: l.Addr().String(), State: roster.StateReady, Incarnation: 5}
-			g.roster.Update(chosen)
-			h := &requestHandler{
-				g: g, call: &forward.Call{ID: "a1", Method: "GET", Host: "h", URI: "/", Header: http.Header{}}, route: &routeconfig.Route{Kind: routeconfig.KindIdempotent},
-				state: dispatch.NewRequest(dispatch.Settings{}, c.t.Add(time.Second)), stream: forward.NewStream(""), requestLimits: requestLimits{deadline: dispatch.NewDeadline(c.t, time.Second)},
-			}
-			a := h.newAttempt(t.Context(), nil, chosen)
-			leave(g, chosen)
+			a := newPlainAttempt(t.Context(), g, c, l.Addr().String())
+			leave(g, a.target)
 			failure, done := a.send()
 			assert.Assert(t, !done)
 			assert.Equal(t, l.bytes.Load(), int64(0))
