--- a/app/gateway/notices.go
+++ b/app/gateway/notices.go
@@ -22,6 +22,10 @@
 		g.metrics.Count("malformed_notices", 1)
 		g.log.members.Warn().Str("target", string(t.ID)).Str("request", string(id)).Str("header", n.Malformed).Msg("malformed statement of a target")
 	}
+	if n.IsLimited {
+		g.metrics.Count("limits_stated", 1)
+		g.log.members.Info().Str("target", string(t.ID)).Str("request", string(id)).Float64("limit", float64(n.Limit)).Msg(trace.MessageTargetLimit)
+	}
 	if !n.Leaving && n.Pause <= 0 {
 		return
 	}
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/ratelimit"
 	"amaranthturn/core/routeconfig"
 )
 
@@ -97,6 +98,12 @@
 	Leaving bool
 	// Pause is how long the target wants no requests, 0 if it does not state it.
 	Pause time.Duration
+	// IsLimited reports that the target states how many requests it takes from all entries together,
+	// which is Limit.
+	IsLimited bool
+	Limit     ratelimit.Rate
+	// IsUnlimited reports that the answer to the request states no limit.
+	IsUnlimited bool
 	// Malformed is the name of a header with an undefined value, which counts as missing.
 	Malformed string
 }
@@ -105,6 +112,9 @@
 func (n *Notices) Add(other Notices) {
 	n.Leaving = n.Leaving || other.Leaving
 	n.Pause = max(n.Pause, other.Pause)
+	if other.IsLimited && (!n.IsLimited || other.Limit < n.Limit) {
+		n.IsLimited, n.Limit = true, other.Limit
+	}
 	n.Malformed = cmp.Or(n.Malformed, other.Malformed)
 }
 
--- a/core/trace/messages.go
+++ b/core/trace/messages.go
@@ -15,6 +15,8 @@
 	MessageTargetRemoved       = "entry of a target is gone"
 	MessageTargetLeaves        = "target leaves"
 	MessageTargetSheds         = "target sheds load"
+	MessageTargetLimit         = "target states a limit"
+	MessageTargetLimitEnds     = "limit of a target has ended"
 	MessageTargetsExpired      = "lapsed targets did not come back"
 	MessageTargetShownRemoved  = "target has left: entries read the store before its entry went"
 	MessageWeightsTooOld       = "older weights may not answer any more"
