Limits that targets state are held by all entries together

Cause: a target's statement of how many requests it takes from all entries together was read by nobody. What callers saw: nothing; the targets in need got no relief.

core/ratelimit keeps the limits, by revisions that entries pass on at once, and divides each among the first few entries of a rendezvous order: at least 0.75 requests a second for each. Shares are token buckets that begin empty. A token is taken when a target is chosen, or else before the request is written, so that first attempts, repeats, resumed streams and replacements count alike, and it is returned if nothing was sent. An answer without the header ends a limit only if its request was sent after the last answer with it. Entries that get no requests for the service leave the limit to others. The balancer prefers a limited target that takes a request, admission counts what the limits allow, and a request that they don't allow in time is refused at once with the time that follows from the shares.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -45,6 +45,8 @@
 	headerReceived  bool        // the header of a successful response
 	responseStarted bool        // guarded by the gateway's mu
 	hasUnusedRetry  bool        // it took a retry from the budget and was not sent; guarded by the gateway's mu
+	hasToken        bool        // it took a token of the target's limit; guarded by the gateway's mu
+	sentAt          time.Time   // when the request was sent, zero before; guarded by the gateway's mu
 	canceled        atomic.Bool // this entry canceled the attempt because it would crash the target or its weights became too old
 
 	// Guarded by the handler's mu.
@@ -73,6 +75,7 @@
 		BeforeSend:    a.beforeSend,
 	})
 	h.g.recordNotices(a.target, h.call.ID, notices)
+	a.recordLimit(notices)
 	if err != nil {
 		return a.transportFailure(err), false
 	}
@@ -127,6 +130,10 @@
 	if g.hasOldWeightsOnly(a.target, g.now()) {
 		return errWeightsTooOld
 	}
+	if err := a.takeToken(); err != nil {
+		return err
+	}
+	a.sentAt = g.now()
 	if a.hasUnusedRetry {
 		a.hasUnusedRetry = false
 		g.metrics.Count("retries", 1)
@@ -365,7 +372,7 @@
 		return dispatch.Failure{Kind: dispatch.KindNotSent} // the next attempt returns the context's failure
 	case a.parent.Err() != nil:
 		return dispatch.Failure{Kind: daemon.FailureKind(a.parent)}
-	case errors.Is(err, errTargetPaused), errors.Is(err, errTargetLeaves), errors.Is(err, errWeightsTooOld), a.isSuperseded() && isNotSent:
+	case errors.Is(err, errTargetPaused), errors.Is(err, errTargetLeaves), errors.Is(err, errTargetLimited), errors.Is(err, errWeightsTooOld), a.isSuperseded() && isNotSent:
 		return dispatch.Failure{Kind: dispatch.KindNotSent}
 	case a.isSuperseded():
 		return dispatch.Failure{Kind: dispatch.KindLost}
--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -41,6 +41,7 @@
 	"amaranthturn/core/loadbalance"
 	"amaranthturn/core/mirror"
 	"amaranthturn/core/notice"
+	"amaranthturn/core/ratelimit"
 	"amaranthturn/core/retry"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/routeconfig"
@@ -73,6 +74,8 @@
 	leaving atomic.Bool
 	stop    *daemon.RequestStop
 	stall   stallTimes
+	// hasLimits reports whether limits of targets are in force. Answers without a limit matter only then.
+	hasLimits atomic.Bool
 
 	mu               sync.Mutex // guards all fields below
 	seeds            []string
@@ -109,6 +112,7 @@
 	ledger             *crashblame.Ledger
 	parts              *crashblame.PartLedger
 	notices            *notice.Ledger
+	limits             *ratelimit.Ledger
 	noticesForgottenAt time.Time
 	exchangeNow        chan struct{} // requests an exchange before its interval has passed
 	pauseDetector      *clock.PauseDetector
@@ -131,6 +135,8 @@
 type service struct {
 	balancer *loadbalance.Balancer
 	queue    *admit.Queue
+	// lastRequestAt is when a caller's request for the service arrived last.
+	lastRequestAt time.Time
 }
 
 // now returns the time by the daemon's clock.
@@ -155,7 +161,7 @@
 		declared: map[fleet.Model]*declaredVersions{},
 		loads:    map[fleet.InstanceID]peer.TargetLoad{}, loadWatches: map[string]*loadWatch{}, zones: map[fleet.Zone]*zoneState{}, zoneChanged: make(chan struct{}),
 		services: map[fleet.Service]*service{}, waiters: map[admit.RequestID]chan admit.Verdict{}, unstarted: map[*targetAttempt]struct{}{}, inProgress: map[*requestHandler]struct{}{},
-		ledger: crashblame.NewLedger(crashSettings), parts: crashblame.NewPartLedger(), notices: notice.NewLedger(), exchangeNow: make(chan struct{}, 1),
+		ledger: crashblame.NewLedger(crashSettings), parts: crashblame.NewPartLedger(), notices: notice.NewLedger(), limits: ratelimit.NewLedger(), exchangeNow: make(chan struct{}, 1),
 		pauseDetector: clock.NewPauseDetector(pauseThreshold),
 		copyPauses:    clock.NewPauseDetector(copyPauseThreshold),
 	}
@@ -267,6 +273,7 @@
 	s, ok := g.services[name]
 	if !ok {
 		b := loadbalance.NewBalancer(loadbalance.DefaultSettings, g.random)
+		b.SetRateLimits(g.limits)
 		s = &service{balancer: b, queue: admit.NewQueue(loadbalance.AdmissionLimit{Balancer: b, Now: g.now}, func(fleet.Workspace) admit.Limits {
 			return admit.Limits{Weight: 1, MaxQueued: maxQueuedPerWorkspace}
 		})}
--- a/app/gateway/mesh.go
+++ b/app/gateway/mesh.go
@@ -232,7 +232,7 @@
 	return peer.ExchangeMessage{
 		Records: g.entryList.Records(now), Blamed: g.ledger.Exchange(now), StorePosition: g.mirror.Position(),
 		ConfigVersion: g.configVersion(), MaxEntries: g.maxEntries, Declared: declared, Leaving: g.notices.Leaving(),
-		Crashes: crashes, ProvenParts: proven, Reads: g.roster.Reads().Reports(now),
+		Crashes: crashes, ProvenParts: proven, Reads: g.roster.Reads().Reports(now), Limits: g.limits.Limits(),
 	}
 }
 
@@ -246,6 +246,7 @@
 	g.entryList.Merge(update.Records, sentAt)
 	g.maxEntries = max(g.maxEntries, update.MaxEntries)
 	g.divideBudgets(now)
+	g.mergeLimits(update.Limits, now)
 	g.mergeCrashes(update.Blamed, update.Crashes, update.ProvenParts, now)
 	for m, ages := range update.Declared {
 		if g.declarationsOf(m).Merge(ages, now) {
--- a/app/gateway/notices.go
+++ b/app/gateway/notices.go
@@ -22,10 +22,6 @@
 		g.metrics.Count("malformed_notices", 1)
 		g.log.members.Warn().Str("target", string(t.ID)).Str("request", string(id)).Str("header", n.Malformed).Msg("malformed statement of a target")
 	}
-	if n.IsLimited {
-		g.metrics.Count("limits_stated", 1)
-		g.log.members.Info().Str("target", string(t.ID)).Str("request", string(id)).Float64("limit", float64(n.Limit)).Msg(trace.MessageTargetLimit)
-	}
 	if !n.Leaving && n.Pause <= 0 {
 		return
 	}
@@ -84,10 +80,12 @@
 
 // forgetNotices drops the notices of targets that are gone. mu must be held.
 func (g *Gateway) forgetNotices(now time.Time) {
-	g.notices.Forget(func(t notice.Target) bool {
+	isListed := func(t notice.Target) bool {
 		listed, ok := g.roster.Get(t.ID)
 		return ok && listed.Incarnation == t.Incarnation
-	}, now)
+	}
+	g.notices.Forget(isListed, now)
+	g.limits.Forget(isListed, now)
 }
 
 // refuseWhileShedding returns a refusal if all targets of the service shed load for longer than
--- a/app/gateway/race.go
+++ b/app/gateway/race.go
@@ -64,6 +64,7 @@
 	svc := h.race.service
 	svc.balancer.RecordStart(t.ID, h.call.PromptTokens, h.g.now())
 	a := h.newAttempt(h.race.ctx, svc, t)
+	a.hasToken = h.g.limits.Take(noticeTarget(t), h.g.now())
 	if len(h.race.running) == 0 {
 		h.race.ended = make(chan struct{})
 		h.race.last = attemptEnd{}
@@ -251,6 +252,9 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	delete(g.unstarted, a)
+	if a.hasToken && a.sentAt.IsZero() {
+		g.limits.Return(noticeTarget(a.target), now)
+	}
 	if a.hasUnusedRetry {
 		g.budgets.Return(h.serviceName, now)
 	}
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -176,10 +177,16 @@
 		g.mu.Unlock()
 		return refusal
 	}
+	if refusal := h.refuseBeyondLimits(svc, queueDeadline, now); refusal != nil {
+		svc.lastRequestAt = now
+		g.mu.Unlock()
+		return refusal
+	}
 	g.nextID++
 	req := admit.Request{ID: g.nextID, Workspace: h.workspace, Class: h.class, Deadline: queueDeadline, Cost: h.cost()}
 	req.Late = h.hasReturned(now)
 	g.budgets.RecordRequest(h.serviceName, now)
+	svc.lastRequestAt = now
 	decision := svc.queue.Offer(req, now)
 	var verdict chan admit.Verdict
 	if decision.Verdict == admit.Queued {
@@ -386,7 +393,7 @@
 	}
 	target, ok := h.chooseTarget(svc)
 	if !ok {
-		refusal := h.refuseWhileShedding(svc, now, now)
+		refusal := cmp.Or(h.refuseWhileShedding(svc, now, now), h.refuseBeyondLimits(svc, now, now))
 		if !g.isConfigured(h.serviceName) {
 			refusal = fleet.NotRun(fleet.ReasonUnknownService, baseRetryAfter)
 		}
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -395,6 +395,7 @@
 	if g.share(now) != g.appliedShare {
 		g.refreshBalancers(now)
 	}
+	g.divideLimits(now)
 }
 
 // entryCount returns how many entries may use the targets: those that are live, and at least as
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -284,7 +284,7 @@
 func canRetryElsewhere(r *fleet.Refusal) bool {
 	switch r.Reason {
 	case fleet.ReasonBadRequest, fleet.ReasonUnknownModel, fleet.ReasonUnknownService, fleet.ReasonDeadlinePassed,
-		fleet.ReasonCrashesTargets, fleet.ReasonNotRepeatable, fleet.ReasonTargetsShed, fleet.ReasonVersionReplaced:
+		fleet.ReasonCrashesTargets, fleet.ReasonNotRepeatable, fleet.ReasonTargetsShed, fleet.ReasonTargetsLimited, fleet.ReasonVersionReplaced:
 		return false
 	}
 	return true
--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -27,6 +27,7 @@
 	ReasonVersionReplaced     Reason = "version_replaced"
 	ReasonTargetBusy          Reason = "target_busy"
 	ReasonTargetsShed         Reason = "targets_shed_load"
+	ReasonTargetsLimited      Reason = "targets_limited"
 	ReasonTargetLost          Reason = "target_lost"
 	ReasonEngineCrashed       Reason = "engine_died"
 	ReasonEngineFailed        Reason = "engine_failed"
--- a/core/gossip/list.go
+++ b/core/gossip/list.go
@@ -58,6 +58,8 @@
 	CallerAddress string // of the caller listener
 	Leaving       bool
 	Age           time.Duration // since the entry sent the record
+	// Idle are the services, of those with a limited target, for which the entry got no requests lately.
+	Idle []fleet.Service
 }
 
 type member struct {
@@ -87,6 +89,9 @@
 // Leave marks this entry as leaving.
 func (l *List) Leave() { l.self.Leaving = true }
 
+// SetIdle sets for which services with a limited target this entry got no requests lately.
+func (l *List) SetIdle(services []fleet.Service) { l.self.Idle = services }
+
 // bufferedTime is how long after a pause of this process messages may arrive that have waited in a
 // buffer during it.
 const bufferedTime = 300 * time.Millisecond
@@ -196,13 +201,31 @@
 // Rank returns this entry's position among the live entries for a key. All entries with the same list
 // agree on the order.
 func (l *List) Rank(key string, now time.Time) int {
-	ids := []fleet.InstanceID{l.self.Instance}
+	return rank.Position(key, l.candidates(func(Record) bool { return true }, now), l.self.Instance)
+}
+
+// RankAmongBusy returns this entry's position among the live entries that get requests for a service, or
+// among all if none does, and their number. It is -1 if others get requests and this one does not.
+func (l *List) RankAmongBusy(service fleet.Service, key string, now time.Time) (position, count int) {
+	ids := l.candidates(func(r Record) bool { return !slices.Contains(r.Idle, service) }, now)
+	if len(ids) == 0 {
+		ids = l.candidates(func(Record) bool { return true }, now)
+	}
+	return rank.Position(key, ids, l.self.Instance), len(ids)
+}
+
+// candidates returns this entry and the live ones, without those that isCandidate excludes.
+func (l *List) candidates(isCandidate func(Record) bool, now time.Time) []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	if isCandidate(l.self) {
+		ids = append(ids, l.self.Instance)
+	}
 	for id, m := range l.members {
-		if l.isLive(m, now) {
+		if l.isLive(m, now) && isCandidate(m.Record) {
 			ids = append(ids, id)
 		}
 	}
-	return slices.Index(rank.Top(key, ids, len(ids)), l.self.Instance)
+	return ids
 }
 
 // IsReader reports whether this entry reads the platform's store on behalf of the others. One
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -39,6 +39,10 @@
 // A target that sheds load names the time in which it wants no requests. It gets none until
 // then, and its slots do not count as free.
 //
+// A target that states a limit for all entries together has free slots, but takes only as many
+// requests as this entry's share of the limit allows. It is preferred whenever it takes one, so that the
+// limit is used.
+//
 // A target that fails fast looks idle and would attract all requests: each failure
 // excludes the target for a backoff that doubles.
 package loadbalance
@@ -50,6 +54,7 @@
 	"time"
 
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/ratelimit"
 )
 
 //go:generate stringer -type=Result -output=loadbalance_string.go -linecomment
@@ -121,6 +126,14 @@
 	Closed bool
 }
 
+// RateLimits holds this entry's shares of the limits that targets state.
+type RateLimits interface {
+	// Available returns how many requests a target may get now, and whether it has a limit.
+	Available(id fleet.InstanceID, i fleet.Incarnation, now time.Time) (requests int, limited bool)
+	// ShareOf returns this entry's share of a target's limit.
+	ShareOf(id fleet.InstanceID, i fleet.Incarnation) ratelimit.Share
+}
+
 // targetState is a target and its load as this entry knows it.
 type targetState struct {
 	Target
@@ -146,6 +159,7 @@
 	// limits.
 	unreported bool
 	window     window
+	limits     RateLimits // nil if there are none
 }
 
 // NewBalancer returns a balancer without targets.
@@ -156,6 +170,17 @@
 // SetEntries sets the number of entries that may use the targets, including this one.
 func (b *Balancer) SetEntries(n int) { b.entries = n }
 
+// SetRateLimits sets the shares of limits that targets state.
+func (b *Balancer) SetRateLimits(l RateLimits) { b.limits = l }
+
+// available returns how many requests a target's limit allows now, and whether it has one.
+func (b *Balancer) available(s *targetState, now time.Time) (requests int, limited bool) {
+	if b.limits == nil {
+		return 0, false
+	}
+	return b.limits.Available(s.ID, s.Incarnation, now)
+}
+
 // SetUnreported sets whether the targets have no agents that report their load.
 func (b *Balancer) SetUnreported(unreported bool) { b.unreported = unreported }
 
@@ -352,9 +377,14 @@
 func (b *Balancer) FreeSlots(now time.Time) int {
 	free := 0
 	for _, s := range b.ordered {
-		if b.isAvailable(s, now) {
-			free += max(0, s.Slots-int(math.Ceil(b.estimatedRequests(s, now))))
+		if !b.isAvailable(s, now) {
+			continue
+		}
+		n := max(0, s.Slots-int(math.Ceil(b.estimatedRequests(s, now))))
+		if allowed, limited := b.available(s, now); limited {
+			n = min(n, allowed)
 		}
+		free += n
 	}
 	return free
 }
@@ -383,7 +413,34 @@
 }
 
 func (b *Balancer) isAvailable(s *targetState, now time.Time) bool {
-	return !s.Closed && !now.Before(s.pausedUntil) && !now.Before(s.NotBefore)
+	if s.Closed || now.Before(s.pausedUntil) || now.Before(s.NotBefore) {
+		return false
+	}
+	n, limited := b.available(s, now)
+	return !limited || n > 0
+}
+
+// Throughput is what limited targets take from this entry.
+type Throughput struct {
+	Requests int            // now
+	Rate     ratelimit.Rate // from now on
+}
+
+// Limited returns what the targets take if each of them has a limit, is paused or closed.
+func (b *Balancer) Limited(now time.Time) (t Throughput, limited bool) {
+	for _, s := range b.ordered {
+		if s.Closed || now.Before(s.NotBefore) {
+			continue
+		}
+		n, ok := b.available(s, now)
+		if !ok {
+			return Throughput{}, false
+		}
+		limited = true
+		t.Requests += n
+		t.Rate += b.limits.ShareOf(s.ID, s.Incarnation).Rate
+	}
+	return t, limited
 }
 
 // PausedUntil returns when the first target that is not closed wants requests again, if all
@@ -432,6 +489,9 @@
 			continue
 		}
 		score := b.score(s, requests)
+		if _, limited := b.available(s, now); limited {
+			score -= limitedBonus
+		}
 		switch {
 		case score < lowest:
 			best, lowest, ties = i, score, 1
@@ -448,6 +508,10 @@
 	return b.ordered[best].ID, true
 }
 
+// limitedBonus is how much more load than others, as a share of the slots, a target with a limit may have
+// and still be chosen when the limit allows a request. It exceeds all differences but those of failing targets.
+const limitedBonus = 2
+
 func (b *Balancer) score(s *targetState, requests float64) float64 {
 	score := (requests+b.settings.PrefillWeight*float64(s.prefillTokens)/1000)/float64(max(1, s.Slots)) + errorPenalty*s.errorRate
 	switch {
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -63,7 +63,16 @@
 // Position returns the index of self in the order for key, or -1 when self is
 // not a member.
 func Position[T ~string](key string, members []T, self T) int {
-	return slices.Index(Top(key, members, len(members)), self)
+	if !slices.Contains(members, self) {
+		return -1
+	}
+	own, ahead := Score(key, string(self)), 0
+	for _, m := range members {
+		if s := Score(key, string(m)); s > own || s == own && m < self {
+			ahead++
+		}
+	}
+	return ahead
 }
 
 // mix is the 64-bit finalizer of MurmurHash3.
--- a/core/rank/rank_test.go
+++ b/core/rank/rank_test.go
@@ -48,3 +48,14 @@
 		assert.Assert(t, n > 850 && n < 1150, "%s ranks first for %d of 10,000 keys", m, n)
 	}
 }
+
+func TestPositionIsTheIndexInTheOrder(t *testing.T) {
+	all := members(9)
+	for k := range 50 {
+		key := fmt.Sprint("key", k)
+		for i, m := range Top(key, all, len(all)) {
+			assert.Equal(t, Position(key, all, m), i)
+		}
+		assert.Equal(t, Position(key, all, "other"), -1)
+	}
+}
--- a/core/trace/messages.go
+++ b/core/trace/messages.go
@@ -17,6 +17,7 @@
 	MessageTargetSheds         = "target sheds load"
 	MessageTargetLimit         = "target states a limit"
 	MessageTargetLimitEnds     = "limit of a target has ended"
+	MessageLimitShare          = "share of a target's limit"
 	MessageTargetsExpired      = "lapsed targets did not come back"
 	MessageTargetShownRemoved  = "target has left: entries read the store before its entry went"
 	MessageWeightsTooOld       = "older weights may not answer any more"
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -24,10 +24,7 @@
 		Revision: uint64(r.Position.Revision), Era: uint64(r.Position.Era), Leaving: r.Leaving, Models: modelsToWire(r.Models),
 		Load:           loadToWire(r.Load),
 		CachedPrefixes: r.Cached, Sequence: r.Sequence,
-		OriginBytes: uint64(r.OriginBytes), PeerBytes: uint64(r.PeerBytes), ChecksOrders: r.ChecksCommandSender, WantAck: r.WantAck, CrashBoot: r.CrashedIncarnation,
-	}
-	for _, s := range r.Services {
-		out.Services = append(out.Services, string(s))
+		Services: stringsOf(r.Services), OriginBytes: uint64(r.OriginBytes), PeerBytes: uint64(r.PeerBytes), ChecksOrders: r.ChecksCommandSender, WantAck: r.WantAck, CrashBoot: r.CrashedIncarnation,
 	}
 	for _, f := range r.Crashed {
 		out.CrashedRequests = append(out.CrashedRequests, uint64(f))
@@ -41,12 +38,9 @@
 		Region: fleet.Region(p.GetRegion()), Zone: fleet.Zone(p.GetAvailabilityZone()), Pool: fleet.Pool(p.GetPool()),
 		Address: p.GetAddress(), Position: positionFromWire(p.GetEra(), p.GetRevision()), Leaving: p.GetLeaving(),
 		Models: modelsFromWire(p.GetModels()), Load: loadFromWire(p.GetLoad()),
-		Cached: p.GetCachedPrefixes(), Sequence: p.GetSequence(),
+		Services: servicesOf(p.GetServices()), Cached: p.GetCachedPrefixes(), Sequence: p.GetSequence(),
 		OriginBytes: fleet.Bytes(p.GetOriginBytes()), PeerBytes: fleet.Bytes(p.GetPeerBytes()), ChecksCommandSender: p.GetChecksOrders(), WantAck: p.GetWantAck(), CrashedIncarnation: p.GetCrashBoot(),
 	}
-	for _, s := range p.GetServices() {
-		r.Services = append(r.Services, fleet.Service(s))
-	}
 	for _, f := range p.GetCrashedRequests() {
 		r.Crashed = append(r.Crashed, fleet.Fingerprint(f))
 	}
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -12,6 +12,7 @@
 	"amaranthturn/core/gossip"
 	"amaranthturn/core/mirror"
 	"amaranthturn/core/notice"
+	"amaranthturn/core/ratelimit"
 	"amaranthturn/core/roster"
 	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer/peerpb"
@@ -41,6 +42,8 @@
 	ProvenParts []crashblame.Proof
 	// Reads is when the store answered the sender and other entries.
 	Reads []roster.ReadReport
+	// Limits are the limits that targets state for all entries together.
+	Limits []ratelimit.Limit
 }
 
 // MaxStatedEntries limits the number of entries that a message can state.
@@ -184,7 +187,7 @@
 	for _, r := range m.Records {
 		out.Rows = append(out.Rows, &peerpb.EntryRow{
 			Instance: string(r.Instance), Incarnation: uint64(r.Incarnation), Sequence: r.Sequence, Region: string(r.Region),
-			AvailabilityZone: string(r.Zone), PeerAddress: r.Address, CallerAddress: r.CallerAddress, Leaving: r.Leaving, AgeMs: uint64(r.Age.Milliseconds()),
+			AvailabilityZone: string(r.Zone), PeerAddress: r.Address, CallerAddress: r.CallerAddress, Leaving: r.Leaving, AgeMs: uint64(r.Age.Milliseconds()), IdleServices: stringsOf(r.Idle),
 		})
 	}
 	for m, ages := range m.Declared {
@@ -195,6 +198,9 @@
 	for _, t := range m.Leaving {
 		out.Leaving = append(out.Leaving, &peerpb.LeavingTarget{Target: string(t.ID), Born: uint64(t.Incarnation)})
 	}
+	for _, l := range m.Limits {
+		out.Limits = append(out.Limits, &peerpb.TargetLimit{Target: string(l.ID), Born: uint64(l.Incarnation), Revision: l.Revision, Ended: !l.IsInForce, Rate: float64(l.Rate)})
+	}
 	for _, r := range m.Crashes {
 		w := &peerpb.CrashReport{Id: uint64(r.ID), AgeMs: uint64(r.Age.Milliseconds())}
 		for _, part := range r.Parts {
@@ -216,6 +222,12 @@
 	for _, t := range p.GetLeaving() {
 		m.Leaving = append(m.Leaving, notice.Target{ID: fleet.InstanceID(t.GetTarget()), Incarnation: fleet.Incarnation(t.GetBorn())})
 	}
+	for _, l := range p.GetLimits() {
+		m.Limits = append(m.Limits, ratelimit.Limit{
+			Target:   notice.Target{ID: fleet.InstanceID(l.GetTarget()), Incarnation: fleet.Incarnation(l.GetBorn())},
+			Revision: l.GetRevision(), IsInForce: !l.GetEnded(), Rate: ratelimit.Rate(l.GetRate()),
+		})
+	}
 	var values valueDecompressor
 	var err error
 	if m.Retained, err = values.eventsFromWire(p.GetRetained()); err != nil {
@@ -226,6 +238,7 @@
 			Instance: fleet.InstanceID(r.GetInstance()), Incarnation: fleet.Incarnation(r.GetIncarnation()), Sequence: r.GetSequence(),
 			Region: fleet.Region(r.GetRegion()), Zone: fleet.Zone(r.GetAvailabilityZone()),
 			Address: r.GetPeerAddress(), CallerAddress: r.GetCallerAddress(), Leaving: r.GetLeaving(), Age: millis(r.GetAgeMs()),
+			Idle: servicesOf(r.GetIdleServices()),
 		})
 	}
 	m.Declared = map[fleet.Model][]upgrade.Age{}
@@ -398,3 +411,19 @@
 		onLoads(loads)
 	}
 }
+
+func stringsOf(services []fleet.Service) []string {
+	var out []string
+	for _, s := range services {
+		out = append(out, string(s))
+	}
+	return out
+}
+
+func servicesOf(names []string) []fleet.Service {
+	var out []fleet.Service
+	for _, s := range names {
+		out = append(out, fleet.Service(s))
+	}
+	return out
+}
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -12,6 +12,7 @@
 	"amaranthturn/core/gossip"
 	"amaranthturn/core/mirror"
 	"amaranthturn/core/notice"
+	"amaranthturn/core/ratelimit"
 	"amaranthturn/core/upgrade"
 	"amaranthturn/io/peer/peerpb"
 )
@@ -19,11 +20,15 @@
 // A field that only one of the two conversions knows is lost on the wire without an error.
 func TestExchangeKeepsEveryFieldOnTheWire(t *testing.T) {
 	m := ExchangeMessage{
-		Records:       []gossip.Record{{Instance: "e", Incarnation: 1, Sequence: 2, Region: "r", Zone: "z", Address: "a", CallerAddress: "c", Leaving: true, Age: 3 * time.Second}},
+		Records:       []gossip.Record{{Instance: "e", Incarnation: 1, Sequence: 2, Region: "r", Zone: "z", Address: "a", CallerAddress: "c", Leaving: true, Age: 3 * time.Second, Idle: []fleet.Service{"s"}}},
 		Blamed:        []crashblame.Blame{{Fingerprint: 7, Crash: 8, Share: 0.5, Age: 3 * time.Second, Idle: 2 * time.Second}, {Fingerprint: 9, Crash: 10, IsTrial: true}},
 		StorePosition: mirror.Position{Era: 2, Revision: 9},
 		ConfigVersion: 11,
 		Leaving:       []notice.Target{{ID: "t", Incarnation: 5}},
+		Limits: []ratelimit.Limit{
+			{Target: notice.Target{ID: "t", Incarnation: 5}, Revision: 3, IsInForce: true, Rate: 1.6},
+			{Target: notice.Target{ID: "u", Incarnation: 6}, Revision: 4},
+		},
 		Retained:      []mirror.Event{{Key: "k", Value: []byte("v"), Era: 1, Revision: 12}, {Key: "l", Value: bytes.Repeat([]byte("w"), minCompressBytes), Era: 1, Revision: 13}},
 		Crashes:       []crashblame.Report{{ID: 4, Parts: []fleet.Fingerprint{5, 6}, Age: 2 * time.Second}},
 		ProvenParts:   []crashblame.Proof{{Part: 5, Age: time.Second}},
