--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -29,11 +29,11 @@
 			{Target: notice.Target{ID: "t", Incarnation: 5}, Revision: 3, IsInForce: true, Rate: 1.6},
 			{Target: notice.Target{ID: "u", Incarnation: 6}, Revision: 4},
 		},
-		Retained:      []mirror.Event{{Key: "k", Value: []byte("v"), Era: 1, Revision: 12}, {Key: "l", Value: bytes.Repeat([]byte("w"), minCompressBytes), Era: 1, Revision: 13}},
-		Crashes:       []crashblame.Report{{ID: 4, Parts: []fleet.Fingerprint{5, 6}, Age: 2 * time.Second}},
-		ProvenParts:   []crashblame.Proof{{Part: 5, Age: time.Second}},
-		Reads:         statedReads,
-		Declared:      map[fleet.Model][]upgrade.Age{"m": {{Version: 2, Known: 3 * time.Second}, {Version: 3, Known: time.Second}}},
+		Retained:    []mirror.Event{{Key: "k", Value: []byte("v"), Era: 1, Revision: 12}, {Key: "l", Value: bytes.Repeat([]byte("w"), minCompressBytes), Era: 1, Revision: 13}},
+		Crashes:     []crashblame.Report{{ID: 4, Parts: []fleet.Fingerprint{5, 6}, Age: 2 * time.Second}},
+		ProvenParts: []crashblame.Proof{{Part: 5, Age: time.Second}},
+		Reads:       statedReads,
+		Declared:    map[fleet.Model][]upgrade.Age{"m": {{Version: 2, Known: 3 * time.Second}, {Version: 3, Known: time.Second}}},
 	}
 	got, err := exchangeFromWire(exchangeToWire(m, &valueCompressor{}))
 	assert.NilError(t, err)
