gateway: a request beyond all limits is refused without a deadlock, and by the part of a token that was gained

The first version asked for the time to come back while it held the gateway's lock, which asks for it again: the entry would have hung with the first request that all targets' limits did not allow. It also took a token of which most was gained for none, and refused what would have been served 50 ms later.

--- a/app/gateway/limits.go
+++ b/app/gateway/limits.go
@@ -139,13 +139,13 @@
 // of them don't allow the request and those that wait before queueDeadline. mu must be held.
 func (h *requestHandler) refuseBeyondLimits(svc *service, queueDeadline, now time.Time) *fleet.Refusal {
 	t, limited := svc.balancer.Limited(now)
-	missing := svc.queue.Queued() + 1 - t.Requests
+	missing := float64(svc.queue.Queued()+1) - t.Requests
 	if !limited || missing <= 0 || h.responseStarted.Load() {
 		return nil
 	}
-	retryAfter := h.retryAfter()
+	retryAfter := h.chooseRetryAfter()
 	if t.Rate > 0 {
-		wait := time.Duration(float64(missing) / float64(t.Rate) * float64(time.Second))
+		wait := time.Duration(missing / float64(t.Rate) * float64(time.Second))
 		if !now.Add(wait).After(queueDeadline) {
 			return nil
 		}
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -270,9 +270,17 @@
 }
 
 func (h *requestHandler) retryAfter() time.Duration {
+	h.g.mu.Lock()
+	defer h.g.mu.Unlock()
+	return h.chooseRetryAfter()
+}
+
+// chooseRetryAfter returns when a caller that is refused now should come back. Gateway.mu must be held.
+func (h *requestHandler) chooseRetryAfter() time.Duration {
 	left := float64(h.deadline.Time().Sub(h.g.now()))
 	base := max(baseRetryAfter, time.Duration(retryAfterShare*left))
-	return base + h.g.jitter(max(retryAfterJitter, time.Duration(retryJitterShare*left)))
+	jitter := max(retryAfterJitter, time.Duration(retryJitterShare*left))
+	return base + jitter/2 + time.Duration(h.g.random.Float64()*float64(jitter))
 }
 
 func (h *requestHandler) awaitVerdict(ctx context.Context, svc *service, req admit.Request, verdict chan admit.Verdict) *fleet.Refusal {
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -128,8 +128,9 @@
 
 // RateLimits holds this entry's shares of the limits that targets state.
 type RateLimits interface {
-	// Available returns how many requests a target may get now, and whether it has a limit.
-	Available(id fleet.InstanceID, i fleet.Incarnation, now time.Time) (requests int, limited bool)
+	// Available returns how many requests a target may get now, with the part of one that was gained, and
+	// whether it has a limit.
+	Available(id fleet.InstanceID, i fleet.Incarnation, now time.Time) (requests float64, limited bool)
 	// ShareOf returns this entry's share of a target's limit.
 	ShareOf(id fleet.InstanceID, i fleet.Incarnation) ratelimit.Share
 }
@@ -174,7 +175,7 @@
 func (b *Balancer) SetRateLimits(l RateLimits) { b.limits = l }
 
 // available returns how many requests a target's limit allows now, and whether it has one.
-func (b *Balancer) available(s *targetState, now time.Time) (requests int, limited bool) {
+func (b *Balancer) available(s *targetState, now time.Time) (requests float64, limited bool) {
 	if b.limits == nil {
 		return 0, false
 	}
@@ -382,7 +383,7 @@
 		}
 		n := max(0, s.Slots-int(math.Ceil(b.estimatedRequests(s, now))))
 		if allowed, limited := b.available(s, now); limited {
-			n = min(n, allowed)
+			n = min(n, int(allowed))
 		}
 		free += n
 	}
@@ -417,12 +418,12 @@
 		return false
 	}
 	n, limited := b.available(s, now)
-	return !limited || n > 0
+	return !limited || n >= 1
 }
 
 // Throughput is what limited targets take from this entry.
 type Throughput struct {
-	Requests int            // now
+	Requests float64        // now
 	Rate     ratelimit.Rate // from now on
 }
 
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -236,9 +236,9 @@
 	}
 }
 
-// Available returns how many requests this entry may send to a target now, and whether the target has a
-// limit at all.
-func (l *Ledger) Available(id fleet.InstanceID, i fleet.Incarnation, now time.Time) (requests int, limited bool) {
+// Available returns how many requests this entry may send to a target now, with the part of one that it has
+// gained, and whether the target has a limit at all.
+func (l *Ledger) Available(id fleet.InstanceID, i fleet.Incarnation, now time.Time) (requests float64, limited bool) {
 	if len(l.targets) == 0 {
 		return 0, false
 	}
@@ -247,7 +247,7 @@
 		return 0, false
 	}
 	s.settle(now)
-	return int(s.tokens), true
+	return s.tokens, true
 }
 
 // ShareOf returns this entry's part of a target's limit, which is zero if the target has none.
