--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -40,6 +40,7 @@
 	prefillTokens   int
 	crashed         bool
 	answered        bool        // the target has answered, whatever it was
+	connectedAt     time.Time   // when the connection of that answer was made
 	completed       bool        // the response is complete and successful, and not the rest of another one
 	isTrial         bool        // the request is known to crash targets
 	headerReceived  bool        // the header of a successful response
@@ -80,6 +81,7 @@
 		return a.transportFailure(err), false
 	}
 	verdict := forward.Classify(sent.Reply)
+	a.connectedAt = sent.ConnectedAt
 	a.answered = verdict != forward.VerdictWrongTarget && (sent.Signed || sent.NotRun)
 	switch verdict {
 	case forward.VerdictNoCapacity, forward.VerdictWrongTarget:
--- a/app/gateway/crashes.go
+++ b/app/gateway/crashes.go
@@ -7,11 +7,13 @@
 
 	"amaranthturn/core/crashblame"
 	"amaranthturn/core/fleet"
+	"amaranthturn/core/roster"
 )
 
 // crashesTargets reports whether the request or a part of its prompt is known to crash the
 // targets that run it. Gateway.mu must be held.
 func (h *requestHandler) crashesTargets(now time.Time) bool {
+	h.g.confirmAnswers(now)
 	return h.g.ledger.Restriction(h.fingerprint, now) == crashblame.Refuse || h.partCrashesTargets(now)
 }
 
@@ -19,6 +21,17 @@
 	return h.g.parts.Restriction(h.call.SharedParts, now) == crashblame.Refuse
 }
 
+// recordPropagation is how long a target's record takes to reach the entries.
+const recordPropagation = 500 * time.Millisecond
+
+// confirmAnswers lets answers count as those of the listed incarnations of their targets once the records
+// of later ones would be known. mu must be held.
+func (g *Gateway) confirmAnswers(now time.Time) {
+	if !g.storeUnavailable {
+		g.ledger.ConfirmAnswers(now.Add(-g.settings.RecordRenewal-recordPropagation), now)
+	}
+}
+
 // isTrialDue reports whether a request that is known to crash targets is sent to one all the same, to
 // learn whether it was only beside the one that does. Gateway.mu must be held.
 func (h *requestHandler) isTrialDue(now time.Time) bool {
@@ -39,13 +52,18 @@
 		Msg("refused content is tried again")
 }
 
+// crashOf names the crash of a target's incarnation.
+func crashOf(t roster.Target) crashblame.CrashID {
+	return crashblame.CrashOf(t.ID, uint64(t.Incarnation))
+}
+
 // recordCrashes records what the end of an attempt shows of crashes, and reports whether a part of the
 // request's prompt is suspected of one. The handler's mu and Gateway.mu must be held.
 func (a *targetAttempt) recordCrashes(done bool, now time.Time) (partSuspected bool) {
 	h, g := a.handler, a.handler.g
-	id := crashblame.CrashOf(a.target.ID, uint64(a.target.Incarnation))
+	id := crashOf(a.target)
 	if a.answered {
-		g.ledger.RecordAnswer(id, a.startedAt, now)
+		g.ledger.RecordAnswer(id, a.connectedAt, a.startedAt, now)
 	}
 	if done && a.completed {
 		g.ledger.RecordProof(h.fingerprint, now)
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -312,6 +312,9 @@
 		g.log.members.Info().Str("target", string(t.ID)).Str("service", string(t.Service)).Str("address", t.Address).
 			Str("state", t.State.String()).Uint64("born", uint64(t.Incarnation)).Msg(trace.MessageTarget)
 	}
+	if ok && old.Incarnation != t.Incarnation {
+		g.ledger.EndIncarnation(crashOf(old))
+	}
 	g.roster.Update(t)
 }
 
--- a/core/crashblame/crashblame.go
+++ b/core/crashblame/crashblame.go
@@ -149,12 +149,17 @@
 	settings Settings
 	records  map[fleet.Fingerprint]*blameRecord
 	blamed   map[CrashID][]fleet.Fingerprint // with a share
-	proofs   *proofs
+	// answers are the first answers of blamed incarnations that a later one may have given.
+	answers map[CrashID]answer
+	proofs  *proofs
 }
 
+// answer is an answer to a request that was sent after a crash.
+type answer struct{ sentAt, receivedAt time.Time }
+
 // NewLedger returns an empty ledger.
 func NewLedger(settings Settings) *Ledger {
-	return &Ledger{settings: settings, records: map[fleet.Fingerprint]*blameRecord{}, blamed: map[CrashID][]fleet.Fingerprint{}, proofs: newProofs()}
+	return &Ledger{settings: settings, records: map[fleet.Fingerprint]*blameRecord{}, blamed: map[CrashID][]fleet.Fingerprint{}, answers: map[CrashID]answer{}, proofs: newProofs()}
 }
 
 // SetMaxCrashedTargets sets the number of targets that one request may crash.
@@ -190,7 +195,8 @@
 }
 
 // IsTrialDue reports whether a refused request may be run once more. The rank of this entry among
-// those that may do so for the request begins with 0; entries with a higher one wait longer.
+// those that may do so for the request begins with 0; entries with a higher one wait longer. The first one
+// need not wait for long if targets have answered that count as crashed: they may be alive.
 func (l *Ledger) IsTrialDue(f fleet.Fingerprint, rank int, now time.Time) bool {
 	r, ok := l.live(f, now)
 	if !ok {
@@ -206,6 +212,9 @@
 			last = clock.Later(last, u.at)
 		}
 	}
+	if rank == 0 && !l.isRefused(l.confirmedBlame(r)) {
+		return now.Sub(last) >= answeredTrialDelay
+	}
 	delay := l.settings.TrialDelay
 	for range min(max(0, backoffs), maxTrialBackoffs) {
 		delay *= trialBackoff
@@ -213,6 +222,20 @@
 	return now.Sub(last) >= delay+time.Duration(rank)*trialInterval
 }
 
+// answeredTrialDelay is the delay of a trial while answers of blamed targets are not confirmed.
+const answeredTrialDelay = 1500 * time.Millisecond
+
+// confirmedBlame returns the blame without crashes after which their targets have answered.
+func (l *Ledger) confirmedBlame(r *blameRecord) float64 {
+	sum := 0.0
+	for id, u := range r.units {
+		if a, ok := l.answers[id]; !ok || !u.at.Before(a.sentAt) {
+			sum += u.share
+		}
+	}
+	return sum
+}
+
 // RecordTrial records that a refused request is run once more.
 func (l *Ledger) RecordTrial(f fleet.Fingerprint, now time.Time) {
 	if r, ok := l.live(f, now); ok {
@@ -243,15 +266,38 @@
 // RetractCrash removes the blame of a crash that did not happen: the target was only
 // unreachable, and the same incarnation responds again.
 func (l *Ledger) RetractCrash(id CrashID, now time.Time) {
-	for _, f := range slices.Clone(l.blamed[id]) {
-		l.setShare(f, id, 0, now)
+	l.retract(id, func(time.Time) bool { return true }, now)
+}
+
+// RecordAnswer retracts the crash of a target that has answered a request which was sent after it, on a
+// connection from before it. A target that starts again under its ID answers on new connections, possibly
+// before its new incarnation is known: such an answer counts with ConfirmAnswers.
+func (l *Ledger) RecordAnswer(id CrashID, connectedAt, sentAt, now time.Time) {
+	l.retract(id, func(crashedAt time.Time) bool { return crashedAt.After(connectedAt) && crashedAt.Before(sentAt) }, now)
+	if _, known := l.answers[id]; !known && len(l.blamed[id]) > 0 {
+		l.answers[id] = answer{sentAt, now}
 	}
 }
 
-// RecordAnswer retracts the crash of a target that has answered a request which was sent after it.
-func (l *Ledger) RecordAnswer(id CrashID, sentAt, now time.Time) {
+// ConfirmAnswers retracts the crashes of targets that answered on new connections before a time. If later
+// incarnations had given the answers, they would be known.
+func (l *Ledger) ConfirmAnswers(before, now time.Time) {
+	for id, a := range l.answers {
+		if a.receivedAt.Before(before) {
+			l.retract(id, func(crashedAt time.Time) bool { return crashedAt.Before(a.sentAt) }, now)
+			delete(l.answers, id)
+		}
+	}
+}
+
+// EndIncarnation records that a later incarnation of a target has begun, which may have given the answers
+// that are not confirmed.
+func (l *Ledger) EndIncarnation(id CrashID) { delete(l.answers, id) }
+
+// retract clears the blame for a crash of the requests whose share of it is from a time that applies.
+func (l *Ledger) retract(id CrashID, applies func(crashedAt time.Time) bool, now time.Time) {
 	for _, f := range slices.Clone(l.blamed[id]) {
-		if l.records[f].units[id].at.Before(sentAt) {
+		if applies(l.records[f].units[id].at) {
 			l.setShare(f, id, 0, now)
 		}
 	}
@@ -436,6 +482,7 @@
 	rest := slices.DeleteFunc(l.blamed[id], func(other fleet.Fingerprint) bool { return other == f })
 	if len(rest) == 0 {
 		delete(l.blamed, id)
+		delete(l.answers, id)
 		return
 	}
 	l.blamed[id] = rest
--- a/core/crashblame/crashblame_test.go
+++ b/core/crashblame/crashblame_test.go
@@ -161,12 +161,46 @@
 	for i := range 3 {
 		l.RecordCrash(crashOf(i), []fleet.Fingerprint{1}, now)
 	}
-	l.RecordAnswer(crashOf(0), now.Add(-time.Second), now.Add(time.Second))
+	before, after := now.Add(-time.Second), now.Add(time.Second)
+	l.RecordAnswer(crashOf(0), before, before, after)
 	assert.Equal(t, l.Restriction(1, now), Refuse, "the answer is of a request from before the crash")
-	l.RecordAnswer(crashOf(0), now.Add(time.Second), now.Add(2*time.Second))
+	l.RecordAnswer(crashOf(0), after, after, now.Add(2*time.Second))
+	assert.Equal(t, l.Restriction(1, now), Refuse, "the target may have started again under its ID")
+	l.RecordAnswer(crashOf(0), before, after, now.Add(2*time.Second))
+	assert.Equal(t, l.Restriction(1, now), Unrestricted, "the connection is from before the crash")
+	l.RecordCrash(crashOf(3), []fleet.Fingerprint{1}, now)
+	assert.Equal(t, l.Restriction(1, now), Refuse)
+	l.RecordAnswer(crashOf(1), after, after, now.Add(2*time.Second))
+	l.EndIncarnation(crashOf(1))
+	l.ConfirmAnswers(now.Add(9*time.Second), now.Add(9*time.Second))
+	assert.Equal(t, l.Restriction(1, now), Refuse, "a later incarnation may have answered")
+	l.RecordAnswer(crashOf(1), after, after, now.Add(2*time.Second))
+	l.ConfirmAnswers(now.Add(2*time.Second), now.Add(9*time.Second))
+	assert.Equal(t, l.Restriction(1, now), Refuse, "a later incarnation may not be known yet")
+	l.ConfirmAnswers(now.Add(3*time.Second), now.Add(9*time.Second))
 	assert.Equal(t, l.Restriction(1, now), Unrestricted)
 }
 
+// Targets have answered that count as crashed, and may have started again. One entry learns by a trial which
+// it is, and the others wait.
+func TestTrialWhileAnswersAreNotConfirmed(t *testing.T) {
+	l := NewLedger(plainSettings)
+	for i := range 3 {
+		l.RecordCrash(crashOf(i), []fleet.Fingerprint{1}, now)
+	}
+	after := now.Add(time.Second)
+	assert.Assert(t, !l.IsTrialDue(1, 0, now.Add(answeredTrialDelay)))
+	l.RecordAnswer(crashOf(0), after, after, after)
+	assert.Equal(t, l.Restriction(1, now), Refuse)
+	assert.Assert(t, !l.IsTrialDue(1, 0, now.Add(answeredTrialDelay-1)))
+	assert.Assert(t, l.IsTrialDue(1, 0, now.Add(answeredTrialDelay)))
+	assert.Assert(t, !l.IsTrialDue(1, 1, now.Add(answeredTrialDelay)))
+	l.RecordTrial(1, now.Add(answeredTrialDelay))
+	assert.Assert(t, !l.IsTrialDue(1, 0, now.Add(answeredTrialDelay+1)))
+	l.EndIncarnation(crashOf(0))
+	assert.Assert(t, !l.IsTrialDue(1, 0, now.Add(3*answeredTrialDelay)))
+}
+
 // One entry at a time runs a refused request once more, and later each time.
 func TestTrialsOfRefusedRequest(t *testing.T) {
 	const entries = 8
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -179,6 +179,7 @@
 	rd          *bufio.Reader
 	head        *bounded.Reader // the current response's header; nil while a body is read
 	addr        string
+	connectedAt time.Time
 	responses   int           // final responses read so far
 	idleSince   time.Time     // start of the current idle period
 	idleTimeout time.Duration // maximum idle period
@@ -222,6 +223,8 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// ConnectedAt is when the connection was made on which the response arrived.
+	ConnectedAt time.Time
 	// Length is the length of the body, or -1 if it is not known in advance.
 	Length int64
 
@@ -252,7 +255,7 @@
 			return nil, &NotSentError{Address: addr, Cause: err}
 		}
 	}
-	resp := &Response{pool: p, conn: c, written: make(chan error, 1)}
+	resp := &Response{pool: p, conn: c, ConnectedAt: c.connectedAt, written: make(chan error, 1)}
 	resp.stop = context.AfterFunc(ctx, c.abort) // unblocks reads and writes
 	if len(r.Body) <= maxSyncBodyBytes {
 		resp.written <- hr.Write(c)
@@ -485,7 +488,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, addr: addr}
+	c := &conn{Conn: nc, addr: addr, connectedAt: time.Now()}
 	c.rd = bufio.NewReaderSize(c, 4<<10)
 	return c, nil
 }
