loadbalance, gateway: tests of limited targets and of entries without requests; linter

A limited target is chosen whenever its limit allows a request and never else, limits are a service's capacity only if all open targets have one, and an entry without requests for ten seconds leaves the limit to others. The bonus stands in score. No change of behaviour.

--- a/app/gateway/limits.go
+++ b/app/gateway/limits.go
@@ -17,7 +17,7 @@
 // recordLimit applies what an answer shows of the target's limit. mu of the gateway must not be held.
 func (a *targetAttempt) recordLimit(n forward.Notices) {
 	g := a.handler.g
-	if !n.IsLimited && !(n.IsUnlimited && g.hasLimits.Load()) {
+	if !n.IsLimited && (!n.IsUnlimited || !g.hasLimits.Load()) {
 		return
 	}
 	g.mu.Lock()
--- a/app/gateway/limits_test.go
+++ b/app/gateway/limits_test.go
@@ -146,3 +146,23 @@
 	_, limited = g.limits.Available(target.ID, target.Incarnation, c.t)
 	assert.Assert(t, !limited)
 }
+
+// An entry that gets no requests for the service of a limited target leaves the limit to others, and takes
+// its share as soon as it gets one.
+func TestLimitIsLeftToEntriesWithRequests(t *testing.T) {
+	g, c, target := limitedGateway(t, 0.5)
+	g.entryList.Merge([]gossip.Record{{Instance: "e0", Incarnation: 1, Address: "10.0.0.9:1"}, {Instance: "e2", Incarnation: 1, Address: "10.0.0.8:1", Idle: []fleet.Service{"s"}}}, c.t)
+	share := func() ratelimit.Rate {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.maxEntries = 3
+		g.divideLimits(c.t)
+		return g.limits.ShareOf(target.ID, target.Incarnation).Rate
+	}
+	c.t = c.t.Add(idleAfter + time.Second)
+	g.entryList.Merge([]gossip.Record{{Instance: "e0", Incarnation: 1, Sequence: 9, Address: "10.0.0.9:1"}}, c.t)
+	assert.Equal(t, share(), ratelimit.Rate(0))
+	g.entryList.Merge([]gossip.Record{{Instance: "e0", Incarnation: 1, Sequence: 10, Address: "10.0.0.9:1", Idle: []fleet.Service{"s"}}}, c.t)
+	g.service("s").lastRequestAt = c.t
+	assert.Equal(t, share(), ratelimit.Rate(0.5))
+}
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -489,10 +489,7 @@
 		case q.IsEligible != nil && !q.IsEligible(s.ID):
 			continue
 		}
-		score := b.score(s, requests)
-		if _, limited := b.available(s, now); limited {
-			score -= limitedBonus
-		}
+		score := b.score(s, requests, now)
 		switch {
 		case score < lowest:
 			best, lowest, ties = i, score, 1
@@ -513,7 +510,7 @@
 // and still be chosen when the limit allows a request. It exceeds all differences but those of failing targets.
 const limitedBonus = 2
 
-func (b *Balancer) score(s *targetState, requests float64) float64 {
+func (b *Balancer) score(s *targetState, requests float64, now time.Time) float64 {
 	score := (requests+b.settings.PrefillWeight*float64(s.prefillTokens)/1000)/float64(max(1, s.Slots)) + errorPenalty*s.errorRate
 	switch {
 	case s.Home:
@@ -521,6 +518,9 @@
 	case !s.SameZone:
 		score += b.settings.OtherZonePenalty
 	}
+	if _, limited := b.available(s, now); limited {
+		score -= limitedBonus
+	}
 	return score
 }
 
