gateway, crashblame: limits of targets that are not listed count for nothing; an early answer hides no later one

Read once more: a limit of an incarnation that has ended kept the gauge of limited targets above 0 for ten minutes. An unconfirmed answer to a request from before the crash kept the place of a later one until it expired. Usage of core/ratelimit corrected.

--- a/app/gateway/limits.go
+++ b/app/gateway/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"amaranthturn/core/fleet"
@@ -68,9 +69,13 @@
 }
 
 // divideLimits sets this entry's shares of the limits in force. An entry that has not exchanged its list
-// with the others that are named takes no share. mu must be held.
+// with the others that are named takes no share. Limits of targets that are not listed wait until they are. mu
+// must be held.
 func (g *Gateway) divideLimits(now time.Time) {
-	limits := g.limits.InForce()
+	limits := slices.DeleteFunc(g.limits.InForce(), func(l ratelimit.Limit) bool {
+		t, ok := g.roster.Get(l.ID)
+		return !ok || t.Incarnation != l.Incarnation
+	})
 	if len(limits) == 0 && !g.hasLimits.Load() {
 		return
 	}
@@ -99,14 +104,14 @@
 // service's targets to others.
 const idleAfter = 10 * time.Second
 
-// idleServices returns the services of limited targets for which this entry got no requests lately. mu
+// idleServices returns the services of listed targets with limits for which this entry got no requests lately. mu
 // must be held.
 func (g *Gateway) idleServices(limits []ratelimit.Limit, now time.Time) []fleet.Service {
 	var out []fleet.Service
 	seen := map[fleet.Service]bool{}
 	for _, l := range limits {
-		t, ok := g.roster.Get(l.ID)
-		if !ok || seen[t.Service] {
+		t, _ := g.roster.Get(l.ID)
+		if seen[t.Service] {
 			continue
 		}
 		seen[t.Service] = true
--- a/core/crashblame/crashblame.go
+++ b/core/crashblame/crashblame.go
@@ -274,7 +274,8 @@
 // before its new incarnation is known: such an answer counts with ConfirmAnswers.
 func (l *Ledger) RecordAnswer(id CrashID, connectedAt, sentAt, now time.Time) {
 	l.retract(id, func(crashedAt time.Time) bool { return crashedAt.After(connectedAt) && crashedAt.Before(sentAt) }, now)
-	if _, known := l.answers[id]; !known && len(l.blamed[id]) > 0 {
+	_, known := l.answers[id]
+	if !known && slices.ContainsFunc(l.blamed[id], func(f fleet.Fingerprint) bool { return l.records[f].units[id].at.Before(sentAt) }) {
 		l.answers[id] = answer{sentAt, now}
 	}
 }
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -5,7 +5,7 @@
 //
 //	l := ratelimit.NewLedger()
 //	limit, changed := l.RecordAnswer(ratelimit.Answer{Target: t, IsStated: true, Rate: 1.6, SentAt: sentAt}, now)
-//	l.Divide(t, position, now)             // whenever a limit or the list of entries has changed
+//	l.Divide(t, position, entries, now)    // whenever a limit or the list of entries has changed
 //	if n, limited := l.Available(t.ID, t.Incarnation, now); limited && n < 1 { … choose another target … }
 //	if l.Take(t, now) { … send; l.Return(t, now) if nothing was sent … }
 //	out := l.Limits()                      // to another entry
