--- a/app/gateway/limits_test.go
+++ b/app/gateway/limits_test.go
@@ -18,8 +18,7 @@
 	"amaranthturn/core/routeconfig"
 )
 
-// learnLimit lets an entry learn a limit from another one. The other one ranks behind or before it by its
-// name.
+// learnLimit lets an entry learn a limit from another one.
 func learnLimit(g *Gateway, t notice.Target, rate ratelimit.Rate) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -259,8 +259,7 @@
 	return s.share
 }
 
-// Take takes the token of one request, and reports whether there was one. It is called for targets with a
-// limit only.
+// Take takes the token of one request, and reports whether there was one. A target without a limit has none.
 func (l *Ledger) Take(t notice.Target, now time.Time) bool {
 	if n, limited := l.Available(t.ID, t.Incarnation, now); !limited || n < 1 {
 		return false
