--- a/app/gateway/limits.go
+++ b/app/gateway/limits.go
@@ -41,10 +41,11 @@
 	for _, limit := range news {
 		g.logLimit(limit, "from", "another entry")
 	}
-	if len(news) > 0 {
-		g.limitsChanged(now)
+	if len(news) == 0 {
+		g.divideLimits(now)
+		return
 	}
-	g.divideLimits(now)
+	g.limitsChanged(now)
 }
 
 // limitsChanged applies changed limits to the requests that wait, and requests an exchange. mu must be
--- a/app/gateway/limits_test.go
+++ b/app/gateway/limits_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"testing"
 	"time"
 
@@ -30,11 +29,7 @@
 	for name, wait := range map[string]time.Duration{"no token": 0, "a token": 2 * time.Second} {
 		t.Run(name, func(t *testing.T) {
 			g, c := newTestGateway(t)
-			tcp, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			l := &countingListener{Listener: tcp}
-			t.Cleanup(func() { _ = l.Close() })
-			go l.run()
+			l := newCountingListener(t)
 			a := newPlainAttempt(t.Context(), g, c, l.Addr().String())
 			learnLimit(g, noticeTarget(a.target), 1)
 			c.t = c.t.Add(wait)
--- a/app/gateway/notices_test.go
+++ b/app/gateway/notices_test.go
@@ -25,6 +25,15 @@
 	bytes atomic.Int64
 }
 
+func newCountingListener(t *testing.T) *countingListener {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &countingListener{Listener: tcp}
+	t.Cleanup(func() { _ = l.Close() })
+	go l.run()
+	return l
+}
+
 func (l *countingListener) run() {
 	for {
 		c, err := l.Accept()
@@ -55,11 +64,7 @@
 func TestAttemptThatWasDiallingWhenThePauseBegan(t *testing.T) {
 	for _, paused := range []bool{true, false} {
 		g, c := newTestGateway(t)
-		tcp, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		l := &countingListener{Listener: tcp}
-		t.Cleanup(func() { _ = l.Close() })
-		go l.run()
+		l := newCountingListener(t)
 		a := newPlainAttempt(t.Context(), g, c, l.Addr().String())
 		if paused {
 			g.recordNotices(a.target, "a0", forward.Notices{Pause: 2 * time.Second})
--- a/app/gateway/slow_connect_test.go
+++ b/app/gateway/slow_connect_test.go
@@ -73,11 +73,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g, c := newTestGateway(t)
-			tcp, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			l := &countingListener{Listener: tcp}
-			t.Cleanup(func() { _ = l.Close() })
-			go l.run()
+			l := newCountingListener(t)
 			a := newPlainAttempt(t.Context(), g, c, l.Addr().String())
 			leave(g, a.target)
 			failure, done := a.send()
