gateway: requests whose callers have left when they are due to be sent are logged and counted

The server of net/http notices the end of a caller's connection in a goroutine of its own, so logs showed a request that was sent on after its caller had left like any other canceled one. The socket tells it at once: daemon.HasCallerLeft looks there. The line has the wait and the time since the request was read, which tells a pause of the entry from a wait for a slot; one that was delivered late has no line. Behaviour is the same.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -123,6 +123,9 @@
 	if a.isSuperseded() {
 		return errSuperseded
 	}
+	if daemon.HasCallerLeft(a.parent) {
+		a.handler.logCallerLeft()
+	}
 	g := a.handler.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -437,6 +437,13 @@
 	return h.g.roster.Get(id)
 }
 
+// logCallerLeft reports a caller that left before its request was sent to a target.
+func (h *requestHandler) logCallerLeft() {
+	h.g.metrics.Count("callers_left_before_send", 1)
+	h.g.log.requests.Info().Str("request", string(h.call.ID)).Int("attempts", h.attempts).Dur("waited", h.queueWait).
+		Dur("took", h.g.now().Sub(h.startedAt)).Msg("caller has left before its request is sent")
+}
+
 // logOutcome writes the log line of a request and updates the metrics.
 func (h *requestHandler) logOutcome(refusal *fleet.Refusal) {
 	m := h.g.metrics.Requests(h.workspace, h.class)
