gateway, entry: requests whose callers have left are not sent on (GONE)

Callers saw nothing; targets got requests for nobody, up to as many at once as the entry keeps connections to them, and with them work that sound requests waited for.

Cause: an entry that stood still reads requests and the ends of their connections side by side afterwards. The server of net/http notices an end in a goroutine of its own, so a request on a kept connection to a target was written before. Class: a state is taken from an asynchronous notification at a moment when it could be looked up.

Change: right before a request is sent, and before a target is chosen, the caller's socket is looked at (daemon.HasCallerLeft). The project's own interface has the same in RequestContext and before each attempt. Nothing is sent on a context that has ended.

TestRequestIsNotSentToWeightsThatBecameTooOld gives its attempt the contexts that each attempt has; its checks are the same.

--- a/app/daemon/callers.go
+++ b/app/daemon/callers.go
@@ -9,12 +9,12 @@
 )
 
 // HasCallerLeft reports whether the caller of the request with the given context has closed its connection.
-// A server of NewHTTPServer notices that later, in a goroutine of its own, and then cancels the context: what
-// must not be done for nobody asks this function right before. After a pause of the process, the requests
-// and the ends of their connections lie in the sockets side by side.
+// The server of NewHTTPServer cancels the context then, but later: it notices the close in a goroutine of its
+// own. After a pause of the process, requests and the ends of their connections are read one right after the
+// other, so that what must not be done for nobody has to look here first.
 func HasCallerLeft(ctx context.Context) bool {
 	c, ok := ctx.Value(connKey{}).(*serverConn)
-	return ctx.Err() != nil || ok && c.isClosedByPeer()
+	return ok && c.isClosedByPeer()
 }
 
 // isClosedByPeer reports whether everything that the peer sent was received and its end follows.
--- a/app/daemon/stop.go
+++ b/app/daemon/stop.go
@@ -104,9 +104,12 @@
 }
 
 // RequestContext returns the context of a request, which ends with ErrStopping as its cause when the
-// request has to end.
+// request has to end. It has ended if the caller has left already.
 func (s *RequestStop) RequestContext(parent context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
+	if HasCallerLeft(parent) {
+		cancel(context.Canceled)
+	}
 	stop := context.AfterFunc(s.ended, func() { cancel(ErrStopping) })
 	s.count(1)
 	return ctx, func() {
--- a/app/entry/attempts.go
+++ b/app/entry/attempts.go
@@ -93,6 +93,10 @@
 // attempt runs the request on a target, and on replacements while that target is silent, until the
 // response is complete or all of them have failed. It reports whether the response is complete.
 func (h *requestHandler) attempt(ctx context.Context) (dispatch.Failure, bool) {
+	if daemon.HasCallerLeft(ctx) {
+		h.state.StartAttempt("") // nothing is sent to a target
+		return dispatch.Failure{Kind: dispatch.KindCallerDisconnected}, false
+	}
 	g := &attemptGroup{h: h, ctx: ctx, events: make(chan attemptEvent), check: time.NewTimer(time.Hour)}
 	defer g.endAll()
 	if failure, ok := g.startFirst(); !ok {
--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -123,8 +123,8 @@
 	if a.isSuperseded() {
 		return errSuperseded
 	}
-	if daemon.HasCallerLeft(a.parent) {
-		a.handler.logCallerLeft()
+	if a.handler.endIfCallerLeft(a.parent) || a.ctx.Err() != nil {
+		return a.ctx.Err()
 	}
 	g := a.handler.g
 	g.mu.Lock()
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -370,7 +370,7 @@
 // attempt runs the request on one target and reports whether the response is complete. Nothing is
 // sent if startCtx has ended.
 func (h *requestHandler) attempt(ctx, startCtx context.Context, svc *service) (dispatch.Failure, bool) {
-	if startCtx.Err() != nil {
+	if h.endIfCallerLeft(ctx) || startCtx.Err() != nil {
 		h.state.StartAttempt("") // nothing is sent to a target
 		return dispatch.Failure{Kind: daemon.FailureKind(startCtx)}, false
 	}
@@ -437,11 +437,17 @@
 	return h.g.roster.Get(id)
 }
 
-// logCallerLeft reports a caller that left before its request was sent to a target.
-func (h *requestHandler) logCallerLeft() {
+// endIfCallerLeft ends the request if its caller has left, and reports whether it did. It is called before
+// anything is sent to a target.
+func (h *requestHandler) endIfCallerLeft(ctx context.Context) bool {
+	if !daemon.HasCallerLeft(ctx) {
+		return false
+	}
+	h.cancel(context.Canceled)
 	h.g.metrics.Count("callers_left_before_send", 1)
 	h.g.log.requests.Info().Str("request", string(h.call.ID)).Int("attempts", h.attempts).Dur("waited", h.queueWait).
 		Dur("took", h.g.now().Sub(h.startedAt)).Msg("caller has left before its request is sent")
+	return true
 }
 
 // logOutcome writes the log line of a request and updates the metrics.
--- a/app/gateway/sent_late_test.go
+++ b/app/gateway/sent_late_test.go
@@ -21,7 +21,7 @@
 		target := roster.Target{ID: "a", State: roster.StateReady, Loaded: []roster.LoadedVersion{{Model: "m", Version: 1}}}
 		g.roster.Update(target)
 		h := &requestHandler{g: g, call: &forward.Call{ID: "r"}, route: &routeconfig.Route{Kind: kind}, startedAt: c.t}
-		a := &targetAttempt{handler: h, target: target, slot: h.race.attempts.Start(target.ID, func() {}), startedAt: c.t}
+		a := &targetAttempt{handler: h, target: target, parent: t.Context(), ctx: t.Context(), slot: h.race.attempts.Start(target.ID, func() {}), startedAt: c.t}
 		c.t = c.t.Add(g.versionTimeline().LastSafeSend(0) - time.Millisecond)
 		assert.NilError(t, a.beforeSend())
 		c.t = c.t.Add(time.Millisecond)
