--- a/app/sidecar/weights.go
+++ b/app/sidecar/weights.go
@@ -35,10 +35,23 @@
 	chunkTimeout = 3 * time.Second
 )
 
+// maxLinkQueue is how long the chunks in flight may occupy the machine's link at its full rate. The requests
+// to its engine wait behind them.
+const maxLinkQueue = 150 * time.Millisecond
+
+// linkFetches returns how many chunks may be in flight over a link, or 0 if its rate is not known.
+func linkFetches(bytesPerSecond float64, m *swarm.Manifest) int {
+	if bytesPerSecond <= 0 || len(m.Chunks) == 0 {
+		return 0
+	}
+	return max(1, int(bytesPerSecond*maxLinkQueue.Seconds()/float64(m.Chunks[0].Size)))
+}
+
 // planSettings returns settings of the planner for chunks that take tens of milliseconds to
 // transfer on a link of a few Mbit/s.
-func planSettings(self fleet.InstanceID, region, origin fleet.Region) swarm.Settings {
+func planSettings(self fleet.InstanceID, region, origin fleet.Region, linkFetches int) swarm.Settings {
 	settings := swarm.DefaultSettings(self, region)
+	settings.LinkFetches = linkFetches
 	settings.OriginRegion = origin
 	settings.PeerFetches, settings.RemoteFetches, settings.OriginFetches, settings.FetchesPerPeer = 2, 2, 2, 1
 	settings.OriginDelay = originDelay
@@ -152,7 +165,7 @@
 	w := &versionWeights{
 		s: s, model: model, version: version, name: manifest.Version, manifest: manifest, originAddress: originAddr, cancel: cancel,
 		wakeup: make(chan struct{}, 1), chunks: make([][]byte, len(manifest.Chunks)), digests: swarm.NewDigests(manifest), disputed: map[int][]byte{},
-		planner:       swarm.NewPlanner(planSettings(self, s.settings.Region, originRegion), manifest, random, s.now()),
+		planner:       swarm.NewPlanner(planSettings(self, s.settings.Region, originRegion, linkFetches(s.settings.LinkBytesPerSecond, manifest)), manifest, random, s.now()),
 		peerAddresses: map[fleet.InstanceID]string{}, fetchCancels: map[swarm.Fetch]context.CancelFunc{},
 		chunkWatches: map[fleet.InstanceID]context.CancelFunc{}, changed: make(chan struct{}),
 	}
--- a/core/swarm/choose.go
+++ b/core/swarm/choose.go
@@ -24,6 +24,9 @@
 	level := p.takeoverLevel(now)
 	start := p.random.IntN(len(p.placements))
 	for i := range p.placements {
+		if p.isLinkFull(now) {
+			return out
+		}
 		c := (start + i) % len(p.placements)
 		if p.held.Has(c) || p.isInFlight(c) || p.holders[c] > 0 && p.isReachable(c) {
 			continue
@@ -85,7 +88,7 @@
 }
 
 func (p *Planner) nextFromPeers(out []Fetch, now time.Time) []Fetch {
-	for p.flightsBySource[SourcePeer] < p.window {
+	for p.flightsBySource[SourcePeer] < p.window && !p.isLinkFull(now) {
 		q, c := p.choosePeer(now)
 		if q == nil {
 			return out
@@ -182,6 +185,9 @@
 		return out
 	}
 	for _, f := range slices.Clone(p.flights) {
+		if p.isLinkFull(now) {
+			return out
+		}
 		isLate := now.Sub(f.started) > endgameFactor*p.estimates[SourcePeer].average && p.estimates[SourcePeer].average > 0
 		if !isLate || f.Source.Kind != SourcePeer || p.flightsByChunk[f.Chunk] > 1 {
 			continue
--- a/core/swarm/planner.go
+++ b/core/swarm/planner.go
@@ -84,6 +84,7 @@
 	RemoteFetches               int // maximum chunks in flight from each other region
 	OriginFetches               int // maximum chunks in flight from the origin
 	FetchesPerPeer              int // maximum chunks in flight from one peer
+	LinkFetches                 int // maximum chunks in flight from all sources, 0 if not limited
 	WatchedPeers                int // maximum peers watched in the region
 	WatchedPeersPerRemoteRegion int // maximum peers watched in each other region
 	// InitialTimeout is the fetch timeout before any fetch time is known.
@@ -189,6 +190,7 @@
 	// Settings.PeerFetches. lastStalledPeer is the source of the last stalled fetch of these.
 	window           int
 	lastStalledPeer  fleet.InstanceID
+	link             linkWindow
 	unreachableSince map[int]time.Time // since when no holder of a chunk is reachable
 }
 
@@ -202,7 +204,7 @@
 		peers:             map[fleet.InstanceID]*peer{},
 		outages:           map[fleet.InstanceID]outage{},
 		corruptFromOrigin: map[int]int{}, unreachableSince: map[int]time.Time{}, flightsByRegion: map[fleet.Region]int{},
-		lastProgress: now, originNotBefore: now.Add(settings.OriginDelay), window: settings.PeerFetches,
+		lastProgress: now, originNotBefore: now.Add(settings.OriginDelay), window: settings.PeerFetches, link: newLinkWindow(settings.LinkFetches),
 	}
 	shared := sharedInitialFactor * settings.InitialTimeout
 	p.estimates = [3]fetchTimeEstimate{SourcePeer: {initialTimeout: settings.InitialTimeout}, SourceRemote: {initialTimeout: shared}, SourceOrigin: {initialTimeout: shared}}
@@ -279,6 +281,7 @@
 		p.clearEarlyFailures()
 	}
 	estimate.add(duration)
+	p.link.recordFetch(s, duration)
 	if s.Kind == SourceOrigin {
 		p.originFailures = 0
 		return
