gateway, entry: the time that a request lay unread counts towards its deadline (BUDGET)

Callers saw answers after their deadlines, and targets got more time than was left, for a request that nobody waited for at the end.

An entry that stood still reads what was received meanwhile later, and gave each request its whole time again, at the first attempt and at repeats. Class: a time is counted from when this side looks, not from when it began.

Change: the kernel knows when the last bytes of a connection came (daemon.SinceReceipt); a request counts as received then. One whose time has passed is refused at once. The outcome's log line has unread if that was 0.1 s or more.

--- a/app/daemon/callers.go
+++ b/app/daemon/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -17,21 +18,47 @@
 	return ok && c.isClosedByPeer()
 }
 
+// SinceReceipt returns how long ago the last bytes on the connection of a request were received, whenever
+// they were read. The caller of a request that was received as a whole has waited for as long at least.
+func SinceReceipt(ctx context.Context) time.Duration {
+	c, ok := ctx.Value(connKey{}).(*serverConn)
+	if !ok {
+		return 0
+	}
+	return c.sinceReceipt()
+}
+
 // isClosedByPeer reports whether everything that the peer sent was received and its end follows.
 func (c *serverConn) isClosedByPeer() bool {
+	closed := false
+	known, err := c.control(func(fd int) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = n == 0 && err == nil || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+	})
+	return known && (closed || err != nil)
+}
+
+func (c *serverConn) sinceReceipt() time.Duration {
+	since := time.Duration(0)
+	_, _ = c.control(func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return since
+}
+
+// control calls f with the connection's file descriptor, and reports whether it has one. The error says that
+// this process has closed the connection.
+func (c *serverConn) control(f func(fd int)) (bool, error) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return false, nil
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return true // closed by this process
+		return true, err
 	}
-	closed := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = n == 0 && err == nil || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
-	})
-	return err != nil || closed
+	return true, raw.Control(func(fd uintptr) { f(int(fd)) })
 }
--- a/app/entry/orders.go
+++ b/app/entry/orders.go
@@ -136,6 +136,7 @@
 func (e *Entry) Order(ctx context.Context, encoded string, c caller.Call) (caller.Response, *fleet.Refusal) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
+	c.Deadline = c.Deadline.Add(-daemon.SinceReceipt(ctx))
 	t, err := ticket.Verify(e.opt.Ring, encoded)
 	if err != nil || t.Service != c.Service {
 		// No agent runs an order with a ticket that fails verification.
@@ -262,6 +263,7 @@
 func (e *Entry) Call(ctx context.Context, c caller.Call) (caller.Response, *fleet.Refusal) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
+	c.Deadline = c.Deadline.Add(-daemon.SinceReceipt(ctx))
 	doc, _ := e.document()
 	if doc == nil {
 		return caller.Response{}, fleet.NotRun(fleet.ReasonNoConfiguration, time.Second)
--- a/app/entry/requests.go
+++ b/app/entry/requests.go
@@ -62,6 +62,7 @@
 func (e *Entry) Generate(ctx context.Context, g caller.GenerateRequest, send func(caller.Token) error) *fleet.Refusal {
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
+	g.Deadline = g.Deadline.Add(-daemon.SinceReceipt(ctx))
 	ctx, end := e.stop.RequestContext(ctx)
 	defer end()
 	h, refusal := e.newRequestHandler(g, send)
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -37,6 +37,8 @@
 	retryJitterShare = 0.3
 	// maxRefusals is how many targets without free slots one request is sent to.
 	maxRefusals = 2
+	// lateReadTime is the time from the receipt of a request until it is read that a log line mentions.
+	lateReadTime = 100 * time.Millisecond
 	// maxResponseBytes limits a response that is read completely before it is forwarded.
 	maxResponseBytes = 32 << 20
 )
@@ -59,7 +61,8 @@
 	state            *dispatch.Request
 	stream           *forward.Stream
 	fingerprint      fleet.Fingerprint
-	startedAt        time.Time
+	startedAt        time.Time     // when the request was received
+	unread           time.Duration // since then, when it was read
 	queueWait        time.Duration
 	timeToFirstEvent time.Duration // until the first event or the response
 	responseStarted  atomic.Bool   // the response header was sent to the caller
@@ -81,7 +84,8 @@
 func (g *Gateway) Serve(ctx context.Context, c *forward.Call, out forward.Responder) error {
 	ctx, end := g.stop.RequestContext(ctx)
 	defer end()
-	h := &requestHandler{g: g, call: c, out: out, startedAt: g.now()}
+	unread := daemon.SinceReceipt(ctx)
+	h := &requestHandler{g: g, call: c, out: out, unread: unread, startedAt: g.now().Add(-unread)}
 	refusal := h.prepare()
 	if refusal == nil {
 		out.SetDeadline(h.deadline)
@@ -162,6 +166,9 @@
 		return fleet.NotRun(fleet.ReasonLeaving, retry.BaseDelay)
 	}
 	now := g.now()
+	if !now.Before(h.deadline.Time()) { // it was read too late
+		return fleet.NotRun(fleet.ReasonDeadlinePassed, 0)
+	}
 	g.mu.Lock()
 	if h.crashesTargets(now) && !h.isTrialDue(now) {
 		g.mu.Unlock()
@@ -465,6 +472,9 @@
 	if h.doc != nil {
 		ev.Uint64("config_version", h.doc.Version)
 	}
+	if h.unread >= lateReadTime {
+		ev.Dur("unread", h.unread)
+	}
 	telemetry.LogOutcome(ev.Str("request", string(h.call.ID)).Str("workspace", string(h.workspace)).Str("target", string(h.target)).
 		Int("attempts", h.attempts).Dur("waited", h.queueWait).Dur("first", h.timeToFirstEvent).Dur("took", h.g.now().Sub(h.startedAt)).
 		Bool("begun", h.responseStarted.Load()), refusal)
