--- a/core/swarm/linkwindow.go
+++ b/core/swarm/linkwindow.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// slowFetchTime is the time of a fetch from another instance from which the chunks in flight may be more than the
-	// link carries in time.
+	// slowFetchTime is the time of a fetch from another instance above which the link may carry too much at
+	// once.
 	slowFetchTime = 400 * time.Millisecond
 	// maxLinkTime is how long a fetch counts as one that uses the link. A fetch that takes longer waits at
 	// its source.
--- a/core/swarm/planner.go
+++ b/core/swarm/planner.go
@@ -26,6 +26,11 @@
 // own: this costs at most one copy from the origin per side and ends when the partition
 // heals, because a chunk held by any peer is never requested from the origin.
 //
+// # Use of the link
+//
+// Settings.LinkFetches limits what is in flight over this instance's own link, whatever the sources. Live
+// requests share that link, so fewer chunks are fetched at once while it is slow.
+//
 // # Selection of chunk and peer
 //
 // The peer with the shortest expected wait is selected first, for the rarest chunk that
