--- a/app/daemon/callers.go
+++ b/app/daemon/callers.go
@@ -18,14 +18,21 @@
 	return ok && c.isClosedByPeer()
 }
 
-// SinceReceipt returns how long ago the last bytes on the connection of a request were received, whenever
-// they were read. The caller of a request that was received as a whole has waited for as long at least.
+// SinceReceipt returns for how long at least the last bytes on the connection of a request lay unread, before
+// ctx's request was read. The time in which an earlier request was handled on the connection does not count.
 func SinceReceipt(ctx context.Context) time.Duration {
 	c, ok := ctx.Value(connKey{}).(*serverConn)
 	if !ok {
 		return 0
 	}
-	return c.sinceReceipt()
+	c.mu.Lock()
+	handledAt := c.handledAt
+	c.mu.Unlock()
+	since := c.sinceReceipt()
+	if !handledAt.IsZero() {
+		since = min(since, time.Since(handledAt))
+	}
+	return max(0, since)
 }
 
 // isClosedByPeer reports whether everything that the peer sent was received and its end follows.
@@ -39,11 +46,14 @@
 	return known && (closed || err != nil)
 }
 
+// receiptResolution is the longest period of the kernel's clock, in which it counts the time since a receipt.
+const receiptResolution = 10 * time.Millisecond
+
 func (c *serverConn) sinceReceipt() time.Duration {
 	since := time.Duration(0)
 	_, _ = c.control(func(fd int) {
 		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			since = time.Duration(info.Last_data_recv) * time.Millisecond
+			since = time.Duration(info.Last_data_recv)*time.Millisecond - receiptResolution
 		}
 	})
 	return since
--- a/app/daemon/drain.go
+++ b/app/daemon/drain.go
@@ -105,6 +105,7 @@
 	looked    bool       // the last read before the connection is closed has begun
 	late      bool       // a request has begun during the drain
 	handling  bool       // a request was read and is being handled
+	handledAt time.Time  // when the last one had been handled
 	readAhead bool       // a byte of the next request was read
 	draining  bool
 	deadline  time.Time // the read deadline that the server has set
@@ -206,6 +207,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handling = handling
+	if !handling {
+		c.handledAt = time.Now()
+	}
 	if handling && c.draining && !c.idle {
 		c.setConnDeadline(c.deadline)
 	}
