--- a/review/loopback/client.go
+++ b/review/loopback/client.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -22,6 +23,7 @@
 	method, path   string
 	host           string
 	key            string
+	header         map[string]string
 	body           []byte
 	deadline       time.Duration
 	status         int // 0 if there was no complete answer
@@ -48,6 +50,9 @@
 	if c.key != "" {
 		req.Header.Set(name("credential"), c.key)
 	}
+	for k, v := range c.header {
+		req.Header.Set(k, v)
+	}
 	if c.err = req.Write(conn); c.err != nil {
 		return
 	}
@@ -110,3 +115,8 @@
 	}
 	return kept
 }
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
