review: revoked keys are honoured by all entries after silent connections to the store (case 6)

The form with one frozen entry stays as a second case of the stand-in. In this one only the open connections to the store go silent, once, during one storm of 25 changes.

--- a/review/loopback/fleet.go
+++ b/review/loopback/fleet.go
@@ -23,7 +23,8 @@
 	program string
 	net     int // second byte of the loopback addresses
 	store   *store
-	storeAt string
+	storeAt string // the address that the programs know
+	toStore *proxy
 	seeds   []string
 	rec     *record
 
@@ -52,7 +53,8 @@
 		fail(err)
 	}
 	f := &fleet{dir: dir, program: program, store: newStore(), rec: rec, net: 16 + os.Getpid()%200}
-	f.storeAt, _ = listen(f.address(250), f.store)
+	at, _ := listen(f.address(250), f.store)
+	f.toStore, f.storeAt = newProxy(f.address(251), at)
 	return f
 }
 
