--- a/review/loopback/case_config.go
+++ b/review/loopback/case_config.go
@@ -48,7 +48,7 @@
 		version += 2
 		routes[0]["TimeoutMs"] = 800 + version%100
 		c := config(version, routes, "orders")
-		c["Tenants"] = []map[string]any{{"Name": "t-1", "ApiKeys": keys, "Priority": 1}}
+		c["Tenants"] = []map[string]any{{"Name": "t-1", name("keys"): keys, "Priority": 1}}
 		return []byte(asJSON(c))
 	}
 	first := next(oldKey, newKey)
@@ -128,7 +128,7 @@
 		version += 2
 		routes[0]["TimeoutMs"] = 800 + version%100
 		c := config(version, routes, "orders")
-		c["Tenants"] = []map[string]any{{"Name": "t-1", "ApiKeys": keys, "Priority": 1}}
+		c["Tenants"] = []map[string]any{{"Name": "t-1", name("keys"): keys, "Priority": 1}}
 		return []byte(asJSON(c))
 	}
 	first := next(oldKey, newKey)
--- a/review/loopback/case_part.go
+++ b/review/loopback/case_part.go
@@ -30,7 +30,7 @@
 	entries := []*process{f.addEntry(1, 284), f.addEntry(2, 284)}
 	originAddress, _ := listen(f.address(240), &origin{newest: 1})
 	r := route("a.example", "streaming", "pool", 6000, 2)
-	r["TargetLatencyMs"], r["GapTargetMs"], r["Priority"], r["Sticky"], r["Resumable"] = 500, 400, 1, true, true
+	r[name("objective")], r[name("gap_objective")], r["Priority"], r["Sticky"], r["Resumable"] = 500, 400, 1, true, true
 	c := config(1, []map[string]any{r})
 	c["Services"] = modelService("pool", originAddress, slots)
 	f.store.put(name("key_config"), c)
--- a/review/loopback/engine.go
+++ b/review/loopback/engine.go
@@ -372,7 +372,7 @@
 		{
 			"Name": service, "HealthPath": "/healthz", "MaxConns": 264, "Protocol": "h1", "Tls": false,
 			"Engine": map[string]any{
-				"Slots": slots, "KvCapacity": 317000, "KvTokenBytes": 262144, "LinkMbps": 400000.0, "Stride": 5, "Models": []map[string]any{{"Name": modelName, "pace": 1.0, "LoadS": 4.0, "WarmS": 0.3}},
+				"Slots": slots, name("kv_capacity"): 317000, name("kv_token"): 262144, "LinkMbps": 400000.0, "Stride": 5, "Models": []map[string]any{{"Name": modelName, "pace": 1.0, "LoadS": 4.0, "WarmS": 0.3}},
 				"SizeMb": 149000.0, "step_ms": 9.27, "per_seq_ms": 0.0232, "context_per_k": 0.0322, "read_per_s": 20700.0, "pairs_per_m": 1.18, "chunk": 2048, "report_lag_ms": 200.0,
 				"usual": map[string]any{"prompt": 979, "answer": 75}, "layers": layers, "layer_mb": 4090.0, "act_bytes": 16384, "Chunks": chunks, "ChunkBytes": chunkBytes,
 			},
--- a/review/loopback/fleet.go
+++ b/review/loopback/fleet.go
@@ -112,7 +112,7 @@
 Ip = %q
 Zone = "addis-a"
 Region = "addis"
-InternalPorts = [7700,7715]
+PORTS
 SEEDS
 Bootstrap = true
 InFailureBudget = false
@@ -158,7 +158,7 @@
 Ip = %q
 Zone = "addis-a"
 Region = "addis"
-InternalPorts = [7700,7715]
+PORTS
 SEEDS
 Bootstrap = true
 HeartbeatMs = 1200
@@ -192,6 +192,7 @@
 		quoted[i] = strconv.Quote(s)
 	}
 	text := strings.Replace(p.settings, "SEEDS", "Seeds = ["+strings.Join(quoted, ",")+"]", 1)
+	text = strings.Replace(text, "PORTS", name("ports")+" = [7700,7715]", 1)
 	if p.starts > 0 {
 		text = strings.Replace(text, "Bootstrap = true", "Bootstrap = false", 1)
 	}
--- a/review/loopback/server.go
+++ b/review/loopback/server.go
@@ -109,7 +109,7 @@
 // route is a route of the configuration.
 func route(host, kind, service string, timeoutMS, attempts int) map[string]any {
 	return map[string]any{
-		"Name": "r-" + service + "-" + kind, "Host": host, "Prefix": "/" + kind + "/", "Kind": kind, "TimeoutMs": timeoutMS, "TargetLatencyMs": 150, "Priority": 2,
+		"Name": "r-" + service + "-" + kind, "Host": host, "Prefix": "/" + kind + "/", "Kind": kind, "TimeoutMs": timeoutMS, name("objective"): 150, "Priority": 2,
 		"Service": service, "MaxAttempts": attempts, "Public": true,
 	}
 }
