target: the end of a connection that was reset completes no unframed answer

Callers got a part of an answer as a complete one. A target answered a long upload at once with a 200 (also 404 or 500) without length or chunks, sent a part of its body and reset the connection while the upload was being written.

Cause: a socket reports a reset once. bodyWriter and the reader of the response use it at the same time; when the write returns the reset, the next read returns io.EOF, as after an orderly shutdown, and that completes an unframed body. A short request is hit too if the reset comes before it is written.

Change: the end of an unframed body counts only once its request has been written without an error. It is checked where the pool reads the end of a body, so it holds for whole answers, streams, resumed streams and replacements. A target that ends its answer in order and reads the rest of the request afterwards is still complete; one that never reads it holds the caller until its deadline at most. Framed answers are not affected.

--- a/io/target/fuzz_test.go
+++ b/io/target/fuzz_test.go
@@ -31,11 +31,12 @@
 		}
 		return MatchOther
 	}}
-	resp := &Response{conn: c}
 	hr, err := newHTTPRequest(r)
 	if err != nil {
 		return "", false, err
 	}
+	resp := &Response{conn: c, writer: newRequestWriter(hr, io.Discard)}
+	resp.writer.run()
 	if err := resp.readHeader(hr, r); err != nil {
 		return "", false, err
 	}
--- /dev/null
+++ b/io/target/reset_test.go
@@ -0,0 +1,185 @@
+package target_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"amaranthturn/io/target"
+)
+
+// resettingTarget answers a request before it has read the body, and resets the connection.
+type resettingTarget struct {
+	l      net.Listener
+	answer string
+	isRead bool          // the head of the request is read before the answer is sent
+	reset  chan struct{} // closed after the reset
+}
+
+func startResetting(t *testing.T, answer string, isRead bool) *resettingTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := &resettingTarget{l: l, answer: answer, isRead: isRead, reset: make(chan struct{})}
+	go s.run()
+	return s
+}
+
+func (s *resettingTarget) run() {
+	c, err := s.l.Accept()
+	if err != nil {
+		return
+	}
+	if s.isRead {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+	}
+	_, _ = io.WriteString(c, s.answer)
+	time.Sleep(20 * time.Millisecond) // the caller receives the answer before the reset
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+	close(s.reset)
+}
+
+// awaitReset waits until the writer of the request has received the reset.
+func (s *resettingTarget) awaitReset() {
+	<-s.reset
+	time.Sleep(50 * time.Millisecond)
+}
+
+const (
+	uploadBytes  = 8 << 20 // more than the buffers of both sockets hold
+	unframedPart = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nid: 1\ndata: a\n\n"
+)
+
+func upload(t *testing.T, addr string, size int, beforeSend func()) (*target.Response, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	t.Cleanup(cancel)
+	return target.NewPool().Do(ctx, addr, &target.Request{
+		Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", size)),
+		BeforeSend: func(http.Header) error {
+			if beforeSend != nil {
+				beforeSend()
+			}
+			return nil
+		},
+		Match: func(_ int, h http.Header) target.Match { return matchOf("1", h) },
+	})
+}
+
+// The socket reports a reset once. The writer of the request receives it here, so that the reader
+// sees the end of the connection, which must not complete an unframed response.
+func TestResetWhileTheRequestIsWritten(t *testing.T) {
+	reads := map[string]func(resp *target.Response) error{
+		"body": func(resp *target.Response) error {
+			_, err := resp.ReadBody(1 << 20)
+			return err
+		},
+		"events": func(resp *target.Response) error {
+			events := resp.Events()
+			if _, err := events.Next(); err != nil {
+				return err
+			}
+			_, err := events.Next()
+			return err
+		},
+	}
+	for name, read := range reads {
+		t.Run("upload/"+name, func(t *testing.T) {
+			s := startResetting(t, unframedPart, true)
+			resp, err := upload(t, s.l.Addr().String(), uploadBytes, nil)
+			assert.NilError(t, err)
+			defer resp.Close()
+			s.awaitReset()
+			err = read(resp)
+			assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
+		})
+		t.Run("before it is written/"+name, func(t *testing.T) {
+			s := startResetting(t, unframedPart, false)
+			resp, err := upload(t, s.l.Addr().String(), 1, s.awaitReset)
+			assert.NilError(t, err)
+			defer resp.Close()
+			err = read(resp)
+			assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
+		})
+	}
+}
+
+// The framing of a response shows that it is complete, whatever becomes of the request.
+func TestFramedResponseBeforeResetIsComplete(t *testing.T) {
+	for _, text := range []string{
+		okResponse,
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	} {
+		s := startResetting(t, text, true)
+		resp, err := upload(t, s.l.Addr().String(), uploadBytes, nil)
+		assert.NilError(t, err)
+		s.awaitReset()
+		body, err := resp.ReadBody(1 << 20)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "ok")
+		resp.Close()
+	}
+}
+
+// A target may end its response and read the rest of the request afterwards.
+func TestUnframedResponseBeforeTheRequestIsRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, unframedPart)
+		_ = c.(*net.TCPConn).CloseWrite()
+		time.Sleep(50 * time.Millisecond) // the end is received while the request is being written
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	}()
+	resp, err := upload(t, l.Addr().String(), uploadBytes, nil)
+	assert.NilError(t, err)
+	defer resp.Close()
+	body, err := resp.ReadBody(1 << 20)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "id: 1\ndata: a\n\n")
+}
+
+// A target that ends its response and does not read the request holds the caller no longer than its
+// deadline.
+func TestUnframedResponseToARequestThatIsNeverRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	ended := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, unframedPart)
+		_ = c.(*net.TCPConn).CloseWrite()
+		<-ended
+		_ = c.Close()
+	}()
+	defer close(ended)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	resp, err := target.NewPool().Do(ctx, l.Addr().String(), request(strings.Repeat("x", uploadBytes)))
+	assert.NilError(t, err)
+	defer resp.Close()
+	began := time.Now()
+	_, err = resp.ReadBody(1 << 20)
+	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+}
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -232,7 +232,7 @@
 	conn         *conn
 	httpResp     *http.Response
 	stop         func() bool
-	written      chan error
+	writer       *requestWriter
 	bodyComplete bool
 	identified   bool           // the response names its request
 	held         *bounded.Share // of the pool's bodies or events
@@ -255,13 +255,12 @@
 			return nil, &NotSentError{Address: addr, Cause: err}
 		}
 	}
-	resp := &Response{pool: p, conn: c, ConnectedAt: c.connectedAt, written: make(chan error, 1)}
+	resp := &Response{pool: p, conn: c, ConnectedAt: c.connectedAt, writer: newRequestWriter(hr, c)}
 	resp.stop = context.AfterFunc(ctx, c.abort) // unblocks reads and writes
 	if len(r.Body) <= maxSyncBodyBytes {
-		resp.written <- hr.Write(c)
+		resp.writer.run()
 	} else {
-		w := &bodyWriter{req: hr, conn: c, done: resp.written}
-		go w.run()
+		go resp.writer.run()
 	}
 	if err := resp.readHeader(hr, r); err != nil {
 		resp.stop()
@@ -274,15 +273,6 @@
 	return resp, nil
 }
 
-// bodyWriter writes a request with a large body while its response may already be arriving.
-type bodyWriter struct {
-	req  *http.Request
-	conn *conn
-	done chan<- error
-}
-
-func (w *bodyWriter) run() { w.done <- w.req.Write(w.conn) }
-
 func newHTTPRequest(r *Request) (*http.Request, error) {
 	u, err := requestURL(r)
 	if err != nil {
@@ -358,15 +348,31 @@
 // bodyReader records when the body has been read to its end.
 type bodyReader struct{ resp *Response }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns io.EOF only at the end of a complete body.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.resp.httpResp.Body.Read(p)
 	if errors.Is(err, io.EOF) {
+		if err := b.resp.checkEnd(); err != nil {
+			return n, err
+		}
 		b.resp.bodyComplete = true
 	}
 	return n, err
 }
 
+// checkEnd returns an error if the end of the body is that of a connection that was reset. A socket
+// reports a reset only once: after a write has returned it, a read returns io.EOF, as at the end of an
+// unframed body. So that end counts only once the request has been written without an error.
+func (resp *Response) checkEnd() error {
+	if resp.Framed() || resp.httpResp.Body == http.NoBody {
+		return nil
+	}
+	if err := resp.writer.wait(); err != nil {
+		return fmt.Errorf("%w: request was not written: %w", io.ErrUnexpectedEOF, err)
+	}
+	return nil
+}
+
 // ReadBody reads the body to its end. It returns a *bounded.TooLargeError if the body is
 // larger than limit, or than what the pool's other responses leave. The bytes count as held
 // until Close.
@@ -423,17 +429,11 @@
 		resp.held.Release()
 	}
 	stopped := resp.stop()
-	sent := false
-	select {
-	case err := <-resp.written:
-		sent = err == nil
-	default:
-	}
 	if !resp.bodyComplete {
 		resp.conn.abort()
 		return
 	}
-	if !stopped || !sent || !resp.isComplete() {
+	if !stopped || !resp.writer.isWritten() || !resp.isComplete() {
 		_ = resp.conn.Close() // remaining bytes belong to no request
 		return
 	}
