target: a head with a blank in the name of a field is no answer

Callers got an answer in whose head the name of a field held a blank as a sound one: without that line; with a body that was not the target's where the line was Content-Length or Transfer-Encoding; with a changed seal where the line began with the blank. An order whose refusal had such a head was sent to a second target.

Cause: http.ReadResponse keeps names with blanks, so that the field does not count, and joins a line that begins with a blank or a tab to the value of the line before. The pool took each head that it accepts.

Change: http1.HeadScanner examines the bytes of each head as they arrive, whatever its length. A blank before the colon makes the response an error of the pool, before its status, ID, promises or notices count; also in interim responses and in those to other requests. The caller is told that the outcome is unknown (502), or the request runs at another target if it may. A sender may do neither (RFC 9112, section 5), so no sound answer is lost.

--- a/io/target/target.go
+++ b/io/target/target.go
@@ -136,16 +136,10 @@
 var ErrUnidentified = errors.New("response on a reused connection does not name its request")
 
 var (
-	errStaleResponses = errors.New("too many responses to other requests")
-	errInvalidStatus  = errors.New("response has an invalid status")
-
+	errStaleResponses   = errors.New("too many responses to other requests")
 	errEncodingInHTTP10 = errors.New("response of HTTP/1.0 has a transfer encoding")
 )
 
-// minStatus is the lowest status of HTTP. http.ReadResponse accepts lower ones, which a server
-// cannot send.
-const minStatus = 100
-
 // Limits of what the responses of a pool hold in memory. Targets in trouble may answer many requests
 // with more than the process has memory for.
 const (
@@ -177,7 +171,7 @@
 type conn struct {
 	net.Conn
 	rd          *bufio.Reader
-	head        *bounded.Reader // the current response's header; nil while a body is read
+	head        *headReader // of the current response; nil while a body is read
 	addr        string
 	connectedAt time.Time
 	responses   int           // final responses read so far
@@ -193,22 +187,6 @@
 	return c.Conn.Read(p)
 }
 
-// readResponse reads the status line and header of a response.
-func (c *conn) readResponse(hr *http.Request) (*http.Response, error) {
-	c.head = &bounded.Reader{R: c.Conn, Part: bounded.PartHeader, Limit: maxHeadBytes}
-	defer c.endHeader()
-	if c.hasEncodingInHTTP10() {
-		return nil, errEncodingInHTTP10
-	}
-	resp, err := http.ReadResponse(c.rd, hr)
-	if err == nil && resp.StatusCode < minStatus {
-		return nil, errInvalidStatus
-	}
-	return resp, err
-}
-
-func (c *conn) endHeader() { c.head = nil }
-
 // abort closes the connection with a reset. What the socket has not sent yet is dropped, and the target
 // can't take the end for that of a request whose caller still waits.
 func (c *conn) abort() {
