http1: a call does not end with a reset that was reported to its writer

Callers of the project's own interface got a part of a service's response as a complete one, without a length. The service answered a long order at once, sent a part of the body and reset the connection while the order was being written.

Change: http1.Transport wraps the connections of a transport. A read that finds the end waits for the write in progress and returns the error of a failed one instead. It is at the connection, because the last write of a request comes after net/http has reported the request as written, and because net/http closes the connection as soon as it has read the end.

--- a/app/daemon/daemon.go
+++ b/app/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"amaranthturn/core/clock"
 	"amaranthturn/core/keys"
 	"amaranthturn/io/bounded"
+	"amaranthturn/io/http1"
 	"amaranthturn/io/peer"
 )
 
@@ -184,9 +185,9 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: http1.NewTransport(&http.Transport{
 		Proxy: nil, DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
-	}}
+	})}
 }
 
 // Server is an HTTP or gRPC server with its listener.
--- a/app/sidecar/module.go
+++ b/app/sidecar/module.go
@@ -14,6 +14,7 @@
 	"amaranthturn/core/clock"
 	"amaranthturn/core/trace"
 	"amaranthturn/io/bounded"
+	"amaranthturn/io/http1"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
@@ -41,10 +42,10 @@
 // newOriginClient returns a client that opens at most maxOriginConns connections.
 func newOriginClient() *http.Client {
 	dialer := net.Dialer{Timeout: callTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: http1.NewTransport(&http.Transport{
 		DialContext: dialer.DialContext, MaxConnsPerHost: maxOriginConns, MaxIdleConnsPerHost: maxOriginConns, IdleConnTimeout: originIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
-	}}
+	})}
 }
 
 // server holds the daemon's listeners and loops.
--- /dev/null
+++ b/io/http1/doc.go
@@ -0,0 +1,28 @@
+// Package http1 reports responses of HTTP/1 as broken that net/http accepts.
+//
+// # Usage
+//
+// Clients that use net/http's transport:
+//
+//	client := &http.Client{Transport: http1.NewTransport(&http.Transport{})}
+//
+// Others, of which package target is one:
+//
+//	s := http1.NewHeadScanner()
+//	s.Scan(p) // for each part of the head as it arrives
+//	resp, err := http.ReadResponse(rd, req)
+//	if err == nil {
+//		err = s.Check(resp)
+//	}
+//
+// # What is broken
+//
+// A status below 100 is none in HTTP. A blank in the name of a field hides that field, so that a
+// length or an encoding of the body does not count. A line that begins with a blank continues the
+// value of the line before, so that one field becomes a part of another one. A sender may do neither
+// (RFC 9112, section 5), and nothing in such a head is reliable.
+//
+// A body without a length or chunks ends with its connection, but not with a reset. A socket reports
+// a reset only once, to a read or to a write. If a write has returned it, the next read returns
+// io.EOF.
+package http1
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -1,20 +1,3 @@
-// Package http1 reports responses of HTTP/1 as broken that net/http accepts.
-//
-// # Usage
-//
-//	s := http1.NewHeadScanner()
-//	s.Scan(p) // for each part of the head as it arrives
-//	resp, err := http.ReadResponse(rd, req)
-//	if err == nil {
-//		err = s.Check(resp)
-//	}
-//
-// # What is broken
-//
-// A status below 100 is none in HTTP. A blank in the name of a field hides that field, so that a
-// length or an encoding of the body does not count. A line that begins with a blank continues the
-// value of the line before, so that one field becomes a part of another one. A sender may do neither
-// (RFC 9112, section 5), and nothing in such a head is reliable.
 package http1
 
 import (
--- a/io/operator/http.go
+++ b/io/operator/http.go
@@ -14,6 +14,7 @@
 	"github.com/gin-gonic/gin"
 
 	"amaranthturn/io/bounded"
+	"amaranthturn/io/http1"
 )
 
 // ErrNoInstance reports that the fleet does not list an instance.
@@ -96,9 +97,8 @@
 
 // NewClient returns a client of the operator listener at base.
 func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{
-		Timeout: clientTimeout, Transport: &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: bounded.MaxHeaderBytes},
-	}}
+	tr := &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: bounded.MaxHeaderBytes}
+	return &Client{base: base, http: &http.Client{Timeout: clientTimeout, Transport: http1.NewTransport(tr)}}
 }
 
 // Status returns the state of the fleet. Errors: *UnreachableError.
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -29,6 +29,7 @@
 	"github.com/rotisserie/eris"
 
 	"amaranthturn/io/bounded"
+	"amaranthturn/io/http1"
 )
 
 // Errors of this package.
@@ -79,7 +80,7 @@
 		DialContext:            dial,
 		MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
 	}
-	return &Client{base: base, http: &http.Client{Transport: tr, CheckRedirect: noRedirect}}
+	return &Client{base: base, http: &http.Client{Transport: http1.NewTransport(tr), CheckRedirect: noRedirect}}
 }
 
 // noRedirect returns a redirect to the caller, because following it would repeat the call.
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -338,7 +338,7 @@
 	return n, err
 }
 
-// checkEnd returns an error if the end of the body is that of a connection that was reset. A socket
+// checkEnd returns an error if the end of the body may be that of a connection that was reset. A socket
 // reports a reset only once: after a write has returned it, a read returns io.EOF, as at the end of an
 // unframed body. So that end counts only once the request has been written without an error.
 func (resp *Response) checkEnd() error {
