http1: a call whose answer has a malformed head has failed

Callers of the project's own interface got a service's response with a blank in the name of a field as a sound one: with the sizes of chunks or more bytes than its length as its body, or with another field as a part of its type. Agents and entries took such answers of engines, the origin, the platform and the store as successes, and believed the notices and the era in them.

Change: the connections of http1.Transport examine the heads that they receive, on a new connection from its first byte, on a kept one from the moment at which a request gets it. A malformed head is an error of the request, and its connection is closed. Interim responses are examined too, which the scanner does by itself, because net/http does not tell where their heads end. Over TLS, which only the operator's client may use, the bytes are not seen, and nothing is examined.

--- a/io/http1/doc.go
+++ b/io/http1/doc.go
@@ -12,7 +12,7 @@
 //	s.Scan(p) // for each part of the head as it arrives
 //	resp, err := http.ReadResponse(rd, req)
 //	if err == nil {
-//		err = s.Check(resp)
+//		err = cmp.Or(http1.CheckStatus(resp), s.Err())
 //	}
 //
 // # What is broken
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -15,54 +15,91 @@
 // minStatus is the lowest status of HTTP.
 const minStatus = 100
 
-// HeadScanner examines the lines of the head of one response as they arrive. What net/http rejects by
-// itself, such as a control character in a name, is not its concern.
+// HeadScanner examines the lines of the head of one response as they arrive, and those of interim
+// responses before it. What net/http rejects by itself, such as a control character in a name, is not
+// its concern.
 type HeadScanner struct {
 	isMalformed bool
-	skipsLine   bool // the rest of the line does not matter
-	hasName     bool // the line is not empty
+	inStatus    bool    // the status line has not ended
+	hasVersion  bool    // the version of the status line has ended
+	code        [3]byte // digits of the status
+	digits      int     // how many of them have arrived
+	skipsLine   bool    // the rest of the line does not matter
+	hasName     bool    // the line is not empty
 	ended       bool
 }
 
 // NewHeadScanner returns a scanner of a head from its status line on.
-func NewHeadScanner() HeadScanner { return HeadScanner{skipsLine: true} }
+func NewHeadScanner() HeadScanner { return HeadScanner{inStatus: true} }
 
 // Scan examines the next bytes of the response. Those after the head do not matter.
 func (s *HeadScanner) Scan(p []byte) {
 	for len(p) > 0 && !s.ended {
-		if s.skipsLine {
+		switch {
+		case s.skipsLine:
 			_, rest, found := bytes.Cut(p, []byte{'\n'})
-			s.skipsLine, s.hasName = !found, false
+			s.skipsLine = !found
 			p = rest
 			continue
+		case s.inStatus:
+			s.scanStatus(p[0])
+		default:
+			s.scanName(p[0])
 		}
-		s.scanName(p[0])
 		p = p[1:]
 	}
 }
 
+// scanStatus examines a byte of a status line.
+func (s *HeadScanner) scanStatus(c byte) {
+	switch {
+	case c == '\n':
+		s.inStatus, s.hasName = false, false
+	case !s.hasVersion:
+		s.hasVersion = c == ' '
+	case s.digits == 0 && c == ' ': // net/http allows several
+	case s.digits < len(s.code):
+		s.code[s.digits] = c
+		s.digits++
+	}
+}
+
 // scanName examines a byte before the colon of a line.
 func (s *HeadScanner) scanName(c byte) {
 	switch c {
 	case '\n':
-		s.ended, s.hasName = !s.hasName, false
+		if !s.hasName {
+			s.endHead()
+		}
+		s.hasName = false
 	case '\r':
 	case ':':
-		s.skipsLine = true
+		s.skipsLine, s.hasName = true, false
 	case ' ', '\t':
-		s.isMalformed, s.skipsLine = true, true
+		s.isMalformed, s.skipsLine, s.hasName = true, true, false
 	default:
 		s.hasName = true
 	}
 }
 
-// Check returns ErrStatus or ErrMalformedHead if the response whose head was scanned is broken.
-func (s *HeadScanner) Check(resp *http.Response) error {
-	switch {
-	case resp.StatusCode < minStatus:
-		return ErrStatus
-	case s.isMalformed:
+// endHead ends the head, or begins the one after an interim response.
+func (s *HeadScanner) endHead() {
+	isInterim := s.code[0] == '1' && s.code != [3]byte{'1', '0', '1'}
+	*s = HeadScanner{isMalformed: s.isMalformed, inStatus: isInterim, ended: !isInterim}
+}
+
+// Err returns ErrMalformedHead if what was scanned is malformed.
+func (s *HeadScanner) Err() error {
+	if s.isMalformed {
 		return ErrMalformedHead
 	}
 	return nil
 }
+
+// CheckStatus returns ErrStatus if the status of a response is invalid.
+func CheckStatus(resp *http.Response) error {
+	if resp.StatusCode < minStatus {
+		return ErrStatus
+	}
+	return nil
+}
--- a/io/http1/head_test.go
+++ b/io/http1/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"net/http"
 	"strings"
@@ -12,18 +13,22 @@
 	"amaranthturn/io/http1"
 )
 
-// check reads a response that arrives in parts of n bytes.
+// check reads a response, after interim ones, that arrives in parts of n bytes.
 func check(text string, n int) error {
 	s := http1.NewHeadScanner()
 	for rest := text; len(rest) > 0; rest = rest[min(n, len(rest)):] {
 		s.Scan([]byte(rest[:min(n, len(rest))]))
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
-	if err != nil {
-		return err
+	for rd := bufio.NewReader(strings.NewReader(text)); ; {
+		resp, err := http.ReadResponse(rd, nil)
+		if err != nil {
+			return err
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode/100 != 1 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return cmp.Or(http1.CheckStatus(resp), s.Err())
+		}
 	}
-	defer func() { _ = resp.Body.Close() }()
-	return s.Check(resp)
 }
 
 func TestBrokenHeads(t *testing.T) {
@@ -32,23 +37,28 @@
 		text string
 		want error
 	}{
-		"sound":                    {ok + "A: b c\r\nContent-Length: 1\r\n\r\nx: y z", nil},
-		"no field":                 {ok + "\r\nBad Name: v\r\n\r\n", nil},
-		"no blank after the colon": {ok + "A:b\r\nC:\r\n\r\n", nil},
-		"colons in a value":        {ok + "A: b : c:d\r\n\r\n", nil},
-		"bare newlines":            {"HTTP/1.1 200 OK\nA: b c\n\nx: y z", nil},
-		"no reason":                {"HTTP/1.1 200 \r\nA: b\r\n\r\n", nil},
-		"blank in a name":          {ok + "A: b\r\nBad Name: v\r\n\r\n", http1.ErrMalformedHead},
-		"blank in the first name":  {ok + "Bad Name: v\r\n\r\n", http1.ErrMalformedHead},
-		"blank before the colon":   {ok + "Content-Length : 1\r\n\r\nxy", http1.ErrMalformedHead},
-		"blanks before the colon":  {ok + "Transfer-Encoding  : chunked\r\n\r\n", http1.ErrMalformedHead},
-		"continued with a blank":   {ok + "A: b\r\n Bad: v\r\n\r\n", http1.ErrMalformedHead},
-		"continued with a tab":     {ok + "A: b\r\n\tc\r\n\r\n", http1.ErrMalformedHead},
-		"continued by blanks":      {ok + "A: b\r\n  \r\nC: d\r\n\r\n", http1.ErrMalformedHead},
-		"bare newlines, continued": {"HTTP/1.1 200 OK\nA: b\n c\n\n", http1.ErrMalformedHead},
-		"status 000":               {"HTTP/1.1 000 X\r\nA: b\r\n\r\n", http1.ErrStatus},
-		"status 099":               {"HTTP/1.1 099 X\r\nA: b\r\n\r\n", http1.ErrStatus},
-		"both":                     {"HTTP/1.1 007 X\r\nBad Name: v\r\n\r\n", http1.ErrStatus},
+		"sound":                     {ok + "A: b c\r\nContent-Length: 1\r\n\r\nx: y z", nil},
+		"no field":                  {ok + "\r\nBad Name: v\r\n\r\n", nil},
+		"no blank after the colon":  {ok + "A:b\r\nC:\r\n\r\n", nil},
+		"colons in a value":         {ok + "A: b : c:d\r\n\r\n", nil},
+		"bare newlines":             {"HTTP/1.1 200 OK\nA: b c\n\nx: y z", nil},
+		"no reason":                 {"HTTP/1.1 200 \r\nA: b\r\n\r\n", nil},
+		"blank in a name":           {ok + "A: b\r\nBad Name: v\r\n\r\n", http1.ErrMalformedHead},
+		"blank in the first name":   {ok + "Bad Name: v\r\n\r\n", http1.ErrMalformedHead},
+		"blank before the colon":    {ok + "Content-Length : 1\r\n\r\nxy", http1.ErrMalformedHead},
+		"blanks before the colon":   {ok + "Transfer-Encoding  : chunked\r\n\r\n", http1.ErrMalformedHead},
+		"continued with a blank":    {ok + "A: b\r\n Bad: v\r\n\r\n", http1.ErrMalformedHead},
+		"continued with a tab":      {ok + "A: b\r\n\tc\r\n\r\n", http1.ErrMalformedHead},
+		"continued by blanks":       {ok + "A: b\r\n  \r\nC: d\r\n\r\n", http1.ErrMalformedHead},
+		"bare newlines, continued":  {"HTTP/1.1 200 OK\nA: b\n c\n\n", http1.ErrMalformedHead},
+		"status 000":                {"HTTP/1.1 000 X\r\nA: b\r\n\r\n", http1.ErrStatus},
+		"status 099":                {"HTTP/1.1 099 X\r\nA: b\r\n\r\n", http1.ErrStatus},
+		"interim":                   {"HTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + ok + "A: b\r\n\r\nx y: z", nil},
+		"in an interim response":    {"HTTP/1.1 103 X\r\nBad Name: v\r\n\r\n" + ok + "\r\n", http1.ErrMalformedHead},
+		"after an interim response": {"HTTP/1.1 103 X\r\nA: b\r\n\r\n" + ok + "Bad Name: v\r\n\r\n", http1.ErrMalformedHead},
+		"after two":                 {"HTTP/1.1  100 X\nA: b\n\nHTTP/1.1 199\r\n\r\n" + ok + "A : b\r\n\r\n", http1.ErrMalformedHead},
+		"other protocol":            {"HTTP/1.1 101 X\r\nA: b\r\n\r\nx y: z\r\n", nil},
+		"both":                      {"HTTP/1.1 007 X\r\nBad Name: v\r\n\r\n", http1.ErrStatus},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for n := 1; n <= len(c.text); n++ {
--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 )
 
-// Transport is an http.RoundTripper that returns an error instead of a response that ends with a reset.
+// Transport is an http.RoundTripper that returns an error instead of a broken response. The heads of
+// responses over TLS are not examined.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a transport with the settings of tr.
@@ -30,9 +32,47 @@
 	return &Transport{base: tr}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. It returns ErrMalformedHead if the head of the response is
+// malformed.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	return t.base.RoundTrip(req)
+	var x exchange
+	trace := &httptrace.ClientTrace{GotConn: x.begin}
+	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := x.check(); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// exchange is a request and its response.
+type exchange struct{ conn *conn }
+
+// begin implements httptrace.ClientTrace. It is called before the request is sent.
+func (x *exchange) begin(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*conn)
+	if !ok {
+		return // TLS
+	}
+	x.conn = c
+	if info.Reused {
+		c.expectHead()
+	}
+}
+
+// check returns an error if the response is broken. Its connection is then not used again.
+func (x *exchange) check() error {
+	if x.conn == nil {
+		return nil
+	}
+	err := x.conn.headErr()
+	if err != nil {
+		_ = x.conn.Close()
+	}
+	return err
 }
 
 // CloseIdleConnections closes the connections that are not in use.
@@ -45,19 +85,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return &conn{Conn: c, scanner: NewHeadScanner()}, nil
 }
 
-// conn is a connection whose end is told from a reset.
+// conn is a connection whose end is told from a reset, and whose heads are examined.
 type conn struct {
 	net.Conn
 	writing  sync.Mutex // held during a write; guards writeErr
 	writeErr error
+	mu       sync.Mutex // guards scanner
+	scanner  HeadScanner
 }
 
 // Read implements net.Conn. It returns io.EOF only if no write has failed.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.scan(p[:n])
 	if errors.Is(err, io.EOF) {
 		if writeErr := c.awaitWrite(); writeErr != nil {
 			err = writeErr
@@ -83,3 +126,23 @@
 	defer c.writing.Unlock()
 	return c.writeErr
 }
+
+func (c *conn) scan(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scanner.Scan(p)
+}
+
+// expectHead begins the next response.
+func (c *conn) expectHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scanner = NewHeadScanner()
+}
+
+// headErr returns an error if the head of the response is malformed.
+func (c *conn) headErr() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scanner.Err()
+}
--- a/io/http1/transport_test.go
+++ b/io/http1/transport_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -156,3 +157,81 @@
 		assert.Equal(t, conns.Load(), c.want)
 	}
 }
+
+// answers writes one text for each request on a connection.
+func answers(t *testing.T, texts ...string) func(c *net.TCPConn) {
+	return func(c *net.TCPConn) {
+		rd := bufio.NewReader(c)
+		for _, text := range texts {
+			r, err := http.ReadRequest(rd)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, err = io.WriteString(c, text)
+			assert.Check(t, err)
+		}
+		_, _ = rd.ReadByte() // until the client closes the connection
+	}
+}
+
+// A malformed head is an error on a new connection and on a kept one, which is closed, and does not
+// count for the responses before it.
+func TestMalformedHeadOnEachConnection(t *testing.T) {
+	const sound, broken = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nBad Name: v\r\nContent-Length: 0\r\n\r\n"
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		for _, texts := range [][]string{{broken}, {sound, sound, broken}, {sound}} {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			answers(t, texts...)(c.(*net.TCPConn))
+			_ = c.Close()
+		}
+	}()
+	client := &http.Client{Transport: NewTransport(&http.Transport{})}
+	for n, want := range []error{ErrMalformedHead, nil, nil, ErrMalformedHead, nil} {
+		resp, err := client.Get("http://" + l.Addr().String())
+		assert.Assert(t, errors.Is(err, want), "request %d: %v", n, err)
+		if err == nil {
+			body, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), "ok")
+			_ = resp.Body.Close()
+		}
+	}
+}
+
+// A long response is only its head for the scanner, whatever its body looks like.
+func TestBodyIsNoHead(t *testing.T) {
+	body := strings.Repeat("HTTP/1.1 200 OK\r\nBad Name: v\r\n\r\n", 10_000)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusEarlyHints)
+		_, _ = io.Copy(w, r.Body)
+	}))
+	defer srv.Close()
+	client := &http.Client{Transport: NewTransport(&http.Transport{})}
+	for range 5 {
+		resp, err := client.Post(srv.URL, "", strings.NewReader(body))
+		assert.NilError(t, err)
+		got, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Assert(t, string(got) == body)
+		_ = resp.Body.Close()
+	}
+}
+
+// The responses over TLS are not taken for broken ones.
+func TestTLS(t *testing.T) {
+	srv := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	defer srv.Close()
+	client := &http.Client{Transport: NewTransport(srv.Client().Transport.(*http.Transport))}
+	for range 3 {
+		resp, err := client.Get(srv.URL)
+		assert.NilError(t, err)
+		_ = resp.Body.Close()
+	}
+}
--- a/io/service/status_test.go
+++ b/io/service/status_test.go
@@ -30,3 +30,26 @@
 		assert.NilError(t, l.Close())
 	}
 }
+
+// Nothing of a response with a malformed head is passed on: its type could hold another field, and its
+// body could have another length or be that of an encoding. The call may have run.
+func TestMalformedHeadIsNoResponse(t *testing.T) {
+	for name, answer := range map[string]string{
+		"blank in a name":            "HTTP/1.1 200 OK\r\nBad Name: v\r\nContent-Length: 2\r\n\r\nno",
+		"blank, unframed":            "HTTP/1.1 200 OK\r\nBad : v\r\n\r\nno",
+		"length with a blank":        "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nnine byte",
+		"encoding with a blank":      "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+		"continued type":             "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n Bad: v\r\nContent-Length: 2\r\n\r\nno",
+		"continued type, with a tab": "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\tBad: v\r\nContent-Length: 2\r\n\r\nno",
+		"interim response":           "HTTP/1.1 103 X\r\nBad Name: v\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno",
+		"after an interim response":  "HTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nBad Name: v\r\nContent-Length: 2\r\n\r\nno",
+		"control character":          "HTTP/1.1 200 OK\r\nBad\x01Name: v\r\nContent-Length: 2\r\n\r\nno",
+		"tab in a name":              "HTTP/1.1 200 OK\r\nBad\tName: v\r\nContent-Length: 2\r\n\r\nno",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := NewClient(serveEarly(t, answer, func(*net.TCPConn) {}))
+			resp, err := c.Call(t.Context(), Request{Method: http.MethodGet, Path: "/"})
+			assert.Assert(t, errors.Is(err, ErrNoResponse) && !errors.Is(err, ErrNotSent), "%+v %v", resp, err)
+		})
+	}
+}
--- a/io/target/head.go
+++ b/io/target/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"net/http"
 	"strings"
 
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return resp, c.head.scanner.Check(resp)
+	return resp, cmp.Or(http1.CheckStatus(resp), c.head.scanner.Err())
 }
 
 func (c *conn) endHeader() { c.head = nil }
