http1: a call that is answered with a status below 100 has failed

An engine in trouble answered with status 000. Its answer was a failure, but the notices in it counted: its agent was told that the engine leaves, which it reports to the entries. In the same way the era of such an answer of the store counted, and a watch took the store for one that was restored from a copy.

Cause: http.ReadResponse accepts statuses from 000 on, and each caller judged the status after it had taken something else from the head.

Change: http1.Transport returns an error instead of such a response, as the pool of connections to targets has done before, so that no caller sees it.

--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -10,8 +11,8 @@
 	"sync"
 )
 
-// Transport is an http.RoundTripper that returns an error instead of a broken response. The heads of
-// responses over TLS are not examined.
+// Transport is an http.RoundTripper that returns an error instead of a broken response. Over TLS, only
+// the status of a response is examined.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a transport with the settings of tr.
@@ -32,8 +33,8 @@
 	return &Transport{base: tr}
 }
 
-// RoundTrip implements http.RoundTripper. It returns ErrMalformedHead if the head of the response is
-// malformed.
+// RoundTrip implements http.RoundTripper. It returns ErrStatus or ErrMalformedHead if the head of the
+// response is broken.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var x exchange
 	trace := &httptrace.ClientTrace{GotConn: x.begin}
@@ -41,7 +42,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := x.check(); err != nil {
+	if err := cmp.Or(CheckStatus(resp), x.headErr()); err != nil {
+		x.close()
 		_ = resp.Body.Close()
 		return nil, err
 	}
@@ -49,30 +51,29 @@
 }
 
 // exchange is a request and its response.
-type exchange struct{ conn *conn }
+type exchange struct{ conn *conn } // nil with TLS
 
 // begin implements httptrace.ClientTrace. It is called before the request is sent.
 func (x *exchange) begin(info httptrace.GotConnInfo) {
-	c, ok := info.Conn.(*conn)
-	if !ok {
-		return // TLS
-	}
-	x.conn = c
-	if info.Reused {
-		c.expectHead()
+	x.conn, _ = info.Conn.(*conn)
+	if x.conn != nil && info.Reused {
+		x.conn.expectHead()
 	}
 }
 
-// check returns an error if the response is broken. Its connection is then not used again.
-func (x *exchange) check() error {
+// headErr returns an error if the head of the response is malformed.
+func (x *exchange) headErr() error {
 	if x.conn == nil {
 		return nil
 	}
-	err := x.conn.headErr()
-	if err != nil {
+	return x.conn.headErr()
+}
+
+// close closes the connection, which may already count as idle.
+func (x *exchange) close() {
+	if x.conn != nil {
 		_ = x.conn.Close()
 	}
-	return err
 }
 
 // CloseIdleConnections closes the connections that are not in use.
--- a/io/http1/transport_test.go
+++ b/io/http1/transport_test.go
@@ -175,15 +175,16 @@
 	}
 }
 
-// A malformed head is an error on a new connection and on a kept one, which is closed, and does not
+// A broken head is an error on a new connection and on a kept one, which is closed, and does not
 // count for the responses before it.
-func TestMalformedHeadOnEachConnection(t *testing.T) {
+func TestBrokenHeadOnEachConnection(t *testing.T) {
 	const sound, broken = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nBad Name: v\r\nContent-Length: 0\r\n\r\n"
+	const noStatus = "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
 	go func() {
-		for _, texts := range [][]string{{broken}, {sound, sound, broken}, {sound}} {
+		for _, texts := range [][]string{{broken}, {sound, sound, broken}, {sound, noStatus}, {noStatus}, {sound}} {
 			c, err := l.Accept()
 			if err != nil {
 				return
@@ -193,7 +194,7 @@
 		}
 	}()
 	client := &http.Client{Transport: NewTransport(&http.Transport{})}
-	for n, want := range []error{ErrMalformedHead, nil, nil, ErrMalformedHead, nil} {
+	for n, want := range []error{ErrMalformedHead, nil, nil, ErrMalformedHead, nil, ErrStatus, ErrStatus, nil} {
 		resp, err := client.Get("http://" + l.Addr().String())
 		assert.Assert(t, errors.Is(err, want), "request %d: %v", n, err)
 		if err == nil {
