peer: a reply with a status below 200 is none

A caller of the project's own interface got 200 for a service's status 000, or its connection was closed without an answer (007, 099), where the agent was of a version before and the entry of this one. Such agents pass on any status, and gin writes 200 for a status of 0.

Cause: the entry passed on what the agent replied.

Change: a reply without a refusal whose status ends no request is an error of the call, like a lost one: a repeatable call goes to another agent, an order ends as unknown.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -256,7 +256,7 @@
 	if err != nil {
 		return Reply{}, wrapError(addr, err)
 	}
-	return replyFromWire(r), nil
+	return checkReply(addr, r)
 }
 
 // RunOrder runs an order under a ticket on the agent at addr.
@@ -269,7 +269,11 @@
 	if err != nil {
 		return fleet.OutcomeUnknown, Reply{}, wrapError(addr, err)
 	}
-	return fleet.Outcome(r.GetOutcome()), replyFromWire(r.GetReply()), nil
+	reply, err := checkReply(addr, r.GetReply())
+	if err != nil {
+		return fleet.OutcomeUnknown, Reply{}, err
+	}
+	return fleet.Outcome(r.GetOutcome()), reply, nil
 }
 
 // StopOrder prevents an order that has not started from starting later.
@@ -284,7 +288,15 @@
 	if err != nil {
 		return fleet.OutcomeUnknown, Reply{}, wrapError(addr, err)
 	}
-	return fleet.Outcome(r.GetOutcome()), replyFromWire(r.GetReply()), nil
+	outcome := fleet.Outcome(r.GetOutcome())
+	if outcome != fleet.OutcomeDone {
+		return outcome, replyFromWire(r.GetReply()), nil
+	}
+	reply, err := checkReply(addr, r.GetReply())
+	if err != nil {
+		return fleet.OutcomeUnknown, Reply{}, err
+	}
+	return outcome, reply, nil
 }
 
 // Sync exchanges configuration revisions and crash blame with the entry at addr.
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"errors"
 	"time"
 
 	"amaranthturn/core/configsync"
@@ -272,6 +273,25 @@
 	}
 }
 
+// The statuses that end a request.
+const (
+	minStatus = 200
+	maxStatus = 999
+)
+
+// errInvalidReply reports a reply that callers cannot get.
+var errInvalidReply = errors.New("reply has neither a refusal nor the status of a response")
+
+// checkReply returns the reply of the agent at addr. Agents of an earlier version pass on any status of
+// their services.
+func checkReply(addr string, p *peerpb.CallReply) (Reply, error) {
+	r := replyFromWire(p)
+	if r.Refusal == nil && (r.Status < minStatus || r.Status > maxStatus) {
+		return Reply{}, &ConnectionError{Address: addr, Cause: errInvalidReply}
+	}
+	return r, nil
+}
+
 func updateToWire(u configsync.Update) *peerpb.Document {
 	d := &peerpb.Document{
 		Revision: uint64(u.Position.Revision), Era: uint64(u.Position.Era), Body: u.Body,
