gateway: a broken head is no sign that the request crashes its targets

A request whose targets answered it with a broken head, a status of 000 for one, was refused at its second attempt by a caller and later as one that crashes its targets, though none had crashed.

Cause: each failure of the transport that is not known to be something else counts as a crash of its target, and blames the request. Heads with blanks were answers until now, so that they come to count with the fix of these.

Change: the pool reports target.ErrBrokenHead for a head that arrived whole and has an invalid status, or a blank or a control character in the name of a field. It fails the target's attempt like other invalid responses, without blame, and is counted in responses_with_broken_head. A head that stops is still a sign of a crash.

Evidence: on the commit before, the second of six requests to each of four kinds of broken heads ends with request_crashes_targets (TestBrokenHeadIsNoCrash, 4 of 4 cases); with the change none does.

The end of an order with such an answer is engine_failed now instead of target_lost, both with the outcome unknown and 502; TestBrokenHeadIsNoAnswer states the new reason. Its case of a status with two digits, which net/http rejects, is left to TestBrokenHeadIsNoResponse.

--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -367,6 +367,17 @@
 	return false
 }
 
+// invalidResponses are responses that are none and that no crash of their targets explains, with the
+// metrics that count them.
+var invalidResponses = []struct {
+	err    error
+	metric string
+}{
+	{target.ErrMalformedEvent, "events_malformed"},
+	{target.ErrUnidentified, "responses_unidentified"},
+	{target.ErrBrokenHead, "responses_with_broken_head"},
+}
+
 // transportFailure returns the failure of an attempt that ended without a complete response.
 func (a *targetAttempt) transportFailure(err error) dispatch.Failure {
 	var notSent *target.NotSentError
@@ -383,15 +394,15 @@
 		return dispatch.Failure{Kind: dispatch.KindLost}
 	}
 	a.result = loadbalance.ResultFailed
+	for _, invalid := range invalidResponses {
+		if errors.Is(err, invalid.err) {
+			a.handler.g.metrics.Count(invalid.metric, 1)
+			return dispatch.Failure{Kind: dispatch.KindInvalidResponse}
+		}
+	}
 	switch {
 	case isNotSent:
 		return dispatch.Failure{Kind: dispatch.KindNotSent}
-	case errors.Is(err, target.ErrMalformedEvent):
-		a.handler.g.metrics.Count("events_malformed", 1)
-		return dispatch.Failure{Kind: dispatch.KindInvalidResponse}
-	case errors.Is(err, target.ErrUnidentified):
-		a.handler.g.metrics.Count("responses_unidentified", 1)
-		return dispatch.Failure{Kind: dispatch.KindInvalidResponse}
 	case a.canceled.Load() && a.hasStalled():
 		a.result = loadbalance.ResultUnknown // was recorded when it stalled
 	}
--- a/io/http1/doc.go
+++ b/io/http1/doc.go
@@ -17,10 +17,11 @@
 //
 // # What is broken
 //
-// A status below 100 is none in HTTP. A blank in the name of a field hides that field, so that a
-// length or an encoding of the body does not count. A line that begins with a blank continues the
-// value of the line before, so that one field becomes a part of another one. A sender may do neither
-// (RFC 9112, section 5), and nothing in such a head is reliable.
+// A status below 100 is none in HTTP. Neither a blank nor a control character may be in the name of a
+// field (RFC 9112, section 5), and net/http rejects only the latter. A blank hides the field, so that a
+// length or an encoding of the body does not count. A line that begins with a blank continues the value
+// of the line before, so that one field becomes a part of another one. Nothing in such a head is
+// reliable.
 //
 // A body without a length or chunks ends with its connection, but not with a reset. A socket reports
 // a reset only once, to a read or to a write. If a write has returned it, the next read returns
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -9,15 +9,14 @@
 // Errors of a response.
 var (
 	ErrStatus        = errors.New("response has an invalid status")
-	ErrMalformedHead = errors.New("response has a header line with a blank before the colon")
+	ErrMalformedHead = errors.New("response has a blank or a control character in the name of a field")
 )
 
 // minStatus is the lowest status of HTTP.
 const minStatus = 100
 
-// HeadScanner examines the lines of the head of one response as they arrive, and those of interim
-// responses before it. What net/http rejects by itself, such as a control character in a name, is not
-// its concern.
+// HeadScanner examines the names of the fields of one response as they arrive, and those of interim
+// responses before it.
 type HeadScanner struct {
 	isMalformed bool
 	inStatus    bool    // the status line has not ended
@@ -38,7 +37,9 @@
 		switch {
 		case s.skipsLine:
 			_, rest, found := bytes.Cut(p, []byte{'\n'})
-			s.skipsLine = !found
+			if found {
+				s.skipsLine, s.hasName = false, false
+			}
 			p = rest
 			continue
 		case s.inStatus:
@@ -64,6 +65,9 @@
 	}
 }
 
+// deleteChar is the control character above the others.
+const deleteChar = 0x7f
+
 // scanName examines a byte before the colon of a line.
 func (s *HeadScanner) scanName(c byte) {
 	switch c {
@@ -74,11 +78,12 @@
 		s.hasName = false
 	case '\r':
 	case ':':
-		s.skipsLine, s.hasName = true, false
-	case ' ', '\t':
-		s.isMalformed, s.skipsLine, s.hasName = true, true, false
+		s.skipsLine = true
 	default:
 		s.hasName = true
+		if c <= ' ' || c == deleteChar {
+			s.isMalformed, s.skipsLine = true, true
+		}
 	}
 }
 
--- a/io/target/head.go
+++ b/io/target/head.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
-	"cmp"
+	"errors"
+	"fmt"
 	"net/http"
+	"net/textproto"
 	"strings"
 
 	"amaranthturn/io/bounded"
@@ -14,12 +16,14 @@
 type headReader struct {
 	rd      bounded.Reader
 	scanner http1.HeadScanner
+	err     error // of reading from the connection
 }
 
 // Read implements io.Reader.
 func (r *headReader) Read(p []byte) (int, error) {
 	n, err := r.rd.Read(p)
 	r.scanner.Scan(p[:n])
+	r.err = err
 	return n, err
 }
 
@@ -36,10 +40,20 @@
 		return nil, errEncodingInHTTP10
 	}
 	resp, err := http.ReadResponse(c.rd, hr)
+	var malformed textproto.ProtocolError // of a line after the status line
+	if err != nil && (c.head.err != nil || !errors.As(err, &malformed)) {
+		return nil, err
+	}
+	if headErr := c.head.scanner.Err(); headErr != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBrokenHead, headErr)
+	}
 	if err != nil {
 		return nil, err
 	}
-	return resp, cmp.Or(http1.CheckStatus(resp), c.head.scanner.Err())
+	if err := http1.CheckStatus(resp); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBrokenHead, err)
+	}
+	return resp, nil
 }
 
 func (c *conn) endHeader() { c.head = nil }
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -135,6 +135,9 @@
 // ErrUnidentified reports a response on a reused connection that does not name its request.
 var ErrUnidentified = errors.New("response on a reused connection does not name its request")
 
+// ErrBrokenHead reports a response with an invalid status or header.
+var ErrBrokenHead = errors.New("response has a broken head")
+
 var (
 	errStaleResponses   = errors.New("too many responses to other requests")
 	errEncodingInHTTP10 = errors.New("response of HTTP/1.0 has a transfer encoding")
