http1: chunks in a response of HTTP/1.0 are an error of each client

Callers of the project's own interface got the sizes of the chunks as a part of the body of a service's response of HTTP/1.0 that had a transfer encoding. A load command and a staged chunk with such an answer counted as successful. With a header above 4 KiB before that field, callers got such an answer of a target, too.

Cause: net/http drops the field in HTTP/1.0. The pool of connections to targets looked for it, in as much of the head as its buffer holds; net/http's transport did not.

Change: HeadScanner, which sees each head whole, reports it to all of them. It replaces the search of the pool.

--- a/io/http1/doc.go
+++ b/io/http1/doc.go
@@ -23,6 +23,9 @@
 // of the line before, so that one field becomes a part of another one. Nothing in such a head is
 // reliable.
 //
+// A version before HTTP/1.1 has no transfer encodings. net/http drops that field, and the sizes of chunks
+// would become a part of the body.
+//
 // A body without a length or chunks ends with its connection, but not with a reset. A socket reports
 // a reset only once, to a read or to a write. If a write has returned it, the next read returns
 // io.EOF.
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"net/http"
 )
@@ -10,59 +11,82 @@
 var (
 	ErrStatus        = errors.New("response has an invalid status")
 	ErrMalformedHead = errors.New("response has a blank or a control character in the name of a field")
+	ErrEncoding      = errors.New("response of a version before HTTP/1.1 has a transfer encoding")
 )
 
 // minStatus is the lowest status of HTTP.
 const minStatus = 100
 
+// CheckStatus returns ErrStatus if the status of a response is invalid.
+func CheckStatus(resp *http.Response) error {
+	if resp.StatusCode < minStatus {
+		return ErrStatus
+	}
+	return nil
+}
+
 // HeadScanner examines the names of the fields of one response as they arrive, and those of interim
 // responses before it.
 type HeadScanner struct {
-	isMalformed bool
-	inStatus    bool    // the status line has not ended
-	hasVersion  bool    // the version of the status line has ended
-	code        [3]byte // digits of the status
-	digits      int     // how many of them have arrived
-	skipsLine   bool    // the rest of the line does not matter
-	hasName     bool    // the line is not empty
-	ended       bool
+	err        error
+	inStatus   bool // the status line has not ended
+	isInterim  bool
+	isBefore11 bool // the version is one before HTTP/1.1
+	skipsLine  bool // the rest of the line does not matter
+	ended      bool
+	begin      [maxBegin]byte // of the status line or of the name of the field
+	beginBytes int            // how many bytes begin has
 }
 
+// maxBegin is how much of a status line or of a name is kept.
+const maxBegin = 32
+
+// encodingName is the name of the field with the transfer encoding.
+const encodingName = "Transfer-Encoding"
+
 // NewHeadScanner returns a scanner of a head from its status line on.
 func NewHeadScanner() HeadScanner { return HeadScanner{inStatus: true} }
 
+// Err returns ErrMalformedHead or ErrEncoding if what was scanned is broken.
+func (s *HeadScanner) Err() error { return s.err }
+
 // Scan examines the next bytes of the response. Those after the head do not matter.
 func (s *HeadScanner) Scan(p []byte) {
 	for len(p) > 0 && !s.ended {
-		switch {
-		case s.skipsLine:
+		if s.skipsLine {
 			_, rest, found := bytes.Cut(p, []byte{'\n'})
-			if found {
-				s.skipsLine, s.hasName = false, false
-			}
+			s.skipsLine = !found
 			p = rest
 			continue
-		case s.inStatus:
+		}
+		if s.inStatus {
 			s.scanStatus(p[0])
-		default:
+		} else {
 			s.scanName(p[0])
 		}
 		p = p[1:]
 	}
 }
 
+// keep adds a byte to the begin of the line.
+func (s *HeadScanner) keep(c byte) {
+	if s.beginBytes < len(s.begin) {
+		s.begin[s.beginBytes] = c
+		s.beginBytes++
+	}
+}
+
 // scanStatus examines a byte of a status line.
 func (s *HeadScanner) scanStatus(c byte) {
-	switch {
-	case c == '\n':
-		s.inStatus, s.hasName = false, false
-	case !s.hasVersion:
-		s.hasVersion = c == ' '
-	case s.digits == 0 && c == ' ': // net/http allows several
-	case s.digits < len(s.code):
-		s.code[s.digits] = c
-		s.digits++
+	if c != '\n' {
+		s.keep(c)
+		return
 	}
+	version, status, _ := bytes.Cut(s.begin[:s.beginBytes], []byte{' '})
+	status = bytes.TrimLeft(status, " ") // net/http allows several blanks
+	s.isInterim = bytes.HasPrefix(status, []byte{'1'}) && !bytes.HasPrefix(status, []byte("101"))
+	s.isBefore11 = bytes.Compare(version, []byte("HTTP/1.1")) < 0
+	s.inStatus, s.beginBytes = false, 0
 }
 
 // deleteChar is the control character above the others.
@@ -70,41 +94,26 @@
 
 // scanName examines a byte before the colon of a line.
 func (s *HeadScanner) scanName(c byte) {
-	switch c {
-	case '\n':
-		if !s.hasName {
-			s.endHead()
+	switch {
+	case c == '\r':
+	case c == '\n' && s.beginBytes == 0:
+		s.inStatus, s.ended = s.isInterim, !s.isInterim
+	case c == '\n': // net/http rejects a line without a colon
+		s.beginBytes = 0
+	case c == ':':
+		if s.isBefore11 && bytes.EqualFold(s.begin[:s.beginBytes], []byte(encodingName)) {
+			s.fail(ErrEncoding)
 		}
-		s.hasName = false
-	case '\r':
-	case ':':
-		s.skipsLine = true
+		s.skipLine()
+	case c <= ' ' || c == deleteChar:
+		s.fail(ErrMalformedHead)
+		s.skipLine()
 	default:
-		s.hasName = true
-		if c <= ' ' || c == deleteChar {
-			s.isMalformed, s.skipsLine = true, true
-		}
+		s.keep(c)
 	}
 }
 
-// endHead ends the head, or begins the one after an interim response.
-func (s *HeadScanner) endHead() {
-	isInterim := s.code[0] == '1' && s.code != [3]byte{'1', '0', '1'}
-	*s = HeadScanner{isMalformed: s.isMalformed, inStatus: isInterim, ended: !isInterim}
-}
-
-// Err returns ErrMalformedHead if what was scanned is malformed.
-func (s *HeadScanner) Err() error {
-	if s.isMalformed {
-		return ErrMalformedHead
-	}
-	return nil
-}
+func (s *HeadScanner) fail(err error) { s.err = cmp.Or(s.err, err) }
 
-// CheckStatus returns ErrStatus if the status of a response is invalid.
-func CheckStatus(resp *http.Response) error {
-	if resp.StatusCode < minStatus {
-		return ErrStatus
-	}
-	return nil
-}
+// skipLine skips the rest of the line. The next one begins with a name.
+func (s *HeadScanner) skipLine() { s.skipsLine, s.beginBytes = true, 0 }
--- a/io/http1/head_test.go
+++ b/io/http1/head_test.go
@@ -58,6 +58,12 @@
 		"after an interim response": {"HTTP/1.1 103 X\r\nA: b\r\n\r\n" + ok + "Bad Name: v\r\n\r\n", http1.ErrMalformedHead},
 		"after two":                 {"HTTP/1.1  100 X\nA: b\n\nHTTP/1.1 199\r\n\r\n" + ok + "A : b\r\n\r\n", http1.ErrMalformedHead},
 		"other protocol":            {"HTTP/1.1 101 X\r\nA: b\r\n\r\nx y: z\r\n", nil},
+		"HTTP/1.0":                  {"HTTP/1.0 200 OK\r\nContent-Length: 0\r\nX-Transfer-Encoding: y\r\nTransfer-Encodings: z\r\n\r\nTransfer-Encoding: chunked", nil},
+		"encoding in HTTP/1.0":      {"HTTP/1.0 200 OK\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", http1.ErrEncoding},
+		"in other letters":          {"HTTP/1.0 200 OK\ntransfer-ENCODING:\n\n", http1.ErrEncoding},
+		"encoding in HTTP/0.9":      {"HTTP/0.9 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", http1.ErrEncoding},
+		"encoding in HTTP/1.1":      {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", nil},
+		"after HTTP/1.0":            {"HTTP/1.0 103 X\r\n\r\n" + ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", nil},
 		"both":                      {"HTTP/1.1 007 X\r\nBad Name: v\r\n\r\n", http1.ErrStatus},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/io/service/status_test.go
+++ b/io/service/status_test.go
@@ -43,6 +43,7 @@
 		"continued type, with a tab": "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\tBad: v\r\nContent-Length: 2\r\n\r\nno",
 		"interim response":           "HTTP/1.1 103 X\r\nBad Name: v\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno",
 		"after an interim response":  "HTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nBad Name: v\r\nContent-Length: 2\r\n\r\nno",
+		"chunks in HTTP/1.0":         "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
 		"control character":          "HTTP/1.1 200 OK\r\nBad\x01Name: v\r\nContent-Length: 2\r\n\r\nno",
 		"tab in a name":              "HTTP/1.1 200 OK\r\nBad\tName: v\r\nContent-Length: 2\r\n\r\nno",
 	} {
--- a/io/target/cut_test.go
+++ b/io/target/cut_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,9 +53,11 @@
 // A response of HTTP/1.0 can't have chunks. One that states them contradicts itself, and the sizes
 // of the chunks are no part of a body.
 func TestChunksInHTTP10AreAnError(t *testing.T) {
-	s := start(t, []string{"HTTP/1.0 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n12\r\nthe target's bytes\r\n0\r\n\r\n"})
-	body, err := do(t, target.NewPool(), s.l.Addr().String(), "1")
-	assert.Assert(t, err != nil, "%q", body)
+	for _, fields := range []string{"", "X: " + strings.Repeat("x", 9000) + "\r\n"} {
+		s := start(t, []string{"HTTP/1.0 200 OK\r\nId: 1\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n12\r\nthe target's bytes\r\n0\r\n\r\n"})
+		body, err := do(t, target.NewPool(), s.l.Addr().String(), "1")
+		assert.Assert(t, err != nil, "%q", body)
+	}
 }
 
 // A target that sends a short line and stays silent has failed at once.
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -138,10 +138,7 @@
 // ErrBrokenHead reports a response with an invalid status or header.
 var ErrBrokenHead = errors.New("response has a broken head")
 
-var (
-	errStaleResponses   = errors.New("too many responses to other requests")
-	errEncodingInHTTP10 = errors.New("response of HTTP/1.0 has a transfer encoding")
-)
+var errStaleResponses = errors.New("too many responses to other requests")
 
 // Limits of what the responses of a pool hold in memory. Targets in trouble may answer many requests
 // with more than the process has memory for.
