--- a/app/gateway/attempt.go
+++ b/app/gateway/attempt.go
@@ -367,8 +367,8 @@
 	return false
 }
 
-// invalidResponses are responses that are none and that no crash of their targets explains, with the
-// metrics that count them.
+// invalidResponses are the errors of responses that are invalid although their targets have not crashed,
+// with the metrics that count them.
 var invalidResponses = []struct {
 	err    error
 	metric string
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -28,18 +28,18 @@
 // HeadScanner examines the names of the fields of one response as they arrive, and those of interim
 // responses before it.
 type HeadScanner struct {
-	err        error
-	inStatus   bool // the status line has not ended
-	isInterim  bool
-	isBefore11 bool // the version is one before HTTP/1.1
-	skipsLine  bool // the rest of the line does not matter
-	ended      bool
-	begin      [maxBegin]byte // of the status line or of the name of the field
-	beginBytes int            // how many bytes begin has
+	err            error
+	inStatus       bool // the status line has not ended
+	isInterim      bool
+	precedesHTTP11 bool // the version is one before HTTP/1.1
+	skipsLine      bool // the rest of the line does not matter
+	ended          bool
+	prefix         [maxPrefix]byte // of the status line or of the name of the field
+	prefixLen      int
 }
 
-// maxBegin is how much of a status line or of a name is kept.
-const maxBegin = 32
+// maxPrefix is how many bytes of a status line or of a name are kept.
+const maxPrefix = 32
 
 // encodingName is the name of the field with the transfer encoding.
 const encodingName = "Transfer-Encoding"
@@ -68,11 +68,11 @@
 	}
 }
 
-// keep adds a byte to the begin of the line.
+// keep adds a byte to the prefix of the line.
 func (s *HeadScanner) keep(c byte) {
-	if s.beginBytes < len(s.begin) {
-		s.begin[s.beginBytes] = c
-		s.beginBytes++
+	if s.prefixLen < len(s.prefix) {
+		s.prefix[s.prefixLen] = c
+		s.prefixLen++
 	}
 }
 
@@ -82,11 +82,11 @@
 		s.keep(c)
 		return
 	}
-	version, status, _ := bytes.Cut(s.begin[:s.beginBytes], []byte{' '})
+	version, status, _ := bytes.Cut(s.prefix[:s.prefixLen], []byte{' '})
 	status = bytes.TrimLeft(status, " ") // net/http allows several blanks
 	s.isInterim = bytes.HasPrefix(status, []byte{'1'}) && !bytes.HasPrefix(status, []byte("101"))
-	s.isBefore11 = bytes.Compare(version, []byte("HTTP/1.1")) < 0
-	s.inStatus, s.beginBytes = false, 0
+	s.precedesHTTP11 = bytes.Compare(version, []byte("HTTP/1.1")) < 0
+	s.inStatus, s.prefixLen = false, 0
 }
 
 // deleteChar is the control character above the others.
@@ -96,12 +96,12 @@
 func (s *HeadScanner) scanName(c byte) {
 	switch {
 	case c == '\r':
-	case c == '\n' && s.beginBytes == 0:
+	case c == '\n' && s.prefixLen == 0:
 		s.inStatus, s.ended = s.isInterim, !s.isInterim
 	case c == '\n': // net/http rejects a line without a colon
-		s.beginBytes = 0
+		s.prefixLen = 0
 	case c == ':':
-		if s.isBefore11 && bytes.EqualFold(s.begin[:s.beginBytes], []byte(encodingName)) {
+		if s.precedesHTTP11 && bytes.EqualFold(s.prefix[:s.prefixLen], []byte(encodingName)) {
 			s.fail(ErrEncoding)
 		}
 		s.skipLine()
@@ -116,4 +116,4 @@
 func (s *HeadScanner) fail(err error) { s.err = cmp.Or(s.err, err) }
 
 // skipLine skips the rest of the line. The next one begins with a name.
-func (s *HeadScanner) skipLine() { s.skipsLine, s.beginBytes = true, 0 }
+func (s *HeadScanner) skipLine() { s.skipsLine, s.prefixLen = true, 0 }
--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -33,11 +33,11 @@
 	return &Transport{base: tr}
 }
 
-// RoundTrip implements http.RoundTripper. It returns ErrStatus or ErrMalformedHead if the head of the
-// response is broken.
+// RoundTrip implements http.RoundTripper. It returns ErrStatus, ErrMalformedHead or ErrEncoding if the
+// head of the response is broken.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var x exchange
-	trace := &httptrace.ClientTrace{GotConn: x.begin}
+	trace := &httptrace.ClientTrace{GotConn: x.gotConn}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
@@ -51,17 +51,19 @@
 }
 
 // exchange is a request and its response.
-type exchange struct{ conn *conn } // nil with TLS
+type exchange struct {
+	conn *conn // nil over TLS
+}
 
-// begin implements httptrace.ClientTrace. It is called before the request is sent.
-func (x *exchange) begin(info httptrace.GotConnInfo) {
+// gotConn is called before the request is sent.
+func (x *exchange) gotConn(info httptrace.GotConnInfo) {
 	x.conn, _ = info.Conn.(*conn)
 	if x.conn != nil && info.Reused {
 		x.conn.expectHead()
 	}
 }
 
-// headErr returns an error if the head of the response is malformed.
+// headErr returns an error if the head of the response is broken.
 func (x *exchange) headErr() error {
 	if x.conn == nil {
 		return nil
@@ -89,7 +91,7 @@
 	return &conn{Conn: c, scanner: NewHeadScanner()}, nil
 }
 
-// conn is a connection whose end is told from a reset, and whose heads are examined.
+// conn is a connection that tells its end from a reset and examines the heads that it receives.
 type conn struct {
 	net.Conn
 	writing  sync.Mutex // held during a write; guards writeErr
@@ -141,7 +143,7 @@
 	c.scanner = NewHeadScanner()
 }
 
-// headErr returns an error if the head of the response is malformed.
+// headErr returns an error if the head of the response is broken.
 func (c *conn) headErr() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/http1/transport_test.go
+++ b/io/http1/transport_test.go
@@ -225,6 +225,23 @@
 	}
 }
 
+// A client's timeout ends a request.
+func TestTimeout(t *testing.T) {
+	ended := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-ended }))
+	defer srv.Close()
+	defer close(ended)
+	client := &http.Client{Transport: NewTransport(&http.Transport{}), Timeout: 50 * time.Millisecond}
+	began := time.Now()
+	resp, err := client.Get(srv.URL)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	var timeout net.Error
+	assert.Assert(t, errors.As(err, &timeout) && timeout.Timeout(), "%v", err)
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+}
+
 // The responses over TLS are not taken for broken ones.
 func TestTLS(t *testing.T) {
 	srv := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
--- a/io/target/head.go
+++ b/io/target/head.go
@@ -25,6 +25,13 @@
 	return n, err
 }
 
+// hasMalformedLine reports whether net/http has rejected a line of the header, and not its end or the
+// status line.
+func (r *headReader) hasMalformedLine(err error) bool {
+	var malformed textproto.ProtocolError
+	return r.err == nil && errors.As(err, &malformed)
+}
+
 // readResponse reads the status line and header of a response.
 func (c *conn) readResponse(hr *http.Request) (*http.Response, error) {
 	c.head = &headReader{
@@ -35,8 +42,7 @@
 	buffered, _ := c.rd.Peek(c.rd.Buffered())
 	c.head.scanner.Scan(buffered)
 	resp, err := http.ReadResponse(c.rd, hr)
-	var malformed textproto.ProtocolError // of a line after the status line
-	if err != nil && (c.head.err != nil || !errors.As(err, &malformed)) {
+	if err != nil && !c.head.hasMalformedLine(err) {
 		return nil, err
 	}
 	if headErr := c.head.scanner.Err(); headErr != nil {
