--- a/io/target/head_test.go
+++ b/io/target/head_test.go
@@ -39,8 +39,8 @@
 	"after a sound interim":     "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nBad Name: v\r\nContent-Length: 2\r\n\r\nno",
 	"of another request":        "HTTP/1.1 200 OK\r\nId: 0\r\nBad Name: v\r\nContent-Length: 2\r\n\r\nno" + okResponse,
 	"after another request's":   strings.Replace(okResponse, "Id: 1", "Id: 0", 1) + "HTTP/1.1 200 OK\r\nId: 1\r\nBad Name: v\r\nContent-Length: 2\r\n\r\nno",
-	"not run, blank in a name":  "HTTP/1.1 503 X\r\nId: 1\r\nNot-Executed: 1\r\nBad Name: v\r\nContent-Length: 0\r\n\r\n",
-	"not run without an ID":     "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n Bad: v\r\nContent-Length: 0\r\n\r\n",
+	"not run, blank in a name":  "HTTP/1.1 503 X\r\nId: 1\r\nNot-Run: 1\r\nBad Name: v\r\nContent-Length: 0\r\n\r\n",
+	"not run without an ID":     "HTTP/1.1 503 X\r\nNot-Run: 1\r\n Bad: v\r\nContent-Length: 0\r\n\r\n",
 }
 
 // Nothing in a broken head counts: neither its status nor its ID, and the request may have run.
