--- a/io/target/target.go
+++ b/io/target/target.go
@@ -15,6 +15,11 @@
 // a caller the response to another. The codec for requests and responses is that of
 // net/http.
 //
+// # Broken responses
+//
+// A response with a broken head is ErrBrokenHead, see package http1. A body without a length or chunks
+// is complete if its connection ended in order and the whole request had been written.
+//
 // # Errors
 //
 // *NotSentError means that no byte reached the target, *NoResponseError that the request may
