--- a/io/target/target.go
+++ b/io/target/target.go
@@ -35,14 +35,12 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -256,47 +254,6 @@
 	return resp, nil
 }
 
-func newHTTPRequest(r *Request) (*http.Request, error) {
-	u, err := requestURL(r)
-	if err != nil {
-		return nil, err
-	}
-	h := r.Header.Clone()
-	if _, ok := h["User-Agent"]; !ok {
-		h["User-Agent"] = []string{""} // prevents net/http from adding its own
-	}
-	hr := &http.Request{
-		Method: r.Method, URL: u, Host: r.Host, Header: h,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(r.Body)),
-	}
-	if len(r.Body) > 0 {
-		hr.Body = io.NopCloser(bytes.NewReader(r.Body))
-	} else if r.Method != http.MethodGet && r.Method != http.MethodHead {
-		hr.Body = http.NoBody
-	}
-	return hr, nil
-}
-
-// errUnsendableURI reports a URI that net/http would change.
-var errUnsendableURI = errors.New("the path begins with two slashes and has characters that are not encoded")
-
-// requestURL returns the URL for which net/http sends the request's URI unchanged. It takes an opaque
-// one that begins with two slashes for an authority and a path, and sends that with a scheme.
-func requestURL(r *Request) (*url.URL, error) {
-	if !strings.HasPrefix(r.URI, "//") {
-		return &url.URL{Scheme: "http", Host: r.Host, Opaque: r.URI}, nil
-	}
-	u, err := url.ParseRequestURI(r.URI)
-	if err != nil {
-		return nil, err
-	}
-	u.Scheme, u.Host = "http", r.Host
-	if u.RequestURI() != r.URI {
-		return nil, errUnsendableURI
-	}
-	return u, nil
-}
-
 // readHeader reads responses until the one to this request. It skips interim (1xx) responses
 // and responses to earlier requests.
 func (resp *Response) readHeader(hr *http.Request, r *Request) error {
