daemon: gauges of the heap and of what the copy of the store holds

Entries and agents report every 2 s how much of the heap is live, and how many items and bytes of the copy of the store are listed, deleted, and superseded but kept.

--- a/app/gateway/module.go
+++ b/app/gateway/module.go
@@ -86,7 +86,10 @@
 	for _, srv := range append(s.directory, s.peers, s.callers) {
 		srv.Start()
 	}
-	for _, r := range []daemon.Runner{&ticker{s.g}, &storeReader{g: s.g}, &follower{s.g}, &entryExchanger{g: s.g}} {
+	for _, r := range []daemon.Runner{
+		&ticker{s.g}, &storeReader{g: s.g}, &follower{s.g}, &entryExchanger{g: s.g},
+		&daemon.MemoryReporter{Metrics: s.g.metrics, Copy: s.g.copyUsage},
+	} {
 		s.loops.Go(r)
 	}
 	s.g.log.process.Info().Str("callers", settings.CallersAddress).Str("peers", settings.PeersAddress).Msg("gateway started")
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -176,6 +176,13 @@
 		Int("retained", len(g.mirror.Retained())).Msg(trace.MessageStoreRestored)
 }
 
+// copyUsage returns what the copy of the store holds.
+func (g *Gateway) copyUsage() mirror.Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mirror.Usage()
+}
+
 // pausedSince reports whether the process was paused after the given time.
 func (g *Gateway) pausedSince(t time.Time) bool {
 	g.mu.Lock()
--- a/app/sidecar/module.go
+++ b/app/sidecar/module.go
@@ -78,7 +78,10 @@
 	srv.metrics = metrics
 	srv.peers.Start()
 	srv.metrics.Start()
-	for _, r := range []daemon.Runner{&initialStoreReader{srv.s}, &entryExchanger{srv.s}, &follower{srv.s}, &enginePoller{s: srv.s, pauseDetector: clock.NewPauseDetector(pauseThreshold)}, &loader{srv.s}, &versionManager{srv.s}} {
+	for _, r := range []daemon.Runner{
+		&initialStoreReader{srv.s}, &entryExchanger{srv.s}, &follower{srv.s}, &enginePoller{s: srv.s, pauseDetector: clock.NewPauseDetector(pauseThreshold)}, &loader{srv.s}, &versionManager{srv.s},
+		&daemon.MemoryReporter{Metrics: srv.s.metrics, Copy: srv.s.copyUsage},
+	} {
 		srv.loops.Go(r)
 	}
 	srv.s.log.process.Info().Str("peers", srv.s.settings.PeersAddress).Str("engine", srv.s.settings.TargetAddress).Msg("sidecar started")
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -318,6 +318,13 @@
 	return true
 }
 
+// copyUsage returns what the copy of the store holds.
+func (s *Sidecar) copyUsage() mirror.Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mirror.Usage()
+}
+
 // handleChanges processes changes of the mirror. isFirst reports that the mirror was empty
 // before. mu must be held.
 func (s *Sidecar) handleChanges(events []mirror.Event, isFirst bool) {
