--- a/io/target/reset_test.go
+++ b/io/target/reset_test.go
@@ -17,39 +17,46 @@
 	"amaranthturn/io/target"
 )
 
+// serveOne runs serve on one connection, closes it, and returns the address that it is accepted on.
+func serveOne(t *testing.T, serve func(c *net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		serve(c.(*net.TCPConn))
+		_ = c.Close()
+	}()
+	return l.Addr().String()
+}
+
 // resettingTarget answers a request before it has read the body, and resets the connection.
 type resettingTarget struct {
-	l      net.Listener
-	answer string
-	isRead bool          // the head of the request is read before the answer is sent
-	reset  chan struct{} // closed after the reset
+	addr  string
+	reset chan struct{} // closed after the reset
 }
 
+// startResetting starts a target that reads the head of the request before it answers, or nothing.
 func startResetting(t *testing.T, answer string, isRead bool) *resettingTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	s := &resettingTarget{l: l, answer: answer, isRead: isRead, reset: make(chan struct{})}
-	go s.run()
+	s := &resettingTarget{reset: make(chan struct{})}
+	s.addr = serveOne(t, func(c *net.TCPConn) {
+		if isRead {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+		}
+		_, _ = io.WriteString(c, answer)
+		time.Sleep(20 * time.Millisecond) // the caller receives the answer before the reset
+		_ = c.SetLinger(0)
+		_ = c.Close()
+		close(s.reset)
+	})
 	return s
 }
 
-func (s *resettingTarget) run() {
-	c, err := s.l.Accept()
-	if err != nil {
-		return
-	}
-	if s.isRead {
-		_, _ = http.ReadRequest(bufio.NewReader(c))
-	}
-	_, _ = io.WriteString(c, s.answer)
-	time.Sleep(20 * time.Millisecond) // the caller receives the answer before the reset
-	_ = c.(*net.TCPConn).SetLinger(0)
-	_ = c.Close()
-	close(s.reset)
-}
-
 // awaitReset waits until the writer of the request has received the reset.
 func (s *resettingTarget) awaitReset() {
 	<-s.reset
@@ -103,7 +110,7 @@
 	for name, read := range reads {
 		t.Run("upload/"+name, func(t *testing.T) {
 			s := startResetting(t, unframedPart, true)
-			resp, err := upload(t, s.l.Addr().String(), uploadBytes, nil)
+			resp, err := upload(t, s.addr, uploadBytes, nil)
 			assert.NilError(t, err)
 			defer resp.Close()
 			s.awaitReset()
@@ -112,7 +119,7 @@
 		})
 		t.Run("before it is written/"+name, func(t *testing.T) {
 			s := startResetting(t, unframedPart, false)
-			resp, err := upload(t, s.l.Addr().String(), 1, s.awaitReset)
+			resp, err := upload(t, s.addr, 1, s.awaitReset)
 			assert.NilError(t, err)
 			defer resp.Close()
 			err = read(resp)
@@ -128,7 +135,7 @@
 		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 	} {
 		s := startResetting(t, text, true)
-		resp, err := upload(t, s.l.Addr().String(), uploadBytes, nil)
+		resp, err := upload(t, s.addr, uploadBytes, nil)
 		assert.NilError(t, err)
 		s.awaitReset()
 		body, err := resp.ReadBody(1 << 20)
@@ -140,21 +147,13 @@
 
 // A target may end its response and read the rest of the request afterwards.
 func TestUnframedResponseBeforeTheRequestIsRead(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
+	addr := serveOne(t, func(c *net.TCPConn) {
 		_, _ = io.WriteString(c, unframedPart)
-		_ = c.(*net.TCPConn).CloseWrite()
+		_ = c.CloseWrite()
 		time.Sleep(50 * time.Millisecond) // the end is received while the request is being written
 		_, _ = io.Copy(io.Discard, c)
-		_ = c.Close()
-	}()
-	resp, err := upload(t, l.Addr().String(), uploadBytes, nil)
+	})
+	resp, err := upload(t, addr, uploadBytes, nil)
 	assert.NilError(t, err)
 	defer resp.Close()
 	body, err := resp.ReadBody(1 << 20)
@@ -165,24 +164,16 @@
 // A target that ends its response and does not read the request holds the caller no longer than its
 // deadline.
 func TestUnframedResponseToARequestThatIsNeverRead(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
 	ended := make(chan struct{})
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
+	defer close(ended)
+	addr := serveOne(t, func(c *net.TCPConn) {
 		_, _ = io.WriteString(c, unframedPart)
-		_ = c.(*net.TCPConn).CloseWrite()
+		_ = c.CloseWrite()
 		<-ended
-		_ = c.Close()
-	}()
-	defer close(ended)
+	})
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	resp, err := target.NewPool().Do(ctx, l.Addr().String(), request(strings.Repeat("x", uploadBytes)))
+	resp, err := target.NewPool().Do(ctx, addr, request(strings.Repeat("x", uploadBytes)))
 	assert.NilError(t, err)
 	defer resp.Close()
 	began := time.Now()
