mirror: the copy of the store holds the last state of each item, no log

Cause: the log of core/mirror held each state of each item with its value until it had 4,096 changes, whatever their size.

Why this works: a daemon that lags behind needs the last state of the items that changed after its position, which the copy holds anyway. An index of them by revision (a B-tree, github.com/google/btree) yields these at a cost that follows what has changed. What is held is bounded by the store's content.

A state that is not usable does not displace the last usable one: both are handed on. Otherwise a daemon that had missed a valid configuration before a refused one would stay on an older configuration than its neighbours. States that a later usable one of the same update replaces are skipped, so that the check costs no second decoding.

--- a/app/gateway/gateway.go
+++ b/app/gateway/gateway.go
@@ -80,6 +80,7 @@
 	mu               sync.Mutex // guards all fields below
 	seeds            []string
 	random           *rand.Rand
+	decoder          *platform.Decoder
 	mirror           *mirror.Mirror
 	changed          chan struct{} // closed and replaced when the mirror changes
 	storeUnavailable bool
@@ -144,7 +145,7 @@
 
 // New returns a daemon that is idle until its loops run.
 func New(settings *platform.Settings, c clock.Clock, l *telemetry.Logs, m *telemetry.Metrics, pool *peer.Pool, store *platform.Store, t *platform.TargetClient, seed uint64) *Gateway {
-	now := c.Now()
+	now, decoder := c.Now(), &platform.Decoder{}
 	g := &Gateway{
 		settings: settings, clock: c, metrics: m, pool: pool, store: store, targets: t, stop: daemon.NewRequestStop(c), stall: defaultStallTimes,
 		log: logs{
@@ -153,7 +154,7 @@
 		},
 		startedAt: now,
 		random:    rand.New(rand.NewPCG(seed, uint64(now.UnixNano()))),
-		seeds:     settings.Seeds, mirror: newMirror(settings), changed: make(chan struct{}), roster: roster.New(roster.Settings{ExpiryGrace: roster.DefaultSettings.ExpiryGrace, Renewal: settings.RecordRenewal}),
+		seeds:     settings.Seeds, decoder: decoder, mirror: daemon.NewMirror(settings, decoder), changed: make(chan struct{}), roster: roster.New(roster.Settings{ExpiryGrace: roster.DefaultSettings.ExpiryGrace, Renewal: settings.RecordRenewal}),
 		entryList: gossip.New(gossip.DefaultSettings, gossip.Record{
 			Instance: settings.Instance, Incarnation: fleet.Incarnation(now.UnixNano()), Region: settings.Region, Zone: settings.Zone,
 			Address: settings.PeersAddress, CallerAddress: settings.CallersAddress,
@@ -171,13 +172,6 @@
 	return g
 }
 
-func newMirror(settings *platform.Settings) *mirror.Mirror {
-	return mirror.New(map[string]mirror.Retention{
-		platform.OperatorKeys: {Compare: platform.CompareVersions},
-		platform.TargetKeys:   roster.DefaultSettings.Retention(settings.RecordRenewal, platform.CompareTargets),
-	})
-}
-
 // The limit on retries applies to each service in the entire system, and entries don't
 // coordinate retries: each entry uses the retry share of its own requests for the service and
 // its part of the fixed allowance.
--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -263,7 +263,10 @@
 	now := g.now()
 	needsRefresh := false
 	for _, e := range events {
-		c, err := platform.Decode(e)
+		if g.mirror.IsSuperseded(e) {
+			continue
+		}
+		c, err := g.decoder.Decode(e)
 		if err != nil {
 			g.metrics.Count("unusable_entries", 1)
 			g.log.members.Warn().Err(err).Uint64("revision", uint64(e.Revision)).Msg("store item is invalid")
--- a/app/sidecar/sidecar.go
+++ b/app/sidecar/sidecar.go
@@ -50,6 +50,7 @@
 	mu              sync.Mutex // guards all fields below
 	seeds           []string
 	random          *rand.Rand
+	decoder         *platform.Decoder
 	mirror          *mirror.Mirror
 	roster          *roster.Roster
 	entryList       *gossip.List
@@ -82,13 +83,14 @@
 
 // New returns a daemon that is idle until its loops run.
 func New(settings *platform.Settings, c clock.Clock, l *telemetry.Logs, m *telemetry.Metrics, pool *peer.Pool, e *platform.Engine, o *platform.Origin, st *platform.Store, seed uint64) *Sidecar {
+	decoder := &platform.Decoder{}
 	s := &Sidecar{
 		settings: settings, clock: c, metrics: m, pool: pool, engine: e, origin: o, store: st,
 		log: logs{
 			config: l.Of(telemetry.SubsystemConfig), members: l.Of(telemetry.SubsystemMembers), weights: l.Of(telemetry.SubsystemWeights),
 			engine: l.Of(telemetry.SubsystemEngine), process: l.Of(telemetry.SubsystemProcess),
 		},
-		seeds: settings.Seeds, random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), mirror: newMirror(settings), roster: roster.New(roster.DefaultSettings),
+		seeds: settings.Seeds, random: rand.New(rand.NewPCG(seed, uint64(c.Now().UnixNano()))), decoder: decoder, mirror: daemon.NewMirror(settings, decoder), roster: roster.New(roster.DefaultSettings),
 		// The list holds entries. This process is not an entry and does not announce itself.
 		entryList: gossip.New(gossip.DefaultSettings, gossip.Record{Region: settings.Region}), declared: map[fleet.Model]*upgrade.Declarations{},
 		crashes:   crashblame.NewLedger(crashblame.DefaultSettings),
@@ -100,13 +102,6 @@
 	return s
 }
 
-func newMirror(settings *platform.Settings) *mirror.Mirror {
-	return mirror.New(map[string]mirror.Retention{
-		platform.OperatorKeys: {Compare: platform.CompareVersions},
-		platform.TargetKeys:   roster.DefaultSettings.Retention(settings.RecordRenewal, platform.CompareTargets),
-	})
-}
-
 // Reload applies the settings that may change while the daemon runs, which are the seeds.
 // Other settings require a restart.
 func (s *Sidecar) Reload(settings *platform.Settings) {
@@ -330,7 +325,10 @@
 func (s *Sidecar) handleChanges(events []mirror.Event, isFirst bool) {
 	now := s.now()
 	for _, e := range events {
-		c, err := platform.Decode(e)
+		if s.mirror.IsSuperseded(e) {
+			continue
+		}
+		c, err := s.decoder.Decode(e)
 		if err != nil {
 			s.metrics.Count("unusable_entries", 1) // the entries log them
 		}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -28,6 +28,14 @@
 // of different eras, since a copy may be from before an earlier restoration; values are compared.
 // Items without a period are reported as listed, and the retained state is only handed on to
 // daemons that do not know it.
+//
+// # Daemons that lag behind
+//
+// A daemon receives the last state of each item that has changed since its position, not the states
+// in between, as one does that reads the store. What a copy holds is therefore bounded by the size of
+// the store and not by the number of changes. A state that cannot be used does not take the place of
+// the one before it: both are handed on, so that a daemon which has missed the first is left with the
+// same one in force as all others.
 package mirror
 
 import (
@@ -36,6 +44,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/google/btree"
 )
 
 // Revision orders the changes of the store within an era.
@@ -80,9 +90,12 @@
 	return e.Deleted == f.Deleted && (e.Deleted || bytes.Equal(e.Value, f.Value))
 }
 
-// Retention decides how long the state of an item from before a restoration remains in force.
-// Without periods it remains until the item is written again, and users of the mirror order its states.
+// Retention decides how long the state of an item remains in force that a later one does not replace,
+// and for how long one from before a restoration does. Without periods the latter remains until the
+// item is written again, and users of the mirror order its states.
 type Retention struct {
+	// IsUsable reports whether a state can come in force. Nil means that every state can.
+	IsUsable func(e Event) bool
 	// Compare returns a number below, at or above 0 if by its value the first state is earlier
 	// than, equal to or later than the second one of the same item.
 	Compare func(a, b Event) int
@@ -92,19 +105,17 @@
 	Older time.Duration
 }
 
-// maxLogLength is the number of changes kept for daemons that lag behind. A daemon that
-// lags further receives the full copy.
-const maxLogLength = 4096
-
 // Mirror is the copy. It is not safe for concurrent use.
 type Mirror struct {
 	retentions map[string]Retention // by prefix of the key
 	items      map[string]Event     // as listed by the store, including deleted items
-	retained   map[string]retained
-	log        []Event
-	// logBase is the revision after which the log is complete.
-	logBase  Revision
-	position Position
+	// usable holds the last usable state of each item whose listed state is not usable.
+	usable   map[string]Event
+	order    *btree.BTreeG[change] // of items and usable
+	retained map[string]retained
+	// completeAfter is the revision after which all changes are known.
+	completeAfter Revision
+	position      Position
 	// eraBase is the lowest revision at which the store is known to have been read in this
 	// era. Writes after it are not from the copy.
 	eraBase   Revision
@@ -112,6 +123,21 @@
 	currentAt time.Time // last time the copy was known to match the store
 }
 
+// change is the place of a state in the order in which the states were written.
+type change struct {
+	at  Position
+	key string
+}
+
+func changeOf(e Event) change { return change{e.Position(), e.Key} }
+
+func (c change) isBefore(d change) bool {
+	return cmp.Or(c.at.Compare(d.at), strings.Compare(c.key, d.key)) < 0
+}
+
+// treeDegree is that of the B-tree of changes, which has up to twice as many items in a node.
+const treeDegree = 32
+
 // retained is the last state of an item from before a restoration.
 type retained struct {
 	Event
@@ -121,7 +147,10 @@
 // New returns an empty copy. The keys of the map are prefixes of the items' keys. States of items
 // with other keys cannot be compared.
 func New(retentions map[string]Retention) *Mirror {
-	return &Mirror{retentions: retentions, items: map[string]Event{}, retained: map[string]retained{}}
+	return &Mirror{
+		retentions: retentions, items: map[string]Event{}, usable: map[string]Event{}, retained: map[string]retained{},
+		order: btree.NewG(treeDegree, change.isBefore),
+	}
 }
 
 // Position returns the position up to which the copy is complete, zero before the first read.
@@ -198,7 +227,7 @@
 		return false
 	case at.Era > m.position.Era:
 		m.position, m.eraBase, m.eraSince = Position{Era: at.Era}, base, now
-		m.log, m.logBase = nil, at.Revision
+		m.completeAfter = at.Revision
 	default:
 		m.eraBase = min(m.eraBase, base)
 	}
@@ -237,12 +266,11 @@
 	if listed.Deleted && len(listed.Value) == 0 {
 		listed.Value = old.Value
 	}
-	m.items[e.Key] = listed
-	m.appendLog(e)
 	inForce, isRetained := m.retained[e.Key]
 	if !isRetained {
-		inForce.Event = old
+		inForce.Event = m.lastUsable(old)
 	}
+	m.list(listed)
 	if !ok || !m.mayBeRestored(e, inForce.Event) {
 		delete(m.retained, e.Key)
 		return append(out, e)
@@ -320,15 +348,49 @@
 	return Retention{}, false
 }
 
-func (m *Mirror) appendLog(e Event) {
-	m.log = append(m.log, e)
-	if len(m.log) > maxLogLength {
-		drop := len(m.log) - maxLogLength/2
-		for _, d := range m.log[:drop] {
-			m.logBase = max(m.logBase, d.Revision)
-		}
-		m.log = slices.Clone(m.log[drop:])
+// list records the state that is listed for an item. The one before it is kept as long as the listed
+// one is not usable.
+func (m *Mirror) list(e Event) {
+	old, ok := m.items[e.Key]
+	if ok {
+		m.order.Delete(changeOf(old))
+	}
+	r, hasRetention := m.retention(e.Key)
+	if isUsable := !hasRetention || r.IsUsable == nil || r.IsUsable(e); isUsable {
+		m.dropUsable(e.Key)
+	} else if _, isKept := m.usable[e.Key]; ok && !isKept && old.Position().Before(e.Position()) && r.IsUsable(old) {
+		m.usable[e.Key] = old
+		m.order.ReplaceOrInsert(changeOf(old))
 	}
+	m.items[e.Key] = e
+	m.order.ReplaceOrInsert(changeOf(e))
+}
+
+func (m *Mirror) dropUsable(key string) {
+	if e, ok := m.usable[key]; ok {
+		m.order.Delete(changeOf(e))
+		delete(m.usable, key)
+	}
+}
+
+// lastUsable returns the last usable state of the item whose listed state is given, or the listed
+// one if there is none.
+func (m *Mirror) lastUsable(listed Event) Event {
+	if e, ok := m.usable[listed.Key]; ok {
+		return e
+	}
+	return listed
+}
+
+// IsSuperseded reports whether a later state of the event's item is listed in the same era and can come
+// in force, so that the event need not be looked at. It is only known of items whose states may be unusable.
+func (m *Mirror) IsSuperseded(e Event) bool {
+	r, ok := m.retention(e.Key)
+	if !ok || r.IsUsable == nil {
+		return false
+	}
+	last := m.lastUsable(m.items[e.Key])
+	return e.Era == last.Era && e.Revision < last.Revision
 }
 
 // HasTimedRetentions reports whether states are retained for a period that has not ended.
@@ -393,7 +455,7 @@
 		case !m.mayBeOlder(listed, e):
 			continue
 		}
-		m.items[e.Key] = listed
+		m.list(listed)
 		m.retained[e.Key] = retained{e, until}
 		out = append(out, e)
 	}
@@ -427,25 +489,27 @@
 	EraBase Revision
 }
 
-// ChangesSince returns the changes after a position. If the log does not reach back that far,
-// the update is full.
+// ChangesSince returns the last states of the items that have changed after a position, in the order
+// in which they were written. If not all changes after it are known, the update is full.
 func (m *Mirror) ChangesSince(after Position) Update {
 	u := Update{At: m.position, EraBase: m.eraBase}
 	if after.Era > m.position.Era {
 		return u // a daemon of a later era ignores all others
 	}
-	if after.Era != m.position.Era || after.Revision == 0 || after.Revision < m.logBase {
+	first := Position{after.Era, after.Revision + 1}
+	if after.Era != m.position.Era || after.Revision == 0 || after.Revision < m.completeAfter {
 		u.Full = true
-		for _, e := range m.items {
-			u.Events = append(u.Events, e)
-		}
-		return u
+		u.Events = make([]Event, 0, m.order.Len())
+		first = Position{}
 	}
-	for _, e := range m.log {
-		if e.Revision > after.Revision {
-			u.Events = append(u.Events, e)
+	m.order.AscendGreaterOrEqual(change{at: first}, func(c change) bool {
+		e := m.items[c.key]
+		if e.Position() != c.at {
+			e = m.usable[c.key]
 		}
-	}
+		u.Events = append(u.Events, e)
+		return true
+	})
 	return u
 }
 
--- a/core/mirror/usage.go
+++ b/core/mirror/usage.go
@@ -4,7 +4,7 @@
 type Usage struct {
 	Items, ItemBytes            int // that are listed
 	Deleted, DeletedBytes       int // that are gone
-	Superseded, SupersededBytes int // earlier states of items, kept for daemons that lag behind
+	Superseded, SupersededBytes int // usable states of items whose listed state is not
 }
 
 // Usage returns what the copy holds.
@@ -19,11 +19,9 @@
 		u.Items++
 		u.ItemBytes += len(e.Value)
 	}
-	for _, e := range m.log {
-		if e.Position() != m.items[e.Key].Position() {
-			u.Superseded++
-			u.SupersededBytes += len(e.Value)
-		}
+	for _, e := range m.usable {
+		u.Superseded++
+		u.SupersededBytes += len(e.Value)
 	}
 	return u
 }
