mirror: deleted items keep a summary, and the oldest of them are dropped

Cause: deleted items stayed in the copy of the store for good, with their last value for comparisons.

Why this works: of a deleted item only what comparisons need is kept, and the copy keeps 4,096 of them. Who lags behind those that were dropped receives the full copy. The position of the last one that was dropped stands for all of them: an unknown item that was last written before it counts as deleted there, so late messages, restored stores and other daemons that still retain it do not bring it back.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -36,6 +36,9 @@
 // the store and not by the number of changes. A state that cannot be used does not take the place of
 // the one before it: both are handed on, so that a daemon which has missed the first is left with the
 // same one in force as all others.
+//
+// Deleted items are kept too, with a summary of their last value, and those that were deleted first are
+// dropped when there are too many. A daemon whose position is before that receives the full copy.
 package mirror
 
 import (
@@ -75,7 +78,7 @@
 	Value    []byte
 	Era      Era
 	Revision Revision
-	// Deleted reports that the item is gone. Value is then its last known state, for comparison.
+	// Deleted reports that the item is gone. Value is then the summary of its last known state.
 	Deleted bool
 	// Missing reports that the item is known to be gone only because a complete read lacked it.
 	// Revision is that of the read.
@@ -99,6 +102,9 @@
 	// Compare returns a number below, at or above 0 if by its value the first state is earlier
 	// than, equal to or later than the second one of the same item.
 	Compare func(a, b Event) int
+	// Summary returns what Compare needs of a state's value, which is kept of a deleted item. Nil keeps
+	// all of it.
+	Summary func(e Event) []byte
 	// Missing applies to an item that the restored store lacks.
 	Missing time.Duration
 	// Older applies to an item of which the restored store may list an older state.
@@ -115,7 +121,11 @@
 	retained map[string]retained
 	// completeAfter is the revision after which all changes are known.
 	completeAfter Revision
-	position      Position
+	deleted       int // items that are gone
+	// forgotten is the latest position of a deleted item that is not kept any more. An item that is
+	// not known, and was last written before, may be one of these.
+	forgotten Position
+	position  Position
 	// eraBase is the lowest revision at which the store is known to have been read in this
 	// era. Writes after it are not from the copy.
 	eraBase   Revision
@@ -135,6 +145,10 @@
 	return cmp.Or(c.at.Compare(d.at), strings.Compare(c.key, d.key)) < 0
 }
 
+// maxDeletedItems is the number of deleted items that are kept, for daemons that lag behind and for
+// comparison after a restoration. A daemon that lags further receives the full copy.
+const maxDeletedItems = 4096
+
 // treeDegree is that of the B-tree of changes, which has up to twice as many items in a node.
 const treeDegree = 32
 
@@ -194,14 +208,15 @@
 	var out []Event
 	for _, e := range s.Items {
 		present[e.Key] = true
-		out = m.put(out, e)
+		out = m.put(out, e, s.At)
 	}
 	for k, e := range m.items {
 		if strings.HasPrefix(k, s.Prefix) && !present[k] && m.isMissing(e, s.At) {
-			out = m.put(out, Event{Key: k, Era: s.At.Era, Revision: s.At.Revision, Deleted: true, Missing: true})
+			out = m.put(out, Event{Key: k, Era: s.At.Era, Revision: s.At.Revision, Deleted: true, Missing: true}, s.At)
 		}
 	}
 	m.advance(s.At, asOf)
+	m.forgetDeleted()
 	return out
 }
 
@@ -213,9 +228,10 @@
 	}
 	var out []Event
 	for _, e := range events {
-		out = m.put(out, e)
+		out = m.put(out, e, Position{})
 	}
 	m.advance(at, asOf)
+	m.forgetDeleted()
 	return out
 }
 
@@ -252,9 +268,12 @@
 }
 
 // put records the state that the store lists for an item, and appends it to out if it is in
-// force now.
-func (m *Mirror) put(out []Event, e Event) []Event {
+// force now. The position readAt is that of a complete read that lists it, zero for a change.
+func (m *Mirror) put(out []Event, e Event, readAt Position) []Event {
 	old, ok := m.items[e.Key]
+	if !ok {
+		old, ok = m.forgottenState(e, readAt)
+	}
 	if m.endsRetention(e, old) {
 		delete(m.retained, e.Key)
 		return append(out, e)
@@ -264,7 +283,7 @@
 	}
 	listed := e
 	if listed.Deleted && len(listed.Value) == 0 {
-		listed.Value = old.Value
+		listed.Value = m.summary(old)
 	}
 	inForce, isRetained := m.retained[e.Key]
 	if !isRetained {
@@ -354,6 +373,12 @@
 	old, ok := m.items[e.Key]
 	if ok {
 		m.order.Delete(changeOf(old))
+		if old.Deleted {
+			m.deleted--
+		}
+	}
+	if e.Deleted {
+		m.deleted++
 	}
 	r, hasRetention := m.retention(e.Key)
 	if isUsable := !hasRetention || r.IsUsable == nil || r.IsUsable(e); isUsable {
@@ -366,6 +391,57 @@
 	m.order.ReplaceOrInsert(changeOf(e))
 }
 
+// summary returns what is kept of an item's value once it is deleted.
+func (m *Mirror) summary(last Event) []byte {
+	r, ok := m.retention(last.Key)
+	if last.Deleted || !ok || r.Summary == nil {
+		return last.Value
+	}
+	return r.Summary(last)
+}
+
+// forgetDeleted drops the items that were deleted first if there are too many. Those of which an
+// earlier state is still retained are needed.
+func (m *Mirror) forgetDeleted() {
+	if m.deleted <= maxDeletedItems {
+		return
+	}
+	excess := m.deleted - maxDeletedItems*3/4 // so that not each deletion looks for the next one
+	var first []change
+	m.order.Ascend(func(c change) bool {
+		e := m.items[c.key]
+		if _, isRetained := m.retained[c.key]; e.Deleted && e.Position() == c.at && !isRetained {
+			first = append(first, c)
+		}
+		return len(first) < excess
+	})
+	for _, c := range first {
+		m.dropUsable(c.key)
+		m.order.Delete(c)
+		delete(m.items, c.key)
+		m.deleted--
+		if m.forgotten.Before(c.at) {
+			m.forgotten = c.at
+		}
+	}
+}
+
+// mayBeForgotten reports whether an item that is not known may be one that was deleted and is not kept
+// any more.
+func (m *Mirror) mayBeForgotten(e Event) bool {
+	return m.forgotten != Position{} && !m.forgotten.Before(e.Position())
+}
+
+// forgottenState returns the state of an item that is not known, as put would find it if it was kept, and
+// false if it was never known. A complete read that is later shows that the item is there. The state that a
+// restored store lists may be from before the deletion if its revision is.
+func (m *Mirror) forgottenState(e Event, readAt Position) (Event, bool) {
+	f := m.forgotten
+	wasWrittenBefore := m.mayBeForgotten(e) && (e.Deleted || readAt.Before(f))
+	isListedAgain := !e.Deleted && f.Era < e.Era && e.Revision <= f.Revision && !m.retainUntil(e).IsZero()
+	return Event{Key: e.Key, Era: f.Era, Revision: f.Revision, Deleted: true}, wasWrittenBefore || isListedAgain
+}
+
 func (m *Mirror) dropUsable(key string) {
 	if e, ok := m.usable[key]; ok {
 		m.order.Delete(changeOf(e))
@@ -448,6 +524,8 @@
 			continue // not from before the restoration
 		case !until.IsZero() && !now.Before(until):
 			continue
+		case !isListed && !until.IsZero() && m.mayBeForgotten(e):
+			continue
 		case isListed && listed.Deleted && m.hasSeenLater(listed, e):
 			continue // known to have been there, and to be gone since
 		case isRetained && !m.isLater(e, known.Event):
@@ -497,7 +575,7 @@
 		return u // a daemon of a later era ignores all others
 	}
 	first := Position{after.Era, after.Revision + 1}
-	if after.Era != m.position.Era || after.Revision == 0 || after.Revision < m.completeAfter {
+	if after.Era != m.position.Era || after.Revision == 0 || after.Revision < m.completeAfter || after.Before(m.forgotten) {
 		u.Full = true
 		u.Events = make([]Event, 0, m.order.Len())
 		first = Position{}
