gateway: a request in progress does not hold the configuration that it came under

Entries held each configuration for as long as a request was in progress whose route it had resolved: with one of 0.96 MB, 1.4 MB for each version that came in force in the longest time-out.

Cause: the request kept a pointer to the document, and its route one into the array of all routes. Now it keeps the version, its route and the engine of its service, and each route and service is on its own.

--- a/app/gateway/deadline.go
+++ b/app/gateway/deadline.go
@@ -36,7 +36,7 @@
 	defer g.mu.Unlock()
 	h.cancel = cancel
 	g.inProgress[h] = struct{}{}
-	if doc := g.doc.Load(); doc != h.doc { // it came into force since the route was resolved
+	if doc := g.doc.Load(); doc.Version != h.configVersion { // it came into force since the route was resolved
 		if r, ok := doc.Successor(h.route); ok {
 			h.follow(r)
 		}
--- a/app/gateway/requests.go
+++ b/app/gateway/requests.go
@@ -53,9 +53,10 @@
 	g                *Gateway
 	call             *forward.Call
 	out              forward.Responder
-	doc              *routeconfig.Document
+	configVersion    uint64 // of the configuration by which the route was resolved
 	route            *routeconfig.Route
 	serviceName      fleet.Service
+	engine           *routeconfig.Engine // of the service, nil for a plain one
 	workspace        fleet.Workspace
 	class            fleet.Class
 	state            *dispatch.Request
@@ -107,18 +108,19 @@
 
 // prepare resolves the request's route, workspace and service by the configuration in force.
 func (h *requestHandler) prepare() *fleet.Refusal {
-	h.doc = h.g.doc.Load()
-	if h.doc == nil {
+	doc := h.g.doc.Load()
+	if doc == nil {
 		return fleet.NotRun(fleet.ReasonNoConfiguration, baseRetryAfter)
 	}
-	r, ok := h.doc.Match(h.call.Host, h.call.Path)
+	h.configVersion = doc.Version
+	r, ok := doc.Match(h.call.Host, h.call.Path)
 	if !ok {
 		return fleet.NotRun(fleet.ReasonUnknownRoute, 0)
 	}
 	h.route = r
 	priority := r.Priority
-	if h.doc.NeedsKey(r) {
-		w, ok := h.doc.Workspace(h.call.Key)
+	if doc.NeedsKey(r) {
+		w, ok := doc.Workspace(h.call.Key)
 		if !ok {
 			return fleet.NotRun(fleet.ReasonUnknownKey, 0)
 		}
@@ -133,6 +135,9 @@
 	if h.serviceName, ok = r.Pick(random); !ok {
 		return fleet.NotRun(fleet.ReasonUnknownService, baseRetryAfter)
 	}
+	if svc, ok := doc.Service(h.serviceName); ok {
+		h.engine = svc.Engine
+	}
 	h.class = classOf(priority)
 	h.requestLimits = requestLimits{deadline: dispatch.NewDeadline(h.startedAt, forward.Timeout(r, h.call)), latencyObjective: r.LatencyObjective}
 	h.stream = forward.NewStream(h.call.LastEventID)
@@ -469,8 +474,8 @@
 	if h.route != nil {
 		ev.Str("route", h.route.Name)
 	}
-	if h.doc != nil {
-		ev.Uint64("config_version", h.doc.Version)
+	if h.configVersion != 0 {
+		ev.Uint64("config_version", h.configVersion)
 	}
 	if h.unread >= lateReadTime {
 		ev.Dur("unread", h.unread)
--- a/app/gateway/two_ways_test.go
+++ b/app/gateway/two_ways_test.go
@@ -154,8 +154,8 @@
 	h := &requestHandler{g: w.entry, call: &forward.Call{ID: "a1", Host: "h", Path: "/x"}, startedAt: w.clock.t}
 	refusal := h.prepare()
 	assert.Assert(w.t, refusal == nil, "refused: %+v", refusal)
-	assert.Assert(w.t, h.doc.Version >= w.seen, "version %d after %d", h.doc.Version, w.seen)
-	w.seen = h.doc.Version
+	assert.Assert(w.t, h.configVersion >= w.seen, "version %d after %d", h.configVersion, w.seen)
+	w.seen = h.configVersion
 	h.startDeadline(w.t.Context())
 	w.running[h] = &allowedLimits{h.route.Timeout, h.route.Timeout}
 	w.counts.requests++
@@ -260,10 +260,10 @@
 					return
 				}
 				ctx := h.startDeadline(t.Context())
-				if h.doc.Version < last || ctx.Err() != nil || h.deadline.Time().Sub(h.startedAt) < h.route.Timeout {
-					t.Errorf("version %d after %d, %v, %v", h.doc.Version, last, ctx.Err(), h.deadline.Time().Sub(h.startedAt))
+				if h.configVersion < last || ctx.Err() != nil || h.deadline.Time().Sub(h.startedAt) < h.route.Timeout {
+					t.Errorf("version %d after %d, %v, %v", h.configVersion, last, ctx.Err(), h.deadline.Time().Sub(h.startedAt))
 				}
-				last = h.doc.Version
+				last = h.configVersion
 				h.endDeadline()
 			}
 		})
--- a/app/gateway/versions.go
+++ b/app/gateway/versions.go
@@ -35,11 +35,10 @@
 // may continue it any more. mu and Gateway.mu must be held.
 func (h *requestHandler) isVersionReplaced(now time.Time) bool {
 	version, g := h.stream.Version(), h.g
-	svc, ok := h.doc.Service(h.serviceName)
-	if version == 0 || !ok || svc.Engine == nil || len(svc.Engine.Models) != 1 {
+	if version == 0 || h.engine == nil || len(h.engine.Models) != 1 {
 		return false
 	}
-	d, ok := g.declared[svc.Engine.Models[0].Name]
+	d, ok := g.declared[h.engine.Models[0].Name]
 	if !ok || version >= d.Newest() {
 		return false
 	}
--- a/core/routeconfig/routeconfig.go
+++ b/core/routeconfig/routeconfig.go
@@ -138,16 +138,15 @@
 		byHost:   map[string][]*Route{}, byKey: map[string]*Workspace{},
 		workspaces: len(workspaces), routes: len(routes),
 	}
-	for i := range routes {
-		r := &routes[i]
+	for _, r := range routes { // each on its own: a request in progress holds its route and not the others
 		host := normalizeHost(r.Host)
-		d.byHost[host] = append(d.byHost[host], r)
+		d.byHost[host] = append(d.byHost[host], &r)
 	}
 	for _, list := range d.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
-	for i := range services {
-		d.services[services[i].Name] = &services[i]
+	for _, s := range services {
+		d.services[s.Name] = &s
 	}
 	for i := range workspaces {
 		for _, k := range workspaces[i].Keys {
