gateway: a follower that does not read holds no states of the copy

A stream of store updates kept the states of the update that was being sent until the send returned.

The update was used after the send; now it is not, so that only the compressed message is held.

--- a/app/gateway/follow.go
+++ b/app/gateway/follow.go
@@ -35,10 +35,10 @@
 		changed := g.changed
 		g.mu.Unlock()
 		if update.At.Revision > 0 {
-			if err := send(update); err != nil {
+			after, isFirst = update.At, false
+			if err := send(update); err != nil { // update is not used below: a follower that does not read holds no states
 				return err
 			}
-			after, isFirst = update.At, false
 		}
 		select {
 		case <-ctx.Done():
--- a/app/gateway/lagging_test.go
+++ b/app/gateway/lagging_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +15,7 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/mirror"
 	"amaranthturn/core/upgrade"
+	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
 
@@ -179,3 +183,38 @@
 		assert.Check(t, u.ItemBytes+u.DeletedBytes+u.SupersededBytes <= 2*size, "%+v", u)
 	}
 }
+
+// Guards against memory that grows with the followers that do not read: each held the states of the update that is
+// being sent to it.
+func TestFollowersThatDoNotReadHoldNoStates(t *testing.T) {
+	const size, followers, maxHeld = 1 << 20, 40, 8 << 20
+	p := newLaggingPair(t, configEvent(11, 1, 9))
+	ctx, cancel := context.WithCancel(t.Context())
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	defer cancel()
+	before := liveHeap()
+	for i := range followers {
+		p.write(textEvent(platform.ConfigKey, fmt.Sprintf(`{"Version":%d,"Note":%q}`, 12+i, strings.Repeat("x", size))))
+		isSent := make(chan struct{})
+		streams.Go(func() {
+			_ = p.reader.Follow(ctx, mirror.Position{}, time.Hour, func(peer.StoreChanges) error {
+				close(isSent)
+				<-ctx.Done()
+				return ctx.Err()
+			})
+		})
+		<-isSent
+	}
+	assert.Equal(t, p.reader.configVersion(), uint64(11+followers))
+	held := liveHeap() - before
+	assert.Check(t, held <= maxHeld, "%d bytes are held", held)
+}
+
+// liveHeap returns the bytes of the heap that are in use.
+func liveHeap() int {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int(m.HeapAlloc)
+}
