peer: cached compressed values hold their own size

The cache of compressed values held the encoder's buffers, which have the size of the uncompressed value: 8 values of 0.96 MB held 7.7 MB instead of less than one, for each of the two caches of an entry.

TestCachedValuesHoldTheirOwnSize: 960,000 bytes for a value of 115 before; it failed and passes.

--- a/io/peer/compress.go
+++ b/io/peer/compress.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"errors"
 	"sync"
 
@@ -53,7 +54,7 @@
 	if err != nil {
 		return e.Value, false // NewWriter fails only for invalid options
 	}
-	b := enc.EncodeAll(e.Value, nil)
+	b := bytes.Clone(enc.EncodeAll(e.Value, nil)) // the encoder's buffer is as large as the value
 	if c.cache == nil {
 		c.cache = map[mirror.Position][]byte{}
 	}
--- a/io/peer/compress_test.go
+++ b/io/peer/compress_test.go
@@ -39,6 +39,16 @@
 	assert.Assert(t, err != nil)
 }
 
+// Guards against cached values that hold memory of their uncompressed size, which is that of the encoder's buffer.
+func TestCachedValuesHoldTheirOwnSize(t *testing.T) {
+	c := &valueCompressor{}
+	for i := range maxCachedValues {
+		b, packed := c.compress(mirror.Event{Value: bytes.Repeat([]byte("x"), 960_000), Revision: mirror.Revision(1 + i)})
+		assert.Assert(t, packed)
+		assert.Check(t, cap(b) <= len(b)+len(b)/4+64, "%d bytes for a value of %d", cap(b), len(b))
+	}
+}
+
 // After a restoration of the store a revision is given to another value.
 func TestCompressedValueOfAnotherEra(t *testing.T) {
 	c := &valueCompressor{}
