--- a/app/gateway/store.go
+++ b/app/gateway/store.go
@@ -43,7 +43,7 @@
 type storeReader struct {
 	g          *Gateway
 	backoff    time.Duration
-	hasChanges bool // the last call returned changes
+	hasChanges bool // the last call found changes
 }
 
 // Run implements daemon.Runner.
@@ -102,8 +102,8 @@
 	g.recordRead(startedAt)
 	g.readOn()
 	update := mirror.Update{Events: events, At: now, EraBase: now.Revision}
-	s.hasChanges = g.applyUpdate(update, receipt{asOf: g.currentAsOf(startedAt, 0), wasMissed: g.mayHaveMissed(startedAt)}) > 0
-	if !s.hasChanges {
+	s.hasChanges = now != at // also if all are of items that others use
+	if g.applyUpdate(update, receipt{asOf: g.currentAsOf(startedAt, 0), wasMissed: g.mayHaveMissed(startedAt)}) == 0 {
 		g.notifyFollowers() // the copy is known to be current
 	}
 	return nil
