tests: lagging daemons name no key of the platform

_scripts/platform_names stopped at two tests outside platform/ that wrote the key of a declared version in full; they take its prefix from platform, as other tests do. Nothing else is changed; the tests pass.

--- a/app/gateway/lagging_test.go
+++ b/app/gateway/lagging_test.go
@@ -114,7 +114,7 @@
 			p := newLaggingPair(t, configEvent(11, 1, 9))
 			var declared upgrade.Declarations
 			for version, lag := range []time.Duration{c.gap, c.lag} {
-				p.write(textEvent("op/version/m", fmt.Sprintf(`{"Model":"m","Version":%d}`, version+2)))
+				p.write(textEvent(platform.OperatorKeys+"version/m", fmt.Sprintf(`{"Model":"m","Version":%d}`, version+2)))
 				declared.Add(uint64(version+2), p.readerAt.t, p.readerAt.t)
 				p.pass(lag)
 			}
--- a/app/sidecar/lagging_test.go
+++ b/app/sidecar/lagging_test.go
@@ -74,7 +74,7 @@
 	a := newLaggingAgent(t)
 	declaredAt := a.clock.t
 	for version, lag := range []time.Duration{3 * time.Second, time.Second} {
-		a.write("op/version/m", fmt.Sprintf(`{"Model":"m","Version":%d}`, version+2))
+		a.write(platform.OperatorKeys+"version/m", fmt.Sprintf(`{"Model":"m","Version":%d}`, version+2))
 		a.clock.t = a.clock.t.Add(lag)
 	}
 	a.catchUp()
