--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -262,15 +262,11 @@
 	if ok && (e.Position().Before(old.Position()) || e.Position() == old.Position() && old.Deleted == e.Deleted) {
 		return out
 	}
-	listed := e
-	if listed.Deleted && len(listed.Value) == 0 {
-		listed.Value = m.summary(old)
-	}
 	inForce, isRetained := m.retained[e.Key]
 	if !isRetained {
 		inForce.Event = m.lastUsable(old)
 	}
-	m.list(listed)
+	m.list(e)
 	if !ok || !m.mayBeRestored(e, inForce.Event) {
 		delete(m.retained, e.Key)
 		return append(out, e)
--- a/core/mirror/states.go
+++ b/core/mirror/states.go
@@ -37,6 +37,9 @@
 	if e.Deleted {
 		m.deleted++
 	}
+	if e.Deleted && len(e.Value) == 0 {
+		e.Value = m.summary(old)
+	}
 	r, hasRetention := m.retention(e.Key)
 	if isUsable := !hasRetention || r.IsUsable == nil || r.IsUsable(e); isUsable {
 		m.dropUsable(e.Key)
