mirror: after a complete read the changes before it are not all known

A target that had left stayed in use at an entry (or agent) for good when the entry that it follows had to read the store in full, because the store had dropped its history, and the follower was further before: it knew a target that came and left in between, of which the reader never heard, so the update after the follower's position lacked the removal. No report of it is known.

Cause: a copy claimed to know all changes since its era began, also after a complete read, which shows what is there but not what came and left since the copy's last position.

Why this works: a read or full update that leads the copy further moves the position after which it knows all changes, so a follower from before receives the full copy, and removes what it lacks. It then does the same for those that follow it.

TestItemThatLeftBeforeACompleteReadIsRemovedAtFollowers failed before, for both the follower and the follower's follower, with and without eras.

--- a/core/mirror/deleted_test.go
+++ b/core/mirror/deleted_test.go
@@ -177,3 +177,21 @@
 	load(m, t0, at(2, 5))
 	assert.Check(t, m.Usage().Deleted <= maxDeleted, "%+v", m.Usage())
 }
+
+// The store has dropped its history, and a daemon reads it in full. Another one, which was further before, follows
+// it and knows an item that came and left in between, of which the first one has never heard. So does a third one
+// that follows the second.
+func TestItemThatLeftBeforeACompleteReadIsRemovedAtFollowers(t *testing.T) {
+	for _, era := range []mirror.Era{0, 1} {
+		reader, second, third := mirror.New(retentions), mirror.New(retentions), mirror.New(retentions)
+		for _, d := range []*mirror.Mirror{reader, second, third} {
+			load(d, t0, at(era, 10), event("t/b", "ready", era, 5))
+		}
+		third.Apply([]mirror.Event{event("t/a", "ready", era, 12)}, at(era, 12), t0)
+		load(reader, t0, at(era, 20), event("t/b", "ready", era, 5))
+		second.Merge(reader.ChangesSince(second.Position()), t0, t0)
+		third.Merge(second.ChangesSince(third.Position()), t0, t0)
+		_, ok := third.Get("t/a")
+		assert.Check(t, !ok, "era %d: a target that left is in use", era)
+	}
+}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -185,6 +185,9 @@
 	if !m.enter(s.At, s.At.Revision, now) {
 		return nil
 	}
+	if m.position.Before(s.At) { // what came and left in between is not known
+		m.completeAfter = max(m.completeAfter, s.At.Revision)
+	}
 	present := make(map[string]bool, len(s.Items))
 	var out []Event
 	for _, e := range s.Items {
