--- a/app/gateway/lagging_test.go
+++ b/app/gateway/lagging_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +14,7 @@
 	"amaranthturn/core/fleet"
 	"amaranthturn/core/mirror"
 	"amaranthturn/core/upgrade"
+	"amaranthturn/internal/liveheap"
 	"amaranthturn/io/peer"
 	"amaranthturn/platform"
 )
@@ -193,7 +193,7 @@
 	var streams sync.WaitGroup
 	defer streams.Wait()
 	defer cancel()
-	before := liveHeap()
+	before := liveheap.Bytes()
 	for i := range followers {
 		p.write(textEvent(platform.ConfigKey, fmt.Sprintf(`{"Version":%d,"Note":%q}`, 12+i, strings.Repeat("x", size))))
 		isSent := make(chan struct{})
@@ -207,14 +207,6 @@
 		<-isSent
 	}
 	assert.Equal(t, p.reader.configVersion(), uint64(11+followers))
-	held := liveHeap() - before
+	held := liveheap.Bytes() - before
 	assert.Check(t, held <= maxHeld, "%d bytes are held", held)
 }
-
-// liveHeap returns the bytes of the heap that are in use.
-func liveHeap() int {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int(m.HeapAlloc)
-}
--- a/core/mirror/deleted_test.go
+++ b/core/mirror/deleted_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"amaranthturn/core/mirror"
+	"amaranthturn/internal/liveheap"
 )
 
 // maxDeleted is the number of deleted items that a copy keeps.
@@ -40,7 +41,7 @@
 func TestDeletedItemsHoldLittle(t *testing.T) {
 	const targets, size, maxHeld = 12_000, 16 << 10, 8 << 20
 	m := mirror.New(summarized)
-	before := liveHeap()
+	before := liveheap.Bytes()
 	rev := mirror.Revision(0)
 	for i := range targets {
 		key := fmt.Sprint("t/", i)
@@ -48,7 +49,7 @@
 		m.Apply([]mirror.Event{deletion(key, 0, rev+2)}, at(0, rev+2), t0)
 		rev += 2
 	}
-	held := liveHeap() - before
+	held := liveheap.Bytes() - before
 	assert.Check(t, held <= maxHeld, "%d bytes are held for %d targets that have left", held, targets)
 	u := m.Usage()
 	assert.Check(t, u.Deleted <= maxDeleted, "%+v", u)
--- a/core/mirror/growth_test.go
+++ b/core/mirror/growth_test.go
@@ -3,28 +3,20 @@
 import (
 	"bytes"
 	"fmt"
-	"runtime"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"amaranthturn/core/mirror"
+	"amaranthturn/internal/liveheap"
 )
 
-// liveHeap returns the bytes of the heap that are in use.
-func liveHeap() int {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int(m.HeapAlloc)
-}
-
 // Guards against review/8 (LOST): a copy kept the value of each change, so 300 changes of a large
 // configuration filled the memory of an entry and of an agent.
 func TestChangesOfAnItemHoldOneValue(t *testing.T) {
 	const size, changes, maxHeld = 1 << 20, 300, 3 << 20
 	m, follower := mirror.New(nil), mirror.New(nil)
-	before := liveHeap()
+	before := liveheap.Bytes()
 	for i := range changes {
 		rev := mirror.Revision(i + 1)
 		e := mirror.Event{Key: "op/c", Value: bytes.Repeat([]byte{byte(i)}, size), Revision: rev}
@@ -33,7 +25,7 @@
 			follower.Merge(m.ChangesSince(follower.Position()), t0, t0)
 		}
 	}
-	held := liveHeap() - before
+	held := liveheap.Bytes() - before
 	assert.Check(t, held <= maxHeld, "%d bytes are held for an item of %d", held, size)
 	u := m.Usage()
 	assert.Check(t, u.ItemBytes+u.DeletedBytes+u.SupersededBytes <= 2*size, "%+v", u)
--- a/core/mirror/states.go
+++ b/core/mirror/states.go
@@ -36,9 +36,9 @@
 	}
 	if e.Deleted {
 		m.deleted++
-	}
-	if e.Deleted && len(e.Value) == 0 {
-		e.Value = m.summary(old)
+		if len(e.Value) == 0 {
+			e.Value = m.summary(old)
+		}
 	}
 	r, hasRetention := m.retention(e.Key)
 	if isUsable := !hasRetention || r.IsUsable == nil || r.IsUsable(e); isUsable {
@@ -66,7 +66,7 @@
 	if m.deleted <= maxDeletedItems {
 		return
 	}
-	excess := m.deleted - maxDeletedItems*3/4 // so that not each deletion looks for the next one
+	excess := m.deleted - maxDeletedItems*3/4 // a quarter at once, since the scan passes all items that are older
 	var first []change
 	m.order.Ascend(func(c change) bool {
 		e := m.items[c.key]
@@ -86,15 +86,15 @@
 	}
 }
 
-// mayBeForgotten reports whether an item that is not known may be one that was deleted and is not kept
-// any more.
+// mayBeForgotten reports whether an item that is not known, and was in the given state, may be one that was
+// deleted and is not kept any more.
 func (m *Mirror) mayBeForgotten(e Event) bool {
 	return m.forgotten != Position{} && !m.forgotten.Before(e.Position())
 }
 
-// forgottenState returns the state of an item that is not known, as put would find it if it was kept, and
-// false if it was never known. A complete read that is later shows that the item is there. The state that a
-// restored store lists may be from before the deletion if its revision is.
+// forgottenState returns an earlier state of an item that is not known: that it was deleted, if that may have
+// been forgotten. A complete read that is later shows that the item is there. What a restored store lists may be
+// from before the deletion if its revision is.
 func (m *Mirror) forgottenState(e Event, readAt Position) (Event, bool) {
 	f := m.forgotten
 	wasWrittenBefore := m.mayBeForgotten(e) && (e.Deleted || readAt.Before(f))
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"amaranthturn/internal/liveheap"
 	"amaranthturn/io/bounded"
 	"amaranthturn/io/engine"
 )
@@ -73,7 +73,7 @@
 	defer srv.Close()
 	c := engine.NewClient(srv.URL, srv.Client(), "")
 	ctx, cancel := context.WithCancel(t.Context())
-	before := liveHeap()
+	before := liveheap.Bytes()
 	var wg sync.WaitGroup
 	for range streams {
 		wg.Go(func() { _ = c.Generate(ctx, engine.GenerateRequest{}, func(engine.Token) error { return nil }) })
@@ -82,21 +82,13 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(500 * time.Millisecond) // what is in the sockets is read
-	held := liveHeap() - before
+	held := liveheap.Bytes() - before
 	assert.Check(t, held < maxHeldBytes, "%d bytes", held)
 	assert.NilError(t, c.Generate(ctx, engine.GenerateRequest{ResumeFrom: 1}, func(engine.Token) error { return nil }))
 	cancel()
 	wg.Wait()
 }
 
-// liveHeap returns the bytes of the heap that are in use.
-func liveHeap() int64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
-
 // What is no token may come without end, in one line or in many.
 func TestStreamWithoutTokens(t *testing.T) {
 	for name, text := range map[string]string{"one line": "x", "comments": ": x\n", "empty lines": "\n"} {
