standin: an order of unknown outcome stays so when the next entry is not reached

Traced with lines in a scratch copy: an entry is killed with an order in progress, so the caller knows nothing of it. The caller sends it again with its ticket to an entry that refuses the connection, and took that for "not run" although the first attempt had run. It then even asked for another ticket, with which the order could have run twice.

The stand-in of the callers was wrong, not the daemons, which had said nothing. An attempt that did not reach an entry now leaves the outcome of the earlier ones as it was. A first attempt that is not sent still counts as not run, and a not_run that an entry states is checked as before.

--- a/app/soak/soak_test.go
+++ b/app/soak/soak_test.go
@@ -20,6 +20,7 @@
 	cause string
 }{
 	{1, "initial seed, never failed"},
+	{69006, "an order of unknown outcome counted as not run when the caller could not reach the next entry"},
 }
 
 // TestPromisesUnderSoak runs the daemons as processes and injects faults for 8 seconds.
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -416,7 +416,7 @@
 			time.Sleep(c.thinkTime / 4)
 			continue
 		}
-		outcome = c.sendOrder(ctx, id, ticket, body)
+		outcome = c.sendOrder(ctx, id, ticket, body, outcome)
 		c.l.rec.OrderOutcome(id, outcome)
 	}
 	if outcome == record.OutcomeNotRun {
@@ -440,13 +440,18 @@
 	return t.Ticket
 }
 
-func (c *client) sendOrder(ctx context.Context, id, ticket string, body []byte) record.Outcome {
+// sendOrder sends an order and returns its outcome. That of an attempt which did not reach an entry is the
+// one before it: it says nothing about an earlier attempt with the same ticket.
+func (c *client) sendOrder(ctx context.Context, id, ticket string, body []byte, before record.Outcome) record.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, c.l.settings.Timeout+5*time.Second)
 	defer cancel()
 	addr := c.entryAddress(ctx)
 	resp, err := c.post(ctx, addr, "/v1/orders/orders/orders", "", ticket, body)
 	if err != nil {
-		return c.handleSendError(addr, err)
+		if c.handleSendError(addr, err) == record.OutcomeNotRun {
+			return before
+		}
+		return record.OutcomeUnknown
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.Header.Get(caller.HeaderOutcome) != fleet.OutcomeDone.String() {
