mirror: the first read of a daemon asks no follower for a full copy

Where all daemons start at once each of them has read the store at a position of its own, and then received a full copy from the one that it follows.

Only reads that lead a copy further do so now, as after a 410.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -185,7 +185,7 @@
 	if !m.enter(s.At, s.At.Revision, now) {
 		return nil
 	}
-	if m.position.Before(s.At) { // what came and left in between is not known
+	if m.position.Revision > 0 && m.position.Before(s.At) { // what came and left in between is not known
 		m.completeAfter = max(m.completeAfter, s.At.Revision)
 	}
 	present := make(map[string]bool, len(s.Items))
