--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -93,9 +93,9 @@
 	return e.Deleted == f.Deleted && (e.Deleted || bytes.Equal(e.Value, f.Value))
 }
 
-// Retention decides how long the state of an item remains in force that a later one does not replace,
-// and for how long one from before a restoration does. Without periods the latter remains until the
-// item is written again, and users of the mirror order its states.
+// Retention describes the items under a prefix of keys: which of their states can come in force, how two
+// states compare, and how long one from before a restoration remains in force. Without periods it
+// remains until the item is written again, and users of the mirror order its states.
 type Retention struct {
 	// IsUsable reports whether a state can come in force. Nil means that every state can.
 	IsUsable func(e Event) bool
@@ -119,7 +119,8 @@
 	usable   map[string]Event
 	order    *btree.BTreeG[change] // of items and usable
 	retained map[string]retained
-	// completeAfter is the revision after which all changes are known.
+	// completeAfter is the revision after which all changes are known. Of what came and left before it, some
+	// may not be.
 	completeAfter Revision
 	deleted       int // items that are gone
 	// forgotten is the latest position of a deleted item that is not kept any more. An item that is
