--- a/core/mirror/deleted_test.go
+++ b/core/mirror/deleted_test.go
@@ -196,3 +196,14 @@
 		assert.Check(t, !ok, "era %d: a target that left is in use", era)
 	}
 }
+
+// As above with a daemon that has just started, of a store in its first era.
+func TestItemThatLeftBeforeAFirstReadIsRemovedAtFollowers(t *testing.T) {
+	started, follower := mirror.New(retentions), mirror.New(retentions)
+	load(follower, t0, at(0, 10), event("t/b", "ready", 0, 5))
+	follower.Apply([]mirror.Event{event("t/a", "ready", 0, 12)}, at(0, 12), t0)
+	load(started, t0, at(0, 20), event("t/b", "ready", 0, 5))
+	follower.Merge(started.ChangesSince(follower.Position()), t0, t0)
+	_, ok := follower.Get("t/a")
+	assert.Check(t, !ok, "a target that left is in use")
+}
