gateway: the entries of the lagging tests share one clock

Found while reading the change once more: the pair had two fake clocks that were always moved together. The assertions are unchanged; the tests of lagging daemons pass under the race detector, and the linter finds nothing in app/gateway.

--- a/app/gateway/lagging_test.go
+++ b/app/gateway/lagging_test.go
@@ -23,17 +23,17 @@
 type laggingPair struct {
 	t                *testing.T
 	reader, follower *Gateway
-	readerAt         *fakeClock
-	followerAt       *fakeClock
+	clock            *fakeClock // of both
 	position         mirror.Position
 }
 
 func newLaggingPair(t *testing.T, items ...mirror.Event) *laggingPair {
 	p := &laggingPair{t: t, position: mirror.Position{Era: 1, Revision: 9}}
-	p.reader, p.readerAt = newTestGateway(t)
-	p.follower, p.followerAt = newTestGateway(t)
+	p.reader, p.clock = newTestGateway(t)
+	p.follower, _ = newTestGateway(t)
+	p.follower.clock = p.clock
 	for _, g := range []*Gateway{p.reader, p.follower} {
-		g.loadStore(p.position, p.readerAt.t, items...)
+		g.loadStore(p.position, p.clock.t, items...)
 	}
 	return p
 }
@@ -44,12 +44,12 @@
 	e.Era, e.Revision = p.position.Era, p.position.Revision
 	p.reader.mu.Lock()
 	defer p.reader.mu.Unlock()
-	p.reader.applyUpdate(mirror.Update{Events: []mirror.Event{e}, At: p.position, EraBase: p.position.Revision}, receipt{asOf: p.readerAt.t})
+	p.reader.applyUpdate(mirror.Update{Events: []mirror.Event{e}, At: p.position, EraBase: p.position.Revision}, receipt{asOf: p.clock.t})
 }
 
-// pass lets time pass at both entries.
+// pass lets time pass.
 func (p *laggingPair) pass(d time.Duration) {
-	p.readerAt.t, p.followerAt.t = p.readerAt.t.Add(d), p.followerAt.t.Add(d)
+	p.clock.t = p.clock.t.Add(d)
 }
 
 // catchUp lets the follower receive what it has missed.
@@ -59,7 +59,7 @@
 	p.reader.mu.Unlock()
 	p.follower.mu.Lock()
 	defer p.follower.mu.Unlock()
-	p.follower.applyUpdate(u, receipt{asOf: p.followerAt.t, wasMissed: true})
+	p.follower.applyUpdate(u, receipt{asOf: p.clock.t, wasMissed: true})
 }
 
 func textEvent(key, value string) mirror.Event { return mirror.Event{Key: key, Value: []byte(value)} }
@@ -115,16 +115,16 @@
 			var declared upgrade.Declarations
 			for version, lag := range []time.Duration{c.gap, c.lag} {
 				p.write(textEvent(platform.OperatorKeys+"version/m", fmt.Sprintf(`{"Model":"m","Version":%d}`, version+2)))
-				declared.Add(uint64(version+2), p.readerAt.t, p.readerAt.t)
+				declared.Add(uint64(version+2), p.clock.t, p.clock.t)
 				p.pass(lag)
 			}
 			p.catchUp()
 			if c.exchanges {
-				exchangeBothWays(p.reader, p.follower, p.readerAt)
+				exchangeBothWays(p.reader, p.follower, p.clock)
 			}
 			limit := p.reader.settings.Bounds.VersionChangeLimit
 			for d := time.Duration(0); d < 2*limit; d += 100 * time.Millisecond {
-				now := p.readerAt.t.Add(d)
+				now := p.clock.t.Add(d)
 				for _, g := range []*Gateway{p.reader, p.follower} {
 					assert.Assert(t, g.declarationsOf("m").MinVersion(limit, now) >= declared.MinVersion(limit, now), "after %v", d)
 				}
