review: entries run out of descriptors when targets are replaced

Idle connections to targets that have left are never closed. Two services whose targets are replaced, two at a time each second: after 45 s all entries have no descriptor left (4200), take no new connection for 33 s to the end of the play, answer orders with 503 and say that they are ready.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Shows that several entries use the whole limit of one target at the same time. See claim.txt.
+# Shows that entries keep the connections to targets that have left, until no descriptor is left. See claim.txt.
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/amaranthturn ] && [ -x target/review-fleet ] || { echo "build first"; exit 2; }
-exec target/review-fleet limit review/11/record.txt
+exec target/review-fleet leak review/11/record.txt
--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -78,6 +78,7 @@
 	entries []*process
 	trouble bool
 	failed  error
+	maxFds  int // of each process, 0 for no limit of its own
 
 	mu     sync.Mutex // guards all fields below
 	record *os.File
@@ -104,6 +105,9 @@
 // start starts the process with the command of the deploy file.
 func (f *fleet) start(p *process) {
 	p.cmd = exec.Command("target/amaranthturn", "serve", p.role)
+	if f.maxFds > 0 {
+		p.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec target/amaranthturn serve %s", f.maxFds, p.role))
+	}
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), names["env"] + "=" + p.settings}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	if err := p.cmd.Start(); err != nil {
@@ -152,9 +156,8 @@
 	return nil, errors.New("no free addresses")
 }
 
-// addEntries adds entries in three zones.
-func (f *fleet) addEntries(n int) error {
-	zones := []string{"a", "b", "c"}
+// addEntries adds entries, in turn in each of the zones.
+func (f *fleet) addEntries(n int, zones ...string) error {
 	var seeds []string
 	for i := range min(3, n) {
 		seeds = append(seeds, f.ip(11+i)+":8000")
@@ -599,6 +602,7 @@
 var cases = map[string]func(f *fleet) (bool, error){
 	"limit": playLimit,
 	"part":  playPart,
+	"leak":  playLeak,
 }
 
 func main() {
--- a/review/fleet/limit.go
+++ b/review/fleet/limit.go
@@ -38,7 +38,7 @@
 		go t.renewLoop()
 	}
 	f.putConfig(map[string]any{"Version": 3, "StockService": "orders", "OrderService": "orders-two", "Engine": true})
-	if err := f.addEntries(entries); err != nil {
+	if err := f.addEntries(entries, "a", "b", "c"); err != nil {
 		return false, err
 	}
 	if err := f.awaitReady(15 * time.Second); err != nil {
