--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -163,21 +163,11 @@
 		seeds = append(seeds, f.ip(11+i)+":8000")
 	}
 	for i := range n {
-		z := zones[i%len(zones)]
-		p := &process{name: fmt.Sprintf("entry-%d", i), ip: f.ip(11 + i), role: "entry"}
-		p.settings = filepath.Join(f.dir, p.name+".toml")
-		body := render("settings.tmpl", map[string]any{
-			"Node": p.name, "IP": p.ip, "Zone": "zone-" + z, "Region": "region-" + z, "Seeds": seeds, "Store": f.store.addr,
-		})
-		if err := os.WriteFile(p.settings, body, 0o600); err != nil {
-			return err
-		}
-		log, err := os.Create(filepath.Join(f.dir, p.name+".log"))
+		p, err := f.addProcess(fmt.Sprintf("entry-%d", i), "entry", f.ip(11+i), zones[i%len(zones)], seeds, nil)
 		if err != nil {
 			return err
 		}
-		p.log = log
-		f.procs, f.entries = append(f.procs, p), append(f.entries, p)
+		f.entries = append(f.entries, p)
 	}
 	for _, p := range f.entries {
 		f.start(p)
@@ -185,6 +175,44 @@
 	return f.failed
 }
 
+// addProcess prepares a process with its settings. An agent has the target on its machine.
+func (f *fleet) addProcess(name, role, ip, zone string, seeds []string, t *target) (*process, error) {
+	p := &process{name: name, ip: ip, role: role, settings: filepath.Join(f.dir, name+".toml")}
+	values := map[string]any{
+		"Node": name, "Role": role, "IP": ip, "Zone": "zone-" + zone, "Region": "region-" + zone, "Seeds": seeds, "Store": f.store.addr, "App": "", "Service": "",
+	}
+	if t != nil {
+		values["App"], values["Service"] = t.addr, t.service
+	}
+	if err := os.WriteFile(p.settings, render("settings.tmpl", values), 0o600); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(f.dir, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	p.log = log
+	f.procs = append(f.procs, p)
+	return p, nil
+}
+
+// addAgents adds an agent beside each target.
+func (f *fleet) addAgents(targets []*target) error {
+	var seeds []string
+	for _, p := range f.entries[:min(3, len(f.entries))] {
+		seeds = append(seeds, p.ip+":8000")
+	}
+	for i, t := range targets {
+		ip, _, _ := net.SplitHostPort(t.addr)
+		p, err := f.addProcess(fmt.Sprintf("agent-%d", i), "agent", ip, strings.TrimPrefix(t.zone, "zone-"), seeds, t)
+		if err != nil {
+			return err
+		}
+		f.start(p)
+	}
+	return f.failed
+}
+
 // awaitReady waits until all entries are ready.
 func (f *fleet) awaitReady(limit time.Duration) error {
 	client := &http.Client{Timeout: 500 * time.Millisecond}
@@ -347,6 +375,7 @@
 	running  int
 	down     bool
 	arrivals []arrival
+	crashes  []time.Time
 }
 
 // arrival is a request that reached a target.
@@ -404,6 +433,7 @@
 		return
 	}
 	t.down = true
+	t.crashes = append(t.crashes, time.Now())
 	_ = t.listener.Close()
 	for c := range t.conns {
 		if tcp, ok := c.(*net.TCPConn); ok {
@@ -458,6 +488,9 @@
 // handle answers a request and reports whether the connection is kept.
 func (t *target) handle(c net.Conn, r *http.Request) bool {
 	attempt := r.Header.Get(names["attempt"])
+	if r.URL.Path == names["report"] {
+		return t.report(c)
+	}
 	if expected := r.Header.Get(names["expect"]); expected != t.id {
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", names["runner"], t.id)
 		return err == nil
@@ -492,6 +525,16 @@
 	return err == nil
 }
 
+// report answers the agent that asks for the state of the target.
+func (t *target) report(c net.Conn) bool {
+	t.mu.Lock()
+	running, born := t.running, t.born.UnixMilli()
+	t.mu.Unlock()
+	body := string(render("report.tmpl", map[string]any{"InFlight": running, "Born": born}))
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err == nil
+}
+
 // result is the answer to a caller's request.
 type result struct {
 	entry   int
--- a/review/fleet/part.go
+++ b/review/fleet/part.go
@@ -2,4 +2,142 @@
 
 package main
 
-func playPart(f *fleet) (bool, error) { return false, nil }
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	deadlyPart = "dead01"
+	firstPart  = "5c1e07a2"
+	// crashedFor is how long a target that has crashed is away.
+	crashedFor = 3 * time.Second
+	events     = 12
+	eventTime  = 40 * time.Millisecond
+	readTime   = 60 * time.Millisecond // of a prompt
+)
+
+// stream answers with a stream, or crashes when it begins to write the answer to a prompt with the part.
+func (t *target) stream(c net.Conn, r *http.Request) bool {
+	attempt := r.Header.Get(names["attempt"])
+	head := func() error {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s\r\n%s: 1\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+			names["attempt"], attempt, names["seal"], attempt, names["versions"], names["runner"], t.id)
+		return err
+	}
+	time.Sleep(readTime)
+	if strings.Contains(r.Header.Get(names["parts"]), deadlyPart+":") {
+		if os.Getenv("HEAD") == "1" { // a control: the head of the answer leaves the target before it crashes
+			_ = head()
+			time.Sleep(20 * time.Millisecond)
+		}
+		t.crash(crashedFor)
+		return false
+	}
+	if head() != nil {
+		return false
+	}
+	after := 0
+	_, _ = fmt.Sscan(r.Header.Get(names["last_event"]), &after)
+	for i := after + 1; i <= events; i++ {
+		event := fmt.Sprintf("id: %d\ndata: word\n\n", i)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false
+		}
+		time.Sleep(eventTime)
+	}
+	_, err := fmt.Fprint(c, "0\r\n\r\n")
+	return err == nil
+}
+
+// playPart sends prompts with a part that crashes each target, among sound ones.
+func playPart(f *fleet) (bool, error) {
+	if err := f.startStore(); err != nil {
+		return false, err
+	}
+	zones := []string{"zone-a", "zone-b", "zone-c"}
+	var targets []*target
+	for i := range 9 {
+		t := f.newTarget(101+i, fmt.Sprintf("i-%d", i), "pool", zones[i%3])
+		t.slots, t.model = 16, true
+		t.answer = (*target).stream
+		if err := t.up(); err != nil {
+			return false, err
+		}
+		go t.renewLoop()
+		targets = append(targets, t)
+	}
+	f.putConfig(map[string]any{"Version": 3, "StockService": "orders", "OrderService": "orders", "Engine": true})
+	if err := f.addEntries(3, "a", "b", "c"); err != nil {
+		return false, err
+	}
+	if err := f.addAgents(targets); err != nil {
+		return false, err
+	}
+	if err := f.awaitReady(15 * time.Second); err != nil {
+		return false, err
+	}
+	time.Sleep(3 * time.Second)
+	c := f.newCaller()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var mu sync.Mutex
+	n := 0
+	prompt := func(part string) map[string]string {
+		mu.Lock()
+		defer mu.Unlock()
+		n++
+		return map[string]string{
+			names["model"]: "m0", names["tokens"]: "800,60", names["parts"]: fmt.Sprintf("%s:400,%s:300,%08x:100", firstPart, part, n),
+		}
+	}
+	for e := range f.entries {
+		go c.flow(ctx, e, 100*time.Millisecond, func(e int) {
+			c.send(e, http.MethodPost, "chat.example", "/c/say", fmt.Sprintf("question %d", time.Now().UnixNano()), 6*time.Second, prompt(fmt.Sprintf("50%02d", time.Now().UnixNano()%20)))
+		})
+	}
+	f.logf("traffic begins")
+	time.Sleep(4 * time.Second)
+	deadly, stop := context.WithTimeout(ctx, 22*time.Second)
+	defer stop()
+	if f.trouble {
+		f.logf("prompts with the part that crashes targets begin")
+		for e := range f.entries {
+			go c.flow(deadly, e, 2*time.Second, func(e int) { // 5 in 100 of the traffic
+				c.send(e, http.MethodPost, "chat.example", "/c/say", fmt.Sprintf("question %d", time.Now().UnixNano()), 6*time.Second, prompt(deadlyPart))
+			})
+		}
+	}
+	<-deadly.Done()
+	time.Sleep(3 * time.Second)
+	cancel()
+	time.Sleep(3 * time.Second)
+	f.writeResults(c, targets)
+	return f.checkPart(targets), nil
+}
+
+// checkPart reports whether more than three requests with the part reach targets later than a stable
+// period after the fifth crash.
+func (f *fleet) checkPart(targets []*target) bool {
+	var crashes []time.Time
+	for _, t := range targets {
+		crashes = append(crashes, t.crashes...)
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	late := 0
+	for _, at := range crashes {
+		if len(crashes) > 5 && at.Sub(crashes[4]) > stablePeriod {
+			late++
+		}
+	}
+	f.logf("%d crashes, %d of them later than %v after the fifth; the rule allows 3", len(crashes), late, stablePeriod)
+	fmt.Printf("%d crashes, %d later than %v after the fifth, 3 allowed\n", len(crashes), late, stablePeriod)
+	return late > 3
+}
