--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Shows that a part that crashes targets is not found behind many other parts. See claim.txt.
+# Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/amaranthturn ] && [ -x target/review-fleet ] || { echo "build first"; exit 2; }
+exec target/review-fleet session review/14/record.txt
--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -361,6 +361,7 @@
 	f                       *fleet
 	id, service, zone, addr string
 	slots                   int
+	headFirst               bool // it sends the head of its answer before it crashes on a prompt
 	model                   bool
 	work                    time.Duration
 	limit                   string                                            // named in all answers, if set
@@ -643,9 +644,10 @@
 
 // cases are the plays by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet) (bool, error){
-	"limit": playLimit,
-	"part":  playPart,
-	"leak":  playLeak,
+	"limit":   playLimit,
+	"part":    playPart,
+	"leak":    playLeak,
+	"session": playSession,
 }
 
 func main() {
--- a/review/fleet/part.go
+++ b/review/fleet/part.go
@@ -10,7 +10,7 @@
 	"os"
 	"slices"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,7 +34,7 @@
 	}
 	time.Sleep(readTime)
 	if strings.Contains(r.Header.Get(names["parts"]), deadlyPart+":") {
-		if os.Getenv("HEAD") == "1" { // a control: the head of the answer leaves the target before it crashes
+		if t.headFirst { // the head of the answer leaves the target before it crashes
 			_ = head()
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -57,50 +57,80 @@
 	return err == nil
 }
 
-// playPart sends prompts with a part that crashes each target, among sound ones.
-func playPart(f *fleet) (bool, error) {
+// startPool starts a service of model targets with their agents, and three entries.
+func (f *fleet) startPool(n int) (*caller, []*target, error) {
 	if err := f.startStore(); err != nil {
-		return false, err
+		return nil, nil, err
 	}
 	zones := []string{"zone-a", "zone-b", "zone-c"}
 	var targets []*target
-	for i := range 9 {
+	for i := range n {
 		t := f.newTarget(101+i, fmt.Sprintf("i-%d", i), "pool", zones[i%3])
 		t.slots, t.model = 16, true
 		t.answer = (*target).stream
 		if err := t.up(); err != nil {
-			return false, err
+			return nil, nil, err
 		}
 		go t.renewLoop()
 		targets = append(targets, t)
 	}
 	f.putConfig(map[string]any{"Version": 3, "StockService": "orders", "OrderService": "orders", "Engine": true})
 	if err := f.addEntries(3, "a", "b", "c"); err != nil {
-		return false, err
+		return nil, nil, err
 	}
 	if err := f.addAgents(targets); err != nil {
-		return false, err
+		return nil, nil, err
 	}
 	if err := f.awaitReady(15 * time.Second); err != nil {
-		return false, err
+		return nil, nil, err
 	}
 	time.Sleep(3 * time.Second)
-	c := f.newCaller()
+	return f.newCaller(), targets, nil
+}
+
+var prompts atomic.Int64
+
+// longPrompt returns the header of a request whose prompt has a part after a number of others, which all
+// prompts share.
+func longPrompt(before int, part string) map[string]string {
+	list := firstPart + ":100"
+	for i := 1; i < before; i++ {
+		list += fmt.Sprintf(",%s%02x:10", firstPart, i)
+	}
+	return map[string]string{
+		names["model"]: "m0", names["tokens"]: fmt.Sprintf("%d,60", 400+10*before), names["parts"]: fmt.Sprintf("%s,%s:300,%08x:100", list, part, prompts.Add(1)),
+	}
+}
+
+// playPart sends prompts with a part that crashes each target as it begins to write the answer.
+func playPart(f *fleet) (bool, error) { return f.playPrompts(1, os.Getenv("HEAD") == "1") }
+
+// sessionParts is the number of parts before the one that crashes targets in a long session.
+const sessionParts = 36
+
+// playSession does the same with prompts of many parts. The head of the answer leaves the target before it crashes.
+func playSession(f *fleet) (bool, error) {
+	parts := sessionParts
+	if os.Getenv("SHORT") == "1" { // a control
+		parts = 6
+	}
+	return f.playPrompts(parts, true)
+}
+
+// playPrompts sends prompts with a part that crashes each target, among sound ones.
+func (f *fleet) playPrompts(before int, headFirst bool) (bool, error) {
+	c, targets, err := f.startPool(9)
+	if err != nil {
+		return false, err
+	}
+	for _, t := range targets {
+		t.headFirst = headFirst
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var mu sync.Mutex
-	n := 0
-	prompt := func(part string) map[string]string {
-		mu.Lock()
-		defer mu.Unlock()
-		n++
-		return map[string]string{
-			names["model"]: "m0", names["tokens"]: "800,60", names["parts"]: fmt.Sprintf("%s:400,%s:300,%08x:100", firstPart, part, n),
-		}
-	}
 	for e := range f.entries {
 		go c.flow(ctx, e, 100*time.Millisecond, func(e int) {
-			c.send(e, http.MethodPost, "chat.example", "/c/say", fmt.Sprintf("question %d", time.Now().UnixNano()), 6*time.Second, prompt(fmt.Sprintf("50%02d", time.Now().UnixNano()%20)))
+			c.send(e, http.MethodPost, "chat.example", "/c/say", fmt.Sprintf("question %d", time.Now().UnixNano()), 6*time.Second, longPrompt(before, fmt.Sprintf("50%02d", time.Now().UnixNano()%20)))
 		})
 	}
 	f.logf("traffic begins")
@@ -111,7 +141,7 @@
 		f.logf("prompts with the part that crashes targets begin")
 		for e := range f.entries {
 			go c.flow(deadly, e, 2*time.Second, func(e int) { // 5 in 100 of the traffic
-				c.send(e, http.MethodPost, "chat.example", "/c/say", fmt.Sprintf("question %d", time.Now().UnixNano()), 6*time.Second, prompt(deadlyPart))
+				c.send(e, http.MethodPost, "chat.example", "/c/say", fmt.Sprintf("question %d", time.Now().UnixNano()), 6*time.Second, longPrompt(before, deadlyPart))
 			})
 		}
 	}
