--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"text/template"
 	"time"
@@ -79,6 +80,9 @@
 	trouble bool
 	failed  error
 	maxFds  int // of each process, 0 for no limit of its own
+	// isDeadly reports that the part of prompts crashes targets now; wasSound that prompts with it come before.
+	isDeadly atomic.Bool
+	wasSound bool
 
 	mu     sync.Mutex // guards all fields below
 	record *os.File
@@ -648,6 +652,7 @@
 	"part":    playPart,
 	"leak":    playLeak,
 	"session": playSession,
+	"turned":  playTurned,
 }
 
 func main() {
