--- a/review/fleet/limit.go
+++ b/review/fleet/limit.go
@@ -20,13 +20,14 @@
 
 // playLimit moves the route of a service away and back, while one of its targets states a limit.
 func playLimit(f *fleet) (bool, error) {
-	const entries = 7
+	const entries = 8
 	if err := f.startStore(); err != nil {
 		return false, err
 	}
 	var targets []*target
 	for i, service := range []string{"orders", "orders", "orders", "orders-two", "orders-two"} {
 		t := f.newTarget(101+i, fmt.Sprintf("i-%d", i), service, []string{"zone-a", "zone-b", "zone-c"}[i%3])
+		t.work = 15 * time.Millisecond
 		targets = append(targets, t)
 	}
 	limited := targets[0]
@@ -49,7 +50,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for e := range entries {
-		go c.flow(ctx, e, 40*time.Millisecond, func(e int) {
+		go c.flow(ctx, e, 20*time.Millisecond, func(e int) {
 			c.send(e, http.MethodGet, "stock.example", "/s/count", "", 1500*time.Millisecond, nil)
 		})
 	}
