--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -83,6 +83,12 @@
 	// isDeadly reports that the part of prompts crashes targets now; wasSound that prompts with it come before.
 	isDeadly atomic.Bool
 	wasSound bool
+	// withOrigin reports that weights can be fetched, from origin. entriesWanted is the number of entries if it is
+	// above three.
+	withOrigin    bool
+	origin        string
+	entriesWanted int
+	agents        []*process
 
 	mu     sync.Mutex // guards all fields below
 	record *os.File
@@ -212,6 +218,7 @@
 		if err != nil {
 			return err
 		}
+		f.agents = append(f.agents, p)
 		f.start(p)
 	}
 	return f.failed
@@ -379,6 +386,10 @@
 	conns    map[net.Conn]bool
 	running  int
 	down     bool
+	weights  uint64 // version in service
+	busy     bool   // an order is in progress
+	orders   int
+	staged   map[int][]byte
 	arrivals []arrival
 	crashes  []time.Time
 }
@@ -391,7 +402,7 @@
 }
 
 func (f *fleet) newTarget(n int, id, service, zone string) *target {
-	return &target{f: f, id: id, service: service, zone: zone, addr: f.ip(n) + ":8080", slots: 6, work: 30 * time.Millisecond, state: "ready", conns: map[net.Conn]bool{}}
+	return &target{f: f, id: id, service: service, zone: zone, addr: f.ip(n) + ":8080", slots: 6, work: 30 * time.Millisecond, state: "ready", conns: map[net.Conn]bool{}, weights: 1, staged: map[int][]byte{}}
 }
 
 // up starts the target, or starts it again under its id.
@@ -419,7 +430,7 @@
 	t.sequence++
 	t.f.store.put(names["targets"]+t.id, render("record.tmpl", map[string]any{
 		"Service": t.service, "Address": t.addr, "Zone": t.zone, "Slots": t.slots, "State": t.state, "Sequence": t.sequence,
-		"Born": t.born.UnixMilli(), "Model": t.model,
+		"Born": t.born.UnixMilli(), "Model": t.model, "Weights": t.weights,
 	}))
 }
 
@@ -483,7 +494,17 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if strings.HasPrefix(r.URL.Path, names["report"]) || strings.HasPrefix(r.URL.Path, names["order"]) ||
+			strings.HasPrefix(r.URL.Path, names["stage_put"]) || strings.HasPrefix(r.URL.Path, names["stage_get"]) {
+			if !t.control(c, r, body) {
+				return
+			}
+			continue
+		}
 		if !t.handle(c, r) {
 			return
 		}
@@ -493,15 +514,12 @@
 // handle answers a request and reports whether the connection is kept.
 func (t *target) handle(c net.Conn, r *http.Request) bool {
 	attempt := r.Header.Get(names["attempt"])
-	if r.URL.Path == names["report"] {
-		return t.report(c)
-	}
 	if expected := r.Header.Get(names["expect"]); expected != t.id {
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", names["runner"], t.id)
 		return err == nil
 	}
 	t.mu.Lock()
-	a := arrival{at: time.Now(), attempt: attempt, ran: t.running < t.slots}
+	a := arrival{at: time.Now(), attempt: attempt, ran: t.running < t.slots && !t.busy}
 	if a.ran {
 		t.running++
 	}
@@ -530,16 +548,6 @@
 	return err == nil
 }
 
-// report answers the agent that asks for the state of the target.
-func (t *target) report(c net.Conn) bool {
-	t.mu.Lock()
-	running, born := t.running, t.born.UnixMilli()
-	t.mu.Unlock()
-	body := string(render("report.tmpl", map[string]any{"InFlight": running, "Born": born}))
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-	return err == nil
-}
-
 // result is the answer to a caller's request.
 type result struct {
 	entry   int
@@ -652,6 +660,7 @@
 	"part":    playPart,
 	"leak":    playLeak,
 	"session": playSession,
+	"seeds":   playSeeds,
 	"turned":  playTurned,
 }
 
--- a/review/fleet/part.go
+++ b/review/fleet/part.go
@@ -28,8 +28,8 @@
 func (t *target) stream(c net.Conn, r *http.Request) bool {
 	attempt := r.Header.Get(names["attempt"])
 	head := func() error {
-		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s\r\n%s: 1\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-			names["attempt"], attempt, names["seal"], attempt, names["versions"], names["runner"], t.id)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s\r\n%s: %d\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+			names["attempt"], attempt, names["seal"], attempt, names["versions"], t.version(), names["runner"], t.id)
 		return err
 	}
 	time.Sleep(readTime)
@@ -57,6 +57,11 @@
 	return err == nil
 }
 
+// config returns the values of a version of the configuration.
+func (f *fleet) config(version int) map[string]any {
+	return map[string]any{"Version": version, "StockService": "orders", "OrderService": "orders", "Engine": true, "Origin": f.origin}
+}
+
 // startPool starts a service of model targets with their agents, and three entries.
 func (f *fleet) startPool(n int) (*caller, []*target, error) {
 	if err := f.startStore(); err != nil {
@@ -74,8 +79,19 @@
 		go t.renewLoop()
 		targets = append(targets, t)
 	}
-	f.putConfig(map[string]any{"Version": 3, "StockService": "orders", "OrderService": "orders", "Engine": true})
-	if err := f.addEntries(3, "a", "b", "c"); err != nil {
+	if f.withOrigin {
+		var err error
+		if f.origin, err = f.startOrigin(); err != nil {
+			return nil, nil, err
+		}
+		for _, t := range targets {
+			for i := range pieces {
+				t.staged[i] = piece(1, i)
+			}
+		}
+	}
+	f.putConfig(f.config(3))
+	if err := f.addEntries(max(3, f.entriesWanted), "a", "b", "c"); err != nil {
 		return nil, nil, err
 	}
 	if err := f.addAgents(targets); err != nil {
