--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -24,10 +24,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"text/template"
 	"time"
@@ -80,9 +81,6 @@
 	trouble bool
 	failed  error
 	maxFds  int // of each process, 0 for no limit of its own
-	// isDeadly reports that the part of prompts crashes targets now; wasSound that prompts with it come before.
-	isDeadly atomic.Bool
-	wasSound bool
 	// withOrigin reports that weights can be fetched, from origin. entriesWanted is the number of entries if it is
 	// above three.
 	withOrigin    bool
@@ -120,6 +118,7 @@
 	}
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), names["env"] + "=" + p.settings}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no process outlives this one
 	if err := p.cmd.Start(); err != nil {
 		f.failed = err
 		return
@@ -647,6 +646,9 @@
 	}
 }
 
+// maxTime is how long a play may take.
+const maxTime = 115 * time.Second
+
 // Exit statuses.
 const (
 	exitHeld   = 0
@@ -661,7 +663,6 @@
 	"leak":    playLeak,
 	"session": playSession,
 	"seeds":   playSeeds,
-	"turned":  playTurned,
 }
 
 func main() {
@@ -674,6 +675,17 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
+	runtime.LockOSThread() // processes end with the thread that started them
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-interrupted:
+		case <-time.After(maxTime):
+		}
+		fmt.Println("the case was ended before its time")
+		os.Exit(exitNotRun) // the processes end, too
+	}()
 	broken, err := cases[os.Args[1]](f)
 	f.stop()
 	if os.Getenv("KEEP") == "" {
--- a/review/fleet/part.go
+++ b/review/fleet/part.go
@@ -33,7 +33,7 @@
 		return err
 	}
 	time.Sleep(readTime)
-	if t.f.isDeadly.Load() && strings.Contains(r.Header.Get(names["parts"]), deadlyPart+":") {
+	if strings.Contains(r.Header.Get(names["parts"]), deadlyPart+":") {
 		if t.headFirst { // the head of the answer leaves the target before it crashes
 			_ = head()
 			time.Sleep(20 * time.Millisecond)
@@ -133,12 +133,6 @@
 	return f.playPrompts(parts, true)
 }
 
-// playTurned does the same with a part that was sound before.
-func playTurned(f *fleet) (bool, error) {
-	f.wasSound = true
-	return f.playPrompts(1, true)
-}
-
 // playPrompts sends prompts with a part that crashes each target, among sound ones.
 func (f *fleet) playPrompts(before int, headFirst bool) (bool, error) {
 	c, targets, err := f.startPool(9)
@@ -165,16 +159,10 @@
 	}
 	deadly, stop := context.WithTimeout(ctx, 26*time.Second)
 	defer stop()
-	if f.wasSound {
-		withPart(deadly)
-	}
 	time.Sleep(4 * time.Second)
 	if f.trouble {
-		f.logf("prompts with the part crash targets from now on")
-		f.isDeadly.Store(true)
-		if !f.wasSound {
-			withPart(deadly)
-		}
+		f.logf("prompts with the part that crashes targets begin")
+		withPart(deadly)
 	}
 	<-deadly.Done()
 	time.Sleep(3 * time.Second)
