review: a target that left while the reader of the store was away stays in use

The cases on descriptors and on crashes before the head are dropped: review/7 and review/9 show them.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Shows that entries keep the connections to targets that have left, until no descriptor is left. See claim.txt.
+# Shows that agents that start while no seed is there never hear of new weights. See claim.txt.
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/amaranthturn ] && [ -x target/review-fleet ] || { echo "build first"; exit 2; }
-exec target/review-fleet leak review/11/record.txt
+exec target/review-fleet seeds review/11/record.txt
--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -29,6 +29,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"text/template"
 	"time"
@@ -80,12 +81,15 @@
 	entries []*process
 	trouble bool
 	failed  error
-	maxFds  int // of each process, 0 for no limit of its own
+	// isDeadly reports that the part of prompts crashes targets now; wasSound that prompts with it come before.
+	isDeadly atomic.Bool
+	wasSound bool
 	// withOrigin reports that weights can be fetched, from origin. entriesWanted is the number of entries if it is
 	// above three.
 	withOrigin    bool
 	origin        string
 	entriesWanted int
+	seedsFrom     int // the first of the entries that are seeds
 	agents        []*process
 
 	mu     sync.Mutex // guards all fields below
@@ -113,9 +117,6 @@
 // start starts the process with the command of the deploy file.
 func (f *fleet) start(p *process) {
 	p.cmd = exec.Command("target/amaranthturn", "serve", p.role)
-	if f.maxFds > 0 {
-		p.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec target/amaranthturn serve %s", f.maxFds, p.role))
-	}
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), names["env"] + "=" + p.settings}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no process outlives this one
@@ -168,7 +169,7 @@
 // addEntries adds entries, in turn in each of the zones.
 func (f *fleet) addEntries(n int, zones ...string) error {
 	var seeds []string
-	for i := range min(3, n) {
+	for i := f.seedsFrom; i < min(f.seedsFrom+3, n); i++ {
 		seeds = append(seeds, f.ip(11+i)+":8000")
 	}
 	for i := range n {
@@ -371,7 +372,6 @@
 	f                       *fleet
 	id, service, zone, addr string
 	slots                   int
-	headFirst               bool // it sends the head of its answer before it crashes on a prompt
 	model                   bool
 	work                    time.Duration
 	limit                   string                                            // named in all answers, if set
@@ -434,6 +434,7 @@
 }
 
 func (t *target) renewLoop() {
+	time.Sleep(time.Duration(rand.Float64() * float64(renewInterval))) // targets don't start together
 	for {
 		time.Sleep(renewInterval)
 		t.renew()
@@ -658,10 +659,10 @@
 
 // cases are the plays by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet) (bool, error){
+	"turned":  playTurned,
 	"limit":   playLimit,
-	"part":    playPart,
-	"leak":    playLeak,
 	"session": playSession,
+	"reader":  playReader,
 	"seeds":   playSeeds,
 }
 
--- a/review/fleet/part.go
+++ b/review/fleet/part.go
@@ -24,7 +24,7 @@
 	readTime   = 60 * time.Millisecond // of a prompt
 )
 
-// stream answers with a stream, or crashes when it begins to write the answer to a prompt with the part.
+// stream answers with a stream, or crashes when it has begun to write the answer to a prompt with the part.
 func (t *target) stream(c net.Conn, r *http.Request) bool {
 	attempt := r.Header.Get(names["attempt"])
 	head := func() error {
@@ -33,11 +33,9 @@
 		return err
 	}
 	time.Sleep(readTime)
-	if strings.Contains(r.Header.Get(names["parts"]), deadlyPart+":") {
-		if t.headFirst { // the head of the answer leaves the target before it crashes
-			_ = head()
-			time.Sleep(20 * time.Millisecond)
-		}
+	if t.f.isDeadly.Load() && strings.Contains(r.Header.Get(names["parts"]), deadlyPart+":") {
+		_ = head() // the head of the answer leaves the target before it crashes
+		time.Sleep(20 * time.Millisecond)
 		t.crash(crashedFor)
 		return false
 	}
@@ -118,30 +116,30 @@
 	}
 }
 
-// playPart sends prompts with a part that crashes each target as it begins to write the answer.
-func playPart(f *fleet) (bool, error) { return f.playPrompts(1, os.Getenv("HEAD") == "1") }
+// playTurned sends prompts with a part that is sound at first and crashes each target later.
+func playTurned(f *fleet) (bool, error) {
+	f.wasSound = os.Getenv("NEW") != "1" // a control: the part is not in use before
+	return f.playPrompts(1)
+}
 
 // sessionParts is the number of parts before the one that crashes targets in a long session.
 const sessionParts = 36
 
-// playSession does the same with prompts of many parts. The head of the answer leaves the target before it crashes.
+// playSession sends prompts of many parts, one of which crashes each target.
 func playSession(f *fleet) (bool, error) {
 	parts := sessionParts
 	if os.Getenv("SHORT") == "1" { // a control
 		parts = 6
 	}
-	return f.playPrompts(parts, true)
+	return f.playPrompts(parts)
 }
 
 // playPrompts sends prompts with a part that crashes each target, among sound ones.
-func (f *fleet) playPrompts(before int, headFirst bool) (bool, error) {
+func (f *fleet) playPrompts(before int) (bool, error) {
 	c, targets, err := f.startPool(9)
 	if err != nil {
 		return false, err
 	}
-	for _, t := range targets {
-		t.headFirst = headFirst
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for e := range f.entries {
@@ -159,10 +157,16 @@
 	}
 	deadly, stop := context.WithTimeout(ctx, 26*time.Second)
 	defer stop()
+	if f.wasSound {
+		withPart(deadly)
+	}
 	time.Sleep(4 * time.Second)
 	if f.trouble {
-		f.logf("prompts with the part that crashes targets begin")
-		withPart(deadly)
+		f.logf("prompts with the part crash targets from now on")
+		f.isDeadly.Store(true)
+		if !f.wasSound {
+			withPart(deadly)
+		}
 	}
 	<-deadly.Done()
 	time.Sleep(3 * time.Second)
--- a/review/fleet/seeds.go
+++ b/review/fleet/seeds.go
@@ -84,3 +84,25 @@
 	fmt.Printf("served: %d of %d before the fault, %d of %d later than %v after it\n", servedBefore, before, servedAfter, after, recoverTime)
 	return 4*servedBefore >= before && 4*servedAfter < after, nil
 }
+
+// logOutcomes writes how requests ended, by time.
+func (f *fleet) logOutcomes(c *caller, startedAt time.Time) {
+	const span = 5 * time.Second
+	counts := map[int]map[string]int{}
+	for _, r := range c.results {
+		i := int(r.sentAt.Sub(startedAt) / span)
+		if counts[i] == nil {
+			counts[i] = map[string]int{}
+		}
+		key := fmt.Sprint(r.status)
+		if r.err != nil {
+			key = "no answer"
+		}
+		counts[i][key]++
+	}
+	for i := range 40 {
+		if counts[i] != nil {
+			f.logf("requests sent %3.0f s after the start: %v", (time.Duration(i) * span).Seconds(), counts[i])
+		}
+	}
+}
