--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -5,10 +5,10 @@
 //
 // # Usage
 //
-//	target/review-fleet CASE RECORD
+//	target/review-fleet CASE RECORD TROUBLE
 //
 // The exit status is 0 if the rule held, 1 if it was broken and 2 if the case could not run. With
-// TROUBLE=0 in the environment the disruption is left out.
+// 0 for TROUBLE the disruption is left out; the scripts pass on the variable of that name.
 package main
 
 import (
@@ -144,7 +144,7 @@
 }
 
 // newFleet prepares a play. Addresses are taken from a part of the loopback network that is free.
-func newFleet(recordPath string) (*fleet, error) {
+func newFleet(recordPath string, trouble bool) (*fleet, error) {
 	record, err := os.Create(recordPath)
 	if err != nil {
 		return nil, err
@@ -153,7 +153,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{base: time.Now(), dir: dir, record: record, trouble: os.Getenv("TROUBLE") != "0"}
+	f := &fleet{base: time.Now(), dir: dir, record: record, trouble: trouble}
 	for range 100 {
 		f.network = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 		l, err := net.Listen("tcp", f.ip(1)+":8007")
@@ -667,11 +667,11 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-fleet CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: review-fleet CASE RECORD TROUBLE")
 		os.Exit(exitNotRun)
 	}
-	f, err := newFleet(os.Args[2])
+	f, err := newFleet(os.Args[2], os.Args[3] != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
